--- /dev/null
+++ b/silverglade/control/book.py
@@ -0,0 +1,70 @@
+"""The book (design 5.3): what control holds, key to (version, value).
+
+Keys: "config"; "evac/ZONE"; "duty/KIND/NAME"; "change/ID" (not delivered as news).
+A version is (epoch, number); (0, 0) is before everything.
+"""
+from .. import config
+
+START = (0, 0)
+KEEP = 256          # outcomes of change ids kept
+
+
+def version(book):
+    return max((v for v, _ in book.values()), default=START)
+
+
+def since(book, v):
+    """The items that news brings to someone who holds version v."""
+    return tuple(sorted((k, iv, x) for k, (iv, x) in book.items()
+                        if iv > v and not k.startswith("change/")))
+
+
+def get(book, key, d=None):
+    return book.get(key, (START, d))[1]
+
+
+def pruned(book):
+    """Keys of outcomes beyond those kept."""
+    cs = sorted((v, k) for k, (v, _) in book.items() if k.startswith("change/"))
+    return tuple(k for _, k in cs[:-KEEP]) if len(cs) > KEEP else ()
+
+
+def decide(book, op, at):
+    """An operator's or the duty keeper's op -> ("take", items) | ("refuse", code, detail).
+
+    at = the version the change will carry. Pure: called by the primary alone.
+    """
+    match op:
+        case ("config", base, raw):
+            held = book.get("config", (START, None))[0]
+            if base != held:
+                return ("refuse", 501, f"in force is {held[0]}.{held[1]}")
+            cfg, bad = config.checked(raw)
+            if bad:
+                return ("refuse", 502, "; ".join(f"{p}: {s}" for p, s in bad))
+            return ("take", (("config", raw),))
+        case ("evac", zone, bool(on)):
+            cfg = get(book, "config")
+            if not cfg or zone not in cfg["zones"]:
+                return ("refuse", 505, zone)
+            return ("take", ((f"evac/{zone}", on),))
+        case ("duty", kind, name, base, holder, follower):
+            old = get(book, f"duty/{kind}/{name}")
+            if (old[0] if old else 0) != base:
+                return ("refuse", 501, name)
+            return ("take", ((f"duty/{kind}/{name}", (base + 1, holder, follower)),))
+        case ("duties", todo):
+            got = [decide(book, ("duty", *d), at) for d in todo]
+            return ("take", tuple(i for g in got if g[0] == "take" for i in g[1]))
+    return ("refuse", 506, "unknown change")
+
+
+def sound_version(v):
+    return isinstance(v, tuple) and len(v) == 2 and all(type(n) is int and n >= 0 for n in v)
+
+
+def sound(items):
+    return isinstance(items, tuple) and all(
+        isinstance(i, tuple) and len(i) == 3 and isinstance(i[0], str) and sound_version(i[1])
+        for i in items)
+
--- /dev/null
+++ b/silverglade/desk.py
@@ -0,0 +1,138 @@
+"""The desk (design 2.3, 5.4): control calls, taken by every daemon, settled by the primary."""
+from . import __version__, wire
+from .config import digest
+from .control import book as bk
+from .part import ms, send
+from .replicas.registry import (ADDR, HOMES, INC, KIND, LEAVING, PREFIXES, S_CAP, S_RUNNING,
+                                S_STATE, S_USE, S_USED, SLOTS, ZONE)
+from .roster import extra
+
+
+def reply(cid, code, **kw):
+    return ("reply", cid, code, kw)
+
+
+def desk(*, me, cores, opt, rng):
+    book, held, reps, roll, fresh, want, pend, out, notes = {}, bk.START, {}, (), None, {}, {}, [], {}
+
+    def primary():
+        """The newest view that anyone in the roll speaks of: (epoch, primary)."""
+        v = max((extra(r, "view", (0, "", "")) for r in roll), default=(0, "", ""))
+        return v
+
+    def push(n, now):
+        p = pend[n]
+        to = p["to"] or primary()[1]
+        if to:
+            p.update(sent=True, at=now, to=to)
+            out.append(send(to, "op", n, p["change"], p["op"], p["key"]))
+
+    def begin(cid, change, op, now):
+        n = rng.getrandbits(48)
+        pend[n] = dict(cid=cid, change=change, op=op, key=digest(repr(op)), sent=False, born=now,
+                       at=now, to="")
+        push(n, now)
+
+    def settle(n, res):
+        p = pend.pop(n)
+        if p["cid"] is None:
+            return
+        if res[0] == "ok":
+            out.append(reply(p["cid"], 100, version=list(res[1]), change=p["change"]))
+        elif res[0] == "refuse":
+            out.append(reply(p["cid"], res[1], detail=res[2], change=p["change"]))
+        else:
+            out.append(reply(p["cid"], 503 if p["sent"] else 504, change=p["change"]))
+
+    def status(now):
+        mine = next((r for r in roll if r[0] == me), None)
+        return dict(
+            daemon=me, version=__version__, wire=wire.VERSION, zone=mine and mine[4], state=mine and mine[9],
+            view=list(primary()), news=list(held), age_ms=ms(now - fresh) if fresh is not None else None,
+            config=list(book.get("config", (bk.START,))[0]),
+            evacuated=sorted(k[5:] for k, (_, on) in book.items() if k.startswith("evac/") and on),
+            **notes)
+
+    def fleet():
+        return {r[0]: dict(zone=r[4], region=r[5], wire=r[6], http=r[7], core=r[8], state=r[9],
+                           incarnation=r[2], view=list(extra(r, "view", ())),
+                           news=list(extra(r, "news", ())), version=extra(r, "version", ""))
+                for r in roll}
+
+    def replicas(now):
+        return {i: dict(incarnation=r[INC], address=r[ADDR], zone=r[ZONE], kind=r[KIND],
+                        homes=list(r[HOMES]), prefixes=list(r[PREFIXES]), slots=r[SLOTS],
+                        leaving=r[LEAVING], state=s[S_STATE] if s else "unknown",
+                        use=s[S_USE] if s else None, running=s[S_RUNNING] if s else None,
+                        cap=s[S_CAP] if s else None, used=s[S_USED] if s else None,
+                        age_ms=ms(now - at) if at is not None else None)
+                for i, (r, s, at) in sorted(reps.items())}
+
+    def orders(region):
+        cfg = bk.get(book, "config") or {"zones": {}}
+        zs = {z for z, d in cfg["zones"].items() if d["region"] == region}
+        kinds = {}
+        for (g, kind), m in sorted(want.items()):
+            if g == region:
+                here = [(r, s) for r, s, _ in reps.values() if r[ZONE] in zs and r[KIND] == kind]
+                kinds[kind] = dict(
+                    wanted=m, ready=sum(1 for _, s in here if s and s[S_STATE] == "ready"),
+                    starting=sum(1 for _, s in here if s and s[S_STATE] == "starting"),
+                    parts={r[0]: list(p[1:]) for r in roll for p in extra(r, "parts", ())
+                           if r[5] == region and p[0] == kind})
+        return dict(region=region, kinds=kinds, least=sum(cfg["zones"][z]["least"] for z in zs))
+
+    while True:
+        now, ev = yield tuple(out)
+        out = []
+        match ev:
+            case ("book", b, v):
+                book, held = b, v
+            case ("replicas", rs):
+                reps = rs
+            case ("roll", r):
+                roll = r
+            case ("fresh", f):
+                fresh = f
+            case ("wanted", w):
+                want = w
+            case ("self", op):
+                if not any(p["op"] == op for p in pend.values()):
+                    begin(None, "", op, now)
+            case ("note", k, v):
+                notes[k] = v
+            case ("orders", run, handed, budget):
+                notes.update(orders=dict(running=run, handed=handed), retries=budget)
+            case ("shards", rows):
+                notes["shards"] = {t: dict(epoch=e, follower=f, open=o, claims=c, waiting=w)
+                                   for t, e, f, o, c, w in rows}
+            case ("call", cid, "config-get", _):
+                at, raw = book.get("config", (bk.START, None))
+                out.append(reply(cid, 100, version=list(at), config=raw))
+            case ("call", cid, "config-put", (base, change, raw)):
+                begin(cid, change, ("config", base, raw), now)
+            case ("call", cid, "evac", (zone, on, change)):
+                begin(cid, change, ("evac", zone, on), now)
+            case ("call", cid, "fleet", _):
+                out.append(reply(cid, 100, fleet=fleet(), duties={
+                    k[5:]: list(v) for k, (_, v) in sorted(book.items()) if k.startswith("duty/")}))
+            case ("call", cid, "replicas", _):
+                out.append(reply(cid, 100, replicas=replicas(now)))
+            case ("call", cid, "orders", (region,)):
+                out.append(reply(cid, 100, **orders(region)))
+            case ("call", cid, "status", _):
+                out += [("cast", ("look",)), ("post", "desk", ("status", cid))]
+            case ("status", cid):
+                out.append(reply(cid, 100, **status(now)))
+            case ("msg", frm, ("opr", n, res)) if n in pend and isinstance(res, tuple) and res:
+                if res[0] == "elsewhere":
+                    pend[n]["to"] = res[1] if res[1] != frm else ""
+                elif res[0] != "unknown" or not pend[n]["change"]:
+                    settle(n, res)               # unknown: ask on, by the change id
+            case ("pulse",):
+                for n, p in list(pend.items()):
+                    if now - p["born"] > opt["op_wait"]:
+                        settle(n, ("unknown",))
+                    elif now - p["at"] > opt["beat"]:
+                        p["to"] = primary()[1] if now - p["at"] > opt["beat"] * 2 else p["to"]
+                        push(n, now)
--- /dev/null
+++ b/silverglade/hub.py
@@ -0,0 +1,105 @@
+"""One daemon's parts as one sans-IO machine (design 1.2).
+
+`feed(now, event)` runs the parts to rest and returns the effects that leave the daemon.
+The daemon program and the simulator drive this same function.
+"""
+from collections import deque
+
+from . import __version__
+from .control.core import core
+from .desk import desk
+from .messages import checked
+from .news import keeper, news
+from .part import log, start
+from .path.ingress import ingress
+from .replicas.ledger import ledger
+from .replicas.registry import registry
+from .roster import roster
+from .scaler.scaler import scaler
+from .shards.follower import follower
+from .shards.owner import owner
+
+# which part hears which message between daemons
+HEARS = {
+    "roster": ("ping", "pong", "bye"),
+    "registry": ("reps",),
+    "ledger": ("lease", "release"),
+    "owner": ("ask", "leased", "unleased", "offer", "claimed", "unclaimed", "adopted",
+              "unadopted", "copied", "fin", "quit"),
+    "path": ("grant", "deny", "moved", "hand", "left", "res"),
+    "news": ("news",),
+    "desk": ("opr",),
+    "control": ("hb", "prep", "acc", "prom", "accd", "nack", "snap", "snapok", "repl", "repd",
+                "items", "pull", "get", "op"),
+    "follower": ("claim", "mark", "adopt", "copy"),
+}
+CALLS = {"replica-put": "registry", "replica-leave": "registry", "platform": "registry"}
+
+
+class Hub:
+    def __init__(self, *, me, life, zone, region, addr, http, seeds, cores, opt, rng,
+                 disk="", saved=None):
+        self.me, self.stops = me, 0
+        p = self.parts = {
+            "roster": roster(me=me, life=life, place=(zone, region, addr, http, bool(disk)),
+                             seeds=tuple(seeds), opt=opt),
+            "registry": registry(me=me, opt=opt),
+            "news": news(me=me, zone=zone, cores=cores, opt=opt, rng=rng),
+            "ledger": ledger(me=me, opt=opt),
+            "owner": owner(me=me, zone=zone, cores=cores, opt=opt, rng=rng),
+            "path": ingress(me=me, life=life, zone=zone, opt=opt),
+            "scaler": scaler(me=me, region=region, opt=opt),
+            "desk": desk(me=me, cores=cores, opt=opt, rng=rng),
+        }
+        if disk:
+            saved = saved or {}
+            p["control"] = core(me=me, disk=disk, cores=cores, saved=saved, opt=opt, rng=rng)
+            p["keeper"] = keeper(cores=cores, opt=opt)
+            p["follower"] = follower(saved=saved, opt=opt)
+        for g in p.values():
+            start(g)
+        self.hear = {k: n for n, ks in HEARS.items() for k in ks if n in p}
+        self.queue = deque([("roster", ("extra", "version", __version__))])
+
+    def aim(self, ev):
+        """-> the parts an outside event goes to."""
+        match ev:
+            case ("pulse",):
+                return tuple(self.parts)
+            case ("msg", _, (kind, *_)):
+                return (self.hear[kind],) if kind in self.hear else ()
+            case ("disk", (part, _), _, _):
+                return (part,)
+            case ("order" | "gone" | "ran" | "drain", *_):
+                return ("path",)
+            case ("probed", *_):
+                return ("ledger",)
+            case ("call", _, op, _):
+                return (CALLS.get(op, "desk"),)
+            case ("state", _):
+                return ("roster",)
+        return ()
+
+    def feed(self, now, ev):
+        out = []
+        to = self.aim(ev)
+        if not to or (ev[0] == "msg" and not checked(ev[2])):
+            return [log("message-refused", sender=str(ev[1:2])[:40], event=str(ev)[:80])]
+        self.queue.extend((t, ev) for t in to)
+        while self.queue:
+            part, e = self.queue.popleft()
+            if part not in self.parts:
+                continue
+            for f in self.parts[part].send((now, e)):
+                match f:
+                    case ("post", p, x):
+                        self.queue.append((p, x))
+                    case ("cast", x):
+                        self.queue.extend((p, x) for p in self.parts)
+                    case ("send", to, body) if to == self.me:
+                        k = self.hear.get(body[0])
+                        if k:
+                            self.queue.append((k, ("msg", self.me, body)))
+                    case _:
+                        out.append(f)
+        return out
--- /dev/null
+++ b/silverglade/messages.py
@@ -0,0 +1,81 @@
+"""The shape of every message between daemons (design 3.2): checked before a part sees it.
+
+Letters: s text, i whole number, f number, b flag, y bytes, t tuple, v version (two whole
+numbers), o ballot (number, text), ? anything. "..." at the end: any rest.
+"""
+SHAPES = {
+    "ping": "it", "pong": "it", "bye": "t", "reps": "tt",
+    "lease": "siss", "release": "ssb", "leased": "ssi", "unleased": "sss", "offer": "siss",
+    "ask": "sisit", "claimed": "sis", "unclaimed": "siss", "adopted": "sit", "unadopted": "sis",
+    "copied": "sii", "fin": "sis", "quit": "s",
+    "grant": "sisisib", "deny": "siis?", "moved": "si",
+    "hand": "ssssbisiy", "left": "s", "res": "sis...",
+    "news": "ivti", "opr": "it", "hb": "o?vbsibiii",
+    "prep": "o", "acc": "o?", "prom": "oso?", "accd": "os", "nack": "oso",
+    "snap": "iio?t", "snapok": "iis", "repl": "iivvt", "repd": "ii", "items": "ivvt",
+    "pull": "v", "get": "iv", "op": "ists",
+    "claim": "sisss", "mark": "sisss", "adopt": "si", "copy": "siit",
+}
+
+
+def fits(x, k):
+    match k:
+        case "s":
+            return type(x) is str
+        case "i":
+            return type(x) is int
+        case "f":
+            return type(x) in (int, float)
+        case "b":
+            return type(x) is bool
+        case "y":
+            return type(x) is bytes
+        case "t":
+            return type(x) is tuple
+        case "v":
+            return type(x) is tuple and len(x) == 2 and all(type(n) is int and n >= 0 for n in x)
+        case "o":
+            return type(x) is tuple and len(x) == 2 and type(x[0]) is int and type(x[1]) is str
+    return True
+
+
+def sound(body):
+    sh = SHAPES.get(body[0])
+    if sh is None:
+        return False
+    rest = body[1:]
+    if sh.endswith("..."):
+        sh = sh[:-3]
+        rest = rest[:len(sh)]
+    return len(rest) == len(sh) and all(fits(x, k) for x, k in zip(rest, sh))
+
+
+def rows(t, sh):
+    """Every row of a tuple has this shape."""
+    return all(type(r) is tuple and len(r) == len(sh) and all(fits(x, k) for x, k in zip(r, sh))
+               for r in t)
+
+
+DEEP = {
+    "adopted": lambda b: rows(b[3], "sss"),
+    "copy": lambda b: rows(b[4], "sss"),
+    "ask": lambda b: rows((b[5],), "sssi"),
+    "opr": lambda b: len(b[2]) >= 1 and type(b[2][0]) is str and (
+        b[2][0] not in ("ok", "refuse", "elsewhere") or rows(
+            (b[2],), {"ok": "sv", "refuse": "sis", "elsewhere": "ss"}[b[2][0]])),
+    "news": lambda b: rows(b[3], "sv?"),
+    "snap": lambda b: rows(b[5], "sv?"),
+    "repl": lambda b: rows(b[5], "sv?"),
+    "items": lambda b: rows(b[4], "sv?"),
+    "op": lambda b: sound_op(b[3]),
+}
+
+OPS = {"config": "v?", "evac": "sb", "duty": "ssiss"}
+
+
+def sound_op(op):
+    return len(op) >= 1 and op[0] in OPS and rows((op[1:],), OPS[op[0]])
+
+
+def checked(body):
+    return sound(body) and DEEP.get(body[0], lambda b: True)(body)
--- /dev/null
+++ b/silverglade/options.py
@@ -0,0 +1,99 @@
+"""A daemon's settings (design 8.1): from a JSON file and flags, checked whole."""
+import json
+from datetime import timedelta as td
+
+from . import check as c
+from .faults import Fault
+
+# Times are seconds in files and flags, timedelta inside. docs/options.md explains each.
+TUNING = {
+    "pulse": c.span(default=td(milliseconds=50)),
+    "beat": c.span(default=td(milliseconds=250)),        # roster, control heartbeats (4.3)
+    "doubt": c.span(default=td(milliseconds=1200)),      # silence before a watcher doubts
+    "gone": c.span(default=td(seconds=4)),               # no news of a daemon from anyone
+    "late": c.span(default=td(milliseconds=900)),        # a pulse this late means frozen
+    "watch": c.whole(default=4, least=1, most=16),
+    "takeover": c.span(default=td(milliseconds=1500)),   # control: silence of a member (5.4)
+    "disk_stall": c.span(default=td(seconds=1)),
+    "settle": c.span(default=td(milliseconds=600)),
+    "op_wait": c.span(default=td(seconds=4)),            # operator call before "unknown"
+    "ask_wait": c.span(default=td(milliseconds=500)),           # news long-ask
+    "alone": c.span(default=td(seconds=4)),              # no confirmed news: start nothing
+    "probe": c.span(default=td(milliseconds=500)),
+    "stale": c.span(default=td(seconds=3)),              # a replica's status too old
+    "queue": c.whole(default=64, least=1),               # waiting orders per tenant
+    "queue_wait": c.span(default=td(seconds=10)),
+    "owner_wait": c.span(default=td(milliseconds=1500)),
+    "claim_wait": c.span(default=td(milliseconds=1200)),
+    "grant": c.span(default=td(seconds=2)),              # a grant's life
+    "spill_wait": c.span(default=td(milliseconds=200)),
+    "hot": c.number(default=1.25, least=1.0),            # bounded burden (7.2)
+    "retry_share": c.number(default=0.10, most=1.0),
+    "retry_stop": c.number(default=0.20, most=1.0),
+    "retry_window": c.span(default=td(seconds=30)),
+    "retry_after": c.span(default=td(seconds=1)),
+    "buckets": c.whole(default=4, least=1, most=64),
+    "scale_every": c.span(default=td(seconds=2)),
+    "scale_trend": c.span(default=td(seconds=10)),
+    "scale_hold": c.span(default=td(seconds=6)),
+    "scale_top": c.number(default=0.8, most=1.0),
+    "scale_fall": c.number(default=0.65, most=1.0),
+    "scale_room": c.whole(default=20, least=1),
+    "scale_fan": c.whole(default=50, least=1),
+    "scale_flow": c.oneof("printed", "served", default="printed"),
+    "scale_idle": c.number(default=0.5, most=1.0),
+}
+
+SETTINGS = {
+    "name": c.text(),
+    "zone": c.text(),
+    "region": c.text(),
+    "listen": c.address(),          # wire between daemons
+    "http": c.address(),            # visitors, replicas, platform, operators
+    "seeds": c.each(c.address(), least=1),
+    "cores": c.each(c.text(), least=3, unique=True),
+    "data": c.text(default=""),
+    "operator_key": c.text(default=""),
+    "orders_to": c.text(default=""),
+    "log_level": c.oneof("DEBUG", "INFO", "WARNING", default="INFO"),
+    "tuning": c.table(TUNING, default=None),
+}
+
+
+def tuning(**kw):
+    out, bad = c.run(c.table(TUNING), kw)
+    if bad:
+        raise Fault(701, said(bad))
+    return out
+
+
+def said(bad):
+    return "; ".join(f"{p}: {s}" for p, s in bad)
+
+
+def checked(raw, /):
+    out, bad = c.run(c.table(SETTINGS), raw)
+    if not bad and len(out["cores"]) != 3:
+        bad += (("cores", "wants three names"),)
+    if not bad and out["data"] and out["name"] not in out["cores"]:
+        bad += (("data", "only a daemon named in cores keeps data"),)
+    if not bad and not out["data"] and out["name"] in out["cores"]:
+        bad += (("data", "a core needs a data folder"),)
+    if bad:
+        raise Fault(701, said(bad))
+    out["tuning"] = out["tuning"] or tuning()
+    return out
+
+
+def read(*, path, flags):
+    raw = {}
+    if path:
+        try:
+            with open(path, encoding="utf-8") as f:
+                raw = json.load(f)
+        except (OSError, ValueError) as e:
+            raise Fault(701, f"{path}: {e}") from e
+        if not isinstance(raw, dict):
+            raise Fault(701, f"{path}: wants a table")
+    raw.update({k: v for k, v in flags.items() if v is not None})
+    return checked(raw)
--- /dev/null
+++ b/silverglade/path/ingress.py
@@ -0,0 +1,208 @@
+"""The path part (design 6.5, 6.6): orders at their ingress, and orders handed towards home."""
+from ..control import book as bk
+from ..faults import Fault
+from ..part import ms, send
+from ..rank import ranked
+from ..replicas.registry import INC, evacuated, usable
+from .admit import admit, sure
+from .budget import Budget
+from .order import order
+
+
+class Ctx:
+    """What an order may look at (held and filled by the path part alone)."""
+
+    def __init__(self, *, opt):
+        self.opt, self.book, self.reps, self.roll, self.ids = opt, {}, {}, (), set()
+        self.heard, self.budget = None, Budget(opt=opt)
+
+    def duty(self, tenant):
+        return bk.get(self.book, f"duty/shard/{tenant}")
+
+    def live(self, i):
+        return i in self.ids
+
+    def fresh(self, now):
+        return self.heard is not None and now - self.heard <= self.opt["alone"]
+
+    def barred(self, rid, inc, f, now):
+        """Why this replica may not be sent this order now, or "" (design 7.2)."""
+        e = self.reps.get(rid)
+        if not self.fresh(now):
+            return "stale"
+        if e is None or e[0][INC] != inc:
+            return "incarnation"
+        cfg = bk.get(self.book, "config")
+        homes = cfg["tenants"].get(f["tenant"], {"homes": ()})["homes"]
+        return "" if usable(e, now=now, opt=self.opt, evac=evacuated(self.book), homes=homes,
+                            kind=f["kind"]) else "unusable"
+
+
+def ingress(*, me, life, zone, opt):
+    ctx, gens, hands, guests, out = Ctx(opt=opt), {}, {}, {}, []
+    num, drain = 0, False
+
+    def run(oid, now, ev):
+        """Drive one order's generator and sort its effects."""
+        for e in gens[oid].send((now, ev)):
+            settle(oid, e)
+
+    def settle(oid, e):
+        match e:
+            case ("end", _):
+                gens.pop(oid, None)
+                guests.pop(oid, None)
+            case ("result", _, *r) if oid in guests:
+                g = guests[oid]
+                g["seq"] += 1
+                out.append(send(g["to"], "res", oid, g["seq"], *r))
+            case ("served", *r):
+                out.append(("cast", e))
+            case _:
+                out.append(e)
+
+    def start_(oid, f, body, now):
+        ctx.budget.fresh(now) if f["attempt"] < 2 else None
+        if f["attempt"] < 2:
+            out.append(("cast", ("arrived", f["kind"])))
+        gens[oid] = g = order(oid=oid, f=f, body=body, opt=opt, ctx=ctx, me=me, now=now)
+        for e in next(g):
+            settle(oid, e)
+
+    def refuse(oid, code, ran, wait=None, detail=""):
+        out.append(("result", oid, "fault", code, ran, wait, detail))
+
+    def fresh_order(oid, spec, now):
+        nonlocal num
+        bearer, cls, key, due, prefix, attempt, body = spec
+        num += 1
+        cfg = bk.get(ctx.book, "config")
+        try:
+            f = admit(cfg=cfg, bearer=bearer, cls=cls, key=key, due=due, prefix=prefix,
+                      attempt=attempt, size=len(body), minted=f"{me}-{life}-{num}")
+        except Fault as e:
+            return refuse(oid, e.code, "no", 1000 if e.code == 309 else None, e.detail)
+        out.append(("result", oid, "key", f["key"], f["stream"]))
+        maybe = "no" if sure(f) else "maybe"
+        if drain:
+            return refuse(oid, 308, maybe, 1000)
+        if f["attempt"] > 1 and not ctx.budget.visitor(now):
+            return refuse(oid, 305, maybe, 2000)
+        if zone in f["homes"]:
+            if not ctx.fresh(now):
+                return refuse(oid, 307, maybe, 1000)
+            return start_(oid, f, body, now)
+        to = homeward(f)
+        if not to:
+            return refuse(oid, 306, maybe, 1000)
+        hands[oid] = dict(to=to, seq=0, at=now, due=now + f["left"], f=f, out=False, told=False)
+        out.append(send(to, "hand", oid, bearer, cls, f["key"], f["minted"], ms(f["left"]), prefix,
+                        f["attempt"], body))
+        return None
+
+    def homeward(f):
+        """The shard's owner where it lives, else a live daemon of the homes in their order."""
+        d = ctx.duty(f["tenant"])
+        if d and ctx.live(d[1]):
+            return d[1]
+        for z in f["homes"]:
+            ids = [r[0] for r in ctx.roll if r[4] == z and r[9] == "ready"]
+            if ids:
+                return ranked(f["key"], ids)[0]
+        return None
+
+    def guest(frm, oid, bearer, cls, key, minted, left, prefix, attempt, body, now):
+        """An order handed to us from outside its homes; we are its ingress now."""
+        if oid in guests:
+            return
+        guests[oid] = dict(to=frm, seq=0, at=now)
+        no = lambda code, ran: (settle(oid, ("result", oid, "fault", code, ran, 1000)),
+                                settle(oid, ("end", oid)))
+        try:
+            f = admit(cfg=bk.get(ctx.book, "config"), bearer=bearer, cls=cls, key=key, due=str(left),
+                      prefix=prefix, attempt=str(attempt or ""), size=len(body), minted="")
+        except Fault as e:
+            no(e.code, "no")
+            return
+        f["minted"] = minted
+        if zone not in f["homes"]:
+            no(306, "no" if sure(f) else "maybe")    # never passed on to a third region
+        elif drain or not ctx.fresh(now):
+            no(308 if drain else 307, "no" if sure(f) else "maybe")
+        else:
+            start_(oid, f, body, now)
+
+    def relay(oid, h, seq, r, now):
+        if seq != h["seq"] + 1:
+            out.append(send(h["to"], "left", oid))
+            return lose(oid, h, 405)
+        h["seq"], h["told"] = seq, True
+        if r[0] == "piece":
+            h["out"] = True
+        if r[0] == "fault" and r[1] in (404,) or r[0] in ("done", "whole", "fault"):
+            hands.pop(oid)
+        if r[0] in ("piece", "done", "whole", "fault"):
+            out.append(("result", oid, *r))
+        return None
+
+    def lose(oid, h, code):
+        hands.pop(oid)
+        refuse(oid, 404 if h["out"] else code, "yes" if h["out"] else "maybe", 1000)
+
+    def pulse(now):
+        for oid in list(gens):
+            run(oid, now, ("pulse",))
+        for oid, g in list(guests.items()):
+            if not ctx.live(g["to"]) and now - g["at"] > opt["gone"]:
+                if oid in gens:
+                    run(oid, now, ("gone",))
+        for oid, h in list(hands.items()):
+            if now >= h["due"] + opt["settle"]:
+                out.append(send(h["to"], "left", oid))
+                lose(oid, h, 403)
+            elif not ctx.live(h["to"]):
+                lose(oid, h, 405)
+
+    while True:
+        now, ev = yield tuple(out)
+        out = []
+        match ev:
+            case ("pulse",):
+                pulse(now)
+            case ("book", b, _):
+                ctx.book = b
+            case ("replicas", rs):
+                ctx.reps = rs
+            case ("roll", r):
+                ctx.roll, ctx.ids = r, {x[0] for x in r}
+            case ("fresh", f):
+                ctx.heard = f
+            case ("froze",):
+                ctx.heard = None
+            case ("drain",):
+                drain = True
+            case ("order", oid, spec):
+                fresh_order(oid, spec, now)
+            case ("gone", oid):
+                if oid in gens:
+                    run(oid, now, ("gone",))
+                elif oid in hands:
+                    out.append(send(hands.pop(oid)["to"], "left", oid))
+            case ("ran", did, *r):
+                oid = did.rsplit(".", 1)[0]
+                if oid in gens:
+                    run(oid, now, ("ran", *r))
+            case ("msg", frm, (("grant" | "deny" | "moved") as k, str(oid), *r)) if oid in gens:
+                run(oid, now, (k, *r))
+            case ("msg", frm, ("grant", str(oid), *_)):
+                out.append(send(frm, "quit", oid))   # nobody waits: it will not be sent
+            case ("msg", frm, ("hand", str(oid), str(b), str(c), str(k), bool(m), int(left), str(p),
+                               int(a), bytes(body))):
+                guest(frm, oid, b, c, k, m, left, p, a, body, now)
+            case ("msg", frm, ("left", str(oid))) if oid in gens and oid in guests:
+                run(oid, now, ("gone",))
+            case ("msg", frm, ("res", str(oid), int(seq), *r)) if r and oid in hands:
+                if frm == hands[oid]["to"]:
+                    relay(oid, hands[oid], seq, r, now)
+            case ("look",):
+                out.append(("post", "desk", ("orders", len(gens), len(hands), dict(ctx.budget.total))))
--- /dev/null
+++ b/silverglade/path/order.py
@@ -0,0 +1,132 @@
+"""One order's way at its home ingress (design 6.5): ask, dispatch, relay.
+
+A generator; sent (now, event) and yields effects. Its last yield has ("end", oid). Context
+`ctx` reads what the path part holds: duty(tenant), live(id), usable(rid, inc, homes, kind),
+fresh(now), budget.
+"""
+from ..part import ms, send, span
+from .admit import sure
+
+ENDS = ("whole", "done", "fault")
+
+
+def order(*, oid, f, body, opt, ctx, me, now):
+    due = now + f["left"]
+    n, ran, sent, piece = 0, "no", False, 0      # ran: worst over this order's dispatches
+    out, last = [], None
+
+    def result(kind, *r):
+        out.append(("result", oid, kind, *r))
+
+    def fault(code, ran_, wait=None):
+        """The final answer, at once; `ran` is only ever as good as what is sure."""
+        if ran != "no":
+            ran_ = ran
+        if ran_ == "?":
+            ran_ = "no" if sure(f) else "maybe"
+        result("fault", code, ran_, wait)
+        out.append(("end", oid))
+
+    while True:
+        n += 1
+        holder = epoch = at = None
+        began, grant, moved = now, None, None
+        # ask: the shard's owner for a replica and, where needed, a claim
+        while grant is None:
+            d = ctx.duty(f["tenant"])
+            ok = d is not None and d[1] and ctx.live(d[1])
+            if ok and ((epoch, holder) != d[:2] or now - at > opt["owner_wait"]) and (
+                    moved is None or now - moved > opt["beat"] / 2):
+                epoch, holder, at = d[0], d[1], now
+                out.append(send(holder, "ask", oid, n, f["tenant"], epoch,
+                                (f["cls"], f["key"], f["prefix"], max(1, ms(due - now)))))
+                began = now
+            if now >= due:
+                out += [send(holder, "quit", oid)] if holder else []
+                fault(207 if n == 1 else 403, "?", 1000)
+                yield tuple(out)
+                return
+            if not ok and now - began > opt["owner_wait"] * 3:
+                fault(304, "?", 1000)
+                yield tuple(out)
+                return
+            now, ev = yield tuple(out)
+            out = []
+            match ev:
+                case ("grant", k, rid, inc, addr, e, spill) if k == n:
+                    grant = (rid, inc, addr)
+                case ("deny", k, code, r, wait) if k == n:
+                    if code == 304 and now - began < opt["owner_wait"]:
+                        epoch, moved = None, now
+                        continue
+                    fault(code, r, wait)
+                    yield tuple(out)
+                    return
+                case ("moved", k) if k == n:
+                    epoch, moved = None, now
+                case ("gone",):
+                    out += [send(holder, "quit", oid)] if holder else []
+                    out.append(("end", oid))
+                    yield tuple(out)
+                    return
+        rid, inc, addr = grant
+        did, start = f"{oid}.{n}", now
+        # dispatch: checked again just before it is sent (7.2)
+        why = ctx.barred(rid, inc, f, now)
+        if why:
+            how, r = "refused", "no"
+        else:
+            out.append(("dispatch", did, rid, addr, dict(
+                tenant=f["tenant"], cls=f["cls"], stream=f["stream"], prefix=f["prefix"],
+                kind=f["kind"], due=ms(due - now)), body))
+            sent, how = True, None
+        while how is None:
+            now, ev = yield tuple(out)
+            out = []
+            if now >= due:
+                how, r = "late", "maybe"
+                break
+            match ev:
+                case ("ran", "refused"):
+                    how, r = "refused", "no"
+                case ("ran", "fault", r):
+                    how = "fault"
+                case ("ran", "piece", k, data) if f["stream"]:
+                    if k != piece + 1:            # lost, repeated or foreign: never passed on
+                        how, r = "fault", "yes"
+                        continue
+                    piece = k
+                    result("piece", k, data)
+                case ("ran", "done", k) if f["stream"]:
+                    how = "done" if k == piece and piece else "fault"
+                    r = "yes"
+                case ("ran", "whole", data) if not f["stream"]:
+                    how, r = "done", "yes"
+                    result("whole", data)
+                case ("ran", *_):
+                    how, r = "fault", "yes"
+                case ("gone",):
+                    how, r = "gone", "maybe"
+        if sent and how in ("late", "gone", "fault"):
+            out.append(("abort", did))
+        out.append(send(holder, "fin", oid, n, {"refused": "unrun", "done": "done"}.get(how, "ran")))
+        if how == "done":
+            out += [("served", f, now - start, now - (due - f["left"]))]
+            if f["stream"]:
+                result("done", piece)
+            out.append(("end", oid))
+            yield tuple(out)
+            return
+        ran = "no" if r == "no" and ran == "no" else "yes" if "yes" in (r, ran) or piece else "maybe"
+        again = (how == "refused" or (how == "fault" and f["resumable"])) and not piece
+        if how == "gone" or not (again and due - now > span(50) and ctx.budget.dispatch(now)):
+            if how != "gone":
+                if ran == "no":
+                    out.append(send(holder, "quit", oid))
+                fault(404 if piece else 403 if how == "late" else 402 if ran != "no" else 301,
+                      "?" if f["resumable"] or ran != "no" else "no", 1000)
+            else:
+                out.append(("end", oid))
+            yield tuple(out)
+            return
+        sent = False
--- /dev/null
+++ b/silverglade/rehearsal/scene.py
@@ -0,0 +1,174 @@
+"""A seeded run (design 10.3): a town, its traffic, faults on the way, then peace and checks."""
+from datetime import timedelta
+
+from ..options import tuning
+from ..part import span
+from .towns import TOWNS
+from .world import World
+
+SEC = timedelta(seconds=1)
+
+
+class Scene:
+    def __init__(self, *, town="navrang", seed=1, pace=1.0, opt=None, loss=0.0):
+        self.t = TOWNS[town]()
+        self.w = World(seed=seed, daemons=self.t["daemons"], config=self.t["config"],
+                       delay_ms=self.t["delay"], replicas=self.t["replicas"],
+                       opt=opt or tuning(), loss=loss)
+        self.o, self.rng, self.pace, self.n, self.tag, self.open = self.w.oracle, self.w.rng, pace, 0, 0, True
+        self.crowd = {}
+
+    # operators
+    def live(self, core=None, zone=None):
+        return [n.name for n in self.w.nodes.values() if n.hub and n.frozen is None
+                and (core is None or n.core == core) and (zone is None or n.zone == zone)]
+
+    def put(self, *, at=None, base=None, grow=0):
+        """Put a configuration told apart by its body_cap; learns the outcome, asks on when unknown."""
+        self.tag += 1
+        tag = 100000 + self.tag
+        cfg = dict(self.t["config"], body_cap=tag)
+        if grow:
+            extra = {f"tiny-{i}": dict(next(iter(cfg["tenants"].values())), keys=[f"{i:032x}"])
+                     for i in range(grow)}
+            cfg["tenants"] = {**cfg["tenants"], **extra}
+        who = at or self.rng.choice(self.live())
+        change = f"put-{tag}"
+
+        def got(code, kw):
+            self.o.put(code, kw, tag)
+            self.w.note("put", tag, code, tuple(kw.get("version", ())))
+
+        def go(code, kw):
+            b = tuple(kw.get("version", (0, 0))) if base is None else base
+            if self.w.nodes[who].hub is None:
+                return got(705, {})
+            return self.w.call(who, "config-put", (b, change, cfg), got)
+        self.w.call(who, "config-get", (), go)
+        return tag
+
+    def empty(self, zone, on=True, then=None):
+        who = self.rng.choice(self.live())
+        asked = self.w.now
+
+        def got(code, kw):
+            self.w.note("evac", zone, on, code)
+            if on and code == 100:
+                self.o.emptied.append((zone, asked, None))
+            elif not on and code in (100, 503):
+                self.o.emptied = [(z, a, b or asked) if z == zone else (z, a, b)
+                                  for z, a, b in self.o.emptied]
+            if then:
+                then(code)
+        if not on:                                   # from here on the zone may be used again
+            self.o.emptied = [(z, a, b or asked) if z == zone else (z, a, b)
+                              for z, a, b in self.o.emptied]
+        self.w.call(who, "evac", (zone, on, f"evac-{zone}-{on}-{self.rng.getrandbits(30)}"), got)
+
+    def leave(self, rid):
+        r = self.w.replicas[rid]
+        who = self.rng.choice(self.live())
+        self.o.left.setdefault((rid, r.inc), self.w.now)
+        self.w.call(who, "platform", (((rid, r.inc, True),),))
+
+    # visitors
+    def traffic(self):
+        for cls, rate, prefix in self.t["mix"]:
+            self.next_(cls, rate, prefix)
+
+    def next_(self, cls, rate, prefix):
+        gap = self.rng.expovariate(rate * self.pace)
+        self.w.after(timedelta(seconds=gap), self.visit, cls, rate, prefix)
+
+    def visit(self, cls, rate, prefix):
+        if not self.open:
+            return
+        self.next_(cls, rate, prefix)
+        ts = self.t["config"]["tenants"]
+        t = self.rng.choice(sorted(ts))
+        p = f"{prefix}-{self.rng.randrange(2)}" if prefix else ""
+        self.order(tenant=t, cls=cls, prefix=p)
+
+    def order(self, *, tenant, cls, prefix="", key=None, attempt=1, at=None, retry=True, due=""):
+        ts = self.t["config"]["tenants"][tenant]
+        z = self.rng.choice(ts["homes"]) if self.rng.random() < 0.9 else self.rng.choice(sorted(self.w.region))
+        up = self.live(zone=z) or self.live()
+        if not up:
+            return None
+        who = at or self.rng.choice(up)
+        self.n += 1
+        oid, key = f"o{self.n}", key or f"k{self.n}"
+        body = f"{tenant}/{key}/{cls}".encode()
+        c = ts["classes"][cls]
+        self.o.asked(oid, tenant=tenant, key=key, cls=cls, resumable=c["resumable"], body=body,
+                     attempt=attempt, who=who, life=self.w.nodes[who].life)
+        if retry:
+            self.w.after(span(c["due_ms"] + 500), self.again, oid, tenant, cls, prefix, key, attempt)
+        self.w.nodes[who].feed(("order", oid, (f"key-{tenant}", cls, key, due, prefix, str(attempt), body)))
+        return oid
+
+    def again(self, oid, tenant, cls, prefix, key, attempt):
+        """Some visitors ask again elsewhere, with the same key."""
+        o = self.o.orders[oid]
+        if self.open and attempt < 3 and (o["told"] is None or o["told"][0] == "fault") \
+                and self.rng.random() < 0.6:
+            self.order(tenant=tenant, cls=cls, prefix=prefix, key=key, attempt=attempt + 1)
+
+    # the run
+    def settle(self, secs=8):
+        """From power-on to a configuration in force."""
+        self.w.run(3)
+        self.put()
+        self.w.run(secs - 3)
+
+    def peace(self):
+        """Everything back: what the last fault must be recovered from."""
+        w = self.w
+        w.heal()
+        w.loss = 0.0
+        for n in w.nodes.values():
+            n.skew = n.skew
+            if n.disk:
+                n.disk.stall, n.disk.full = timedelta(0), False
+            if n.frozen is not None:
+                n.freeze(False)
+            if n.hub is None:
+                n.boot()
+        for r in w.replicas.values():
+            r.dark, r.sabotage = False, None
+            if not r.up or r.state == "leaving" or (r.rid, r.inc) in self.o.left:
+                r.boot()
+        for z in {z for z, _, b in self.o.emptied if b is None}:
+            self.empty(z, False)
+
+    def finish(self):
+        """12 s after peace every class of every tenant must be served again."""
+        w = self.w
+        self.peace()
+        w.run(12)
+        oids = [self.order(tenant=t, cls=c, retry=False, at=self.rng.choice(self.live(zone=z)))
+                for t, d in sorted(self.t["config"]["tenants"].items())
+                for z in d["homes"] for c in d["classes"]]
+        w.run(8)
+        for oid in oids:
+            o = self.o.orders[oid]
+            if o["told"] != ("ok",):
+                self.o.bad("not-back", o["tenant"], o["cls"], o["who"], o["told"])
+        self.open = False
+        w.run(25)
+        for o in self.o.orders.values():
+            n = w.nodes[o["who"]]
+            if o["told"] is None and n.life == o["life"] and n.hub:
+                self.o.bad("never-answered", o["oid"], o["who"], o["at"] / SEC)
+        if self.o.again > 0.2 * self.o.fresh + 1:
+            self.o.bad("retries", self.o.again, self.o.fresh)
+        self.o.close(lambda c: c["body_cap"] if c else 0)
+        w.run(1)
+        return self.o.faults
+
+    def told(self):
+        n = {}
+        for o in self.o.orders.values():
+            k = o["told"][0] if o["told"] and o["told"][0] == "ok" else str(o["told"])
+            n[k] = n.get(k, 0) + 1
+        return n
--- /dev/null
+++ b/silverglade/rehearsal/towns.py
@@ -0,0 +1,52 @@
+"""The deployments that are rehearsed (design 10.4): sizes of the brief, traffic of its callers."""
+from ..config import digest
+
+
+def tenant(name, homes, classes):
+    return dict(homes=list(homes), keys=[digest(f"key-{name}")], classes=classes)
+
+
+LOOKUP = dict(kind="model", stream=True, resumable=True, aim_ms=1500, due_ms=15000)
+CHAT = dict(kind="model", stream=True, resumable=False, aim_ms=3000, due_ms=20000)
+RECEIPT = dict(kind="accounts", stream=False, resumable=True, aim_ms=500, due_ms=5000)
+ROSTER = dict(kind="model", stream=False, resumable=False, aim_ms=4000, due_ms=30000)
+SWAP = dict(kind="model", stream=True, resumable=False, aim_ms=2000, due_ms=20000)
+
+
+def town(*, zones, edges, replicas, accounts, tenants, delay, mix):
+    """A deployment as tables: daemons, replicas, configuration, traffic."""
+    zs = list(zones)
+    daemons = [(f"core-{z}", z, zones[z], True) for z in zs]
+    daemons += [(f"edge-{z}-{i}", z, zones[z], False) for z in zs for i in range(edges)]
+    reps = [dict(rid=f"model-{z}-{i}", zone=z, slots=4, homes=[z], prefixes=[f"rules-{i}"])
+            for z, n in replicas.items() for i in range(n)]
+    reps += [dict(rid=f"accounts-{z}-{i}", zone=z, slots=8, kind="accounts", homes=[z])
+             for z, n in accounts.items() for i in range(n)]
+    cfg = dict(zones={z: dict(region=zones[z], least=1) for z in zs}, tenants=tenants)
+    return dict(daemons=daemons, replicas=reps, config=cfg, delay=delay, mix=mix)
+
+
+def navrang():
+    z = {"ahmedabad": "gujarat-a", "vadodara": "gujarat-v", "surat": "gujarat-s"}
+    zs = list(z)
+    cls = dict(lookup=LOOKUP, chat=CHAT, receipt=RECEIPT)
+    ts = {f"club-{n}": tenant(f"club-{n}", h, cls) for n, h in (
+        ("east", zs[:2]), ("west", [zs[1], zs[2]]), ("river", [zs[2], zs[0]]), ("lake", [zs[0]]),
+        ("old", zs))}
+    mix = [("lookup", 1.0, "rules"), ("chat", 1.5, ""), ("receipt", 6.0, "")]
+    return town(zones=z, edges=3, replicas=dict(zip(zs, (2, 2, 1))), accounts=dict.fromkeys(zs, 1),
+                tenants=ts, delay=15.0, mix=mix)
+
+
+def banyan():
+    z = {"taipei": "north", "taichung": "middle", "kaohsiung": "south"}
+    zs = list(z)
+    cls = dict(roster=ROSTER, swap=SWAP)
+    ts = {f"{k}-{i}": tenant(f"{k}-{i}", h, cls) for k in ("shop", "clinic") for i, h in enumerate(
+        ([zs[0], zs[1]], [zs[1], zs[2]], [zs[2], zs[0]], [zs[0]]))}
+    mix = [("roster", 1.0, "rules"), ("swap", 2.0, "")]
+    return town(zones=z, edges=2, replicas=dict(zip(zs, (3, 2, 2))), accounts={}, tenants=ts,
+                delay=6.0, mix=mix)
+
+
+TOWNS = {"navrang": navrang, "banyan": banyan}
--- /dev/null
+++ b/silverglade/rehearsal/world.py
@@ -0,0 +1,226 @@
+"""The simulator (design 10.1): the daemons' own hubs on a seeded clock, network and disk."""
+import heapq
+import random
+from datetime import timedelta
+
+from .. import wire
+from ..hub import Hub
+from ..options import tuning
+from ..part import ZERO, span
+from .oracle import Oracle
+from .standin import Replica
+
+SEC = timedelta(seconds=1)
+
+
+class Disk:
+    """Synced state only; what was not synced is lost with power (design 5.1)."""
+
+    def __init__(self, rng):
+        self.id, self.data = f"d{rng.getrandbits(40):x}", {}
+        self.stall, self.full, self.queue, self.free = ZERO, False, 0, ZERO
+
+    def apply(self, ops):
+        for op in ops:
+            match op:
+                case ("put", t, k, v):
+                    self.data.setdefault(t, {})[k] = wire.tupled(v)
+                case ("del", t, k):
+                    self.data.get(t, {}).pop(k, None)
+                case ("wipe", t):
+                    self.data[t] = {}
+
+
+class Node:
+    def __init__(self, *, world, name, zone, region, core, n):
+        self.w, self.name, self.zone, self.region, self.core = world, name, zone, region, core
+        self.addr, self.http = f"10.0.0.{n}:1", f"10.0.0.{n}:2"
+        self.hub, self.life, self.frozen, self.lives = None, "", None, 0
+        self.disk = Disk(world.rng) if core else None
+        self.pulses, self.held, self.skew = 0, [], ZERO
+
+    def boot(self):
+        w = self.w
+        self.lives += 1
+        self.life = f"{self.name}.{self.lives}"
+        saved = {t: dict(d) for t, d in self.disk.data.items()} if self.disk else None
+        self.hub = Hub(me=self.name, life=self.life, zone=self.zone, region=self.region, addr=self.addr,
+                       http=self.http, seeds=w.seeds, cores=w.cores, opt=w.opt,
+                       rng=random.Random(w.rng.getrandbits(64)),
+                       disk=self.disk.id if self.disk else "", saved=saved)
+        if self.disk:
+            self.disk.free, self.disk.queue = w.now, 0
+        self.frozen, self.held = None, []
+        w.after(span(w.rng.randrange(50)), self.pulse, self.life)
+        w.note("boot", self.name)
+
+    def kill(self):
+        self.hub, self.frozen = None, None
+        self.w.note("kill", self.name)
+        self.w.died(self)
+
+    def pulse(self, life):
+        if self.hub is None or life != self.life:
+            return
+        if self.frozen is None:
+            self.feed(("pulse",))
+        self.w.after(self.w.opt["pulse"], self.pulse, life)
+
+    def feed(self, ev):
+        if self.hub is None:
+            return
+        if self.frozen is not None:
+            if len(self.held) < 20000:
+                self.held.append(ev)
+            return
+        for e in self.hub.feed(self.w.now + self.skew, ev):
+            self.w.effect(self, e)
+
+    def freeze(self, on):
+        self.w.note("freeze" if on else "wake", self.name)
+        if on:
+            self.frozen = self.w.now
+        elif self.frozen is not None:
+            self.frozen, held, self.held = None, self.held, []
+            for ev in held:                     # what the kernel kept comes before the pulse
+                self.feed(ev)
+
+
+class World:
+    def __init__(self, *, seed, daemons, config, delay_ms, replicas, opt=None, loss=0.0):
+        """daemons: (name, zone, region, core); replicas: keyword tables for Replica."""
+        self.rng, self.seed, self.now, self.heap, self.num = random.Random(seed), seed, ZERO, [], 0
+        self.opt, self.loss = opt or tuning(), loss
+        self.cores = tuple(d[0] for d in daemons if d[3])
+        self.nodes = {d[0]: Node(world=self, name=d[0], zone=d[1], region=d[2], core=d[3], n=i + 1)
+                      for i, d in enumerate(daemons)}
+        self.seeds = tuple(self.nodes[c].addr for c in self.cores)
+        self.by_addr = {n.addr: n for n in self.nodes.values()}
+        self.delay, self.cuts, self.links, self.trace = delay_ms, set(), {}, []
+        self.region = {z: d["region"] for z, d in config["zones"].items()}
+        self.config, self.calls, self.jobs = config, {}, {}
+        self.oracle = Oracle(world=self)
+        self.replicas = {r["rid"]: Replica(world=self, **r) for r in replicas}
+        for n in self.nodes.values():
+            n.boot()
+        for r in self.replicas.values():
+            r.boot()
+
+    # clock
+    def after(self, t, fn, *a):
+        self.num += 1
+        heapq.heappush(self.heap, (self.now + t, self.num, fn, a))
+
+    def run(self, secs):
+        end = self.now + timedelta(seconds=secs)
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, fn, a = heapq.heappop(self.heap)
+            fn(*a)
+        self.now = end
+
+    def note(self, *what):
+        self.trace.append((round(self.now / SEC, 3), *what))
+
+    # network
+    def cut(self, a, b, both=True):
+        """Cut the links between two sets of places (daemon, replica or zone names)."""
+        self.cuts |= {(x, y) for x in a for y in b} | ({(y, x) for x in a for y in b} if both else set())
+
+    def heal(self):
+        self.cuts.clear()
+        self.note("heal")
+
+    def open(self, a, b):
+        return (a, b) not in self.cuts
+
+    def hop(self, za, zb):
+        ra, rb = self.region.get(za), self.region.get(zb)
+        base = 0.2 if za == zb else 0.6 if ra == rb else self.delay
+        return timedelta(milliseconds=base * (1 + 0.3 * self.rng.random()))
+
+    def deliver(self, frm, to, body):
+        n = self.by_addr.get(to[1:]) if to.startswith("@") else self.nodes.get(to)
+        if n is None:
+            return
+        raw = wire.pack(frm=frm.name, life=frm.life, body=body)[4:]
+        if not self.open(frm.name, n.name) or self.rng.random() < self.loss:
+            return
+        at = max(self.now + self.hop(frm.zone, n.zone), self.links.get((frm.life, n.name), ZERO))
+        self.links[(frm.life, n.name)] = at
+        self.after(at - self.now, self.arrive, frm.name, n, n.life, raw)
+
+    def arrive(self, frm, n, life, raw):
+        if n.life == life and self.open(frm, n.name):
+            f, _, body = wire.unpack(raw)
+            n.feed(("msg", f, body))
+
+    def died(self, n):
+        for did, (owner, r) in list(self.jobs.items()):
+            if owner is n:
+                self.jobs.pop(did)
+                r.hangup(did)
+
+    # effects of a daemon
+    def effect(self, n, e):
+        match e:
+            case ("send", to, body):
+                self.deliver(n, to, body)
+            case ("disk", token, ops):
+                d = n.disk
+                t = max(d.free, self.now + d.stall) + timedelta(milliseconds=1 + 5 * self.rng.random())
+                d.free = t
+                self.after(t - self.now, self.synced, n, n.life, d, token, ops)
+            case ("dispatch", did, rid, addr, meta, body):
+                r = next((r for r in self.replicas.values() if r.addr == addr), None)
+                if r is None or not self.open(n.name, rid):
+                    # no connection could be made: nothing was handed over
+                    return self.after(SEC if r else ZERO, self.back, n, n.life, did, ("refused",))
+                self.jobs[did] = (n, r)
+                self.after(self.hop(n.zone, r.zone), r.take, n, n.life, did, meta, body)
+            case ("abort", did):
+                got = self.jobs.pop(did, None)
+                if got:
+                    got[1].hangup(did)
+            case ("probe", rid, inc, addr):
+                r = next((r for r in self.replicas.values() if r.addr == addr), None)
+                if r and self.open(n.name, rid):
+                    self.after(self.hop(n.zone, r.zone) * 2, r.probe, n, n.life, rid, inc)
+            case ("result", oid, *r):
+                self.oracle.result(oid, r)
+            case ("reply", cid, code, kw):
+                fn = self.calls.pop(cid, None)
+                if fn:
+                    fn(code, kw)
+            case ("log", ev, kw):
+                self.oracle.log(n, ev, kw)
+
+    def synced(self, n, life, d, token, ops):
+        if d.stall > ZERO and n.life == life and n.hub:
+            return self.after(span(200), self.synced, n, life, d, token, ops)
+        ok = not d.full
+        alive = n.life == life and n.hub is not None
+        if ok and n.disk is d and (alive or self.rng.random() < 0.5):
+            d.apply(ops)                          # power may go before or after the sync
+        if alive and n.disk is d:
+            n.feed(("disk", token, ok, None))
+
+    def back(self, n, life, did, what):
+        """A replica's answer reaches the daemon that dispatched."""
+        if n.life == life:
+            n.feed(("ran", did, *what))
+
+    # calls
+    def call(self, name, op, args, then=lambda code, kw: None):
+        self.num += 1
+        cid = f"c{self.num}"
+        self.calls[cid] = then
+        n = self.nodes[name]
+        if n.hub is None:
+            return self.calls.pop(cid)(705, {})
+        return n.feed(("call", cid, op, args))
+
+    def empty_disk(self, name):
+        n = self.nodes[name]
+        n.kill()
+        n.disk = Disk(self.rng)
+        self.note("emptied", name)
--- /dev/null
+++ b/silverglade/replicas/ledger.py
@@ -0,0 +1,140 @@
+"""Slot ledgers (design 7.3): one holder per replica hands out its slots, under an epoch."""
+from ..part import ZERO, log, post, send
+from .registry import ADDR, INC, LEAVING, SLOTS, ZONE, evacuated
+
+
+class Slots:
+    """One replica's ledger: leases, cold ramp, who waits for room."""
+
+    def __init__(self, *, epoch, inc):
+        self.epoch, self.inc, self.num = epoch, inc, 0
+        self.leases, self.hungry = {}, {}        # lease -> (owner, tenant, till); tenant -> (owner, at)
+        self.cap, self.state, self.warm, self.run = 1, "starting", False, 0
+        self.use, self.served, self.due, self.heard, self.asked = 0.0, 0.0, ZERO, None, None
+
+    def used(self):
+        return max(len(self.leases), self.run)
+
+    def held(self, tenant):
+        return sum(t == tenant for _, t, _ in self.leases.values())
+
+
+def ledger(*, me, opt):
+    reps, book, mine, out = {}, {}, {}, []
+    roll, fresh, froze = (), None, False
+
+    def open_(now):
+        """Ledgers wanted (duties that name me) against ledgers held."""
+        want = {}
+        for k, (_, v) in book.items():
+            if k.startswith("duty/ledger/") and v[1] == me and k[12:] in reps:
+                want[k[12:]] = v[0]
+        for rid in [r for r in mine if r not in want]:
+            del mine[rid]
+        for rid, e in want.items():
+            inc = reps[rid][0][INC]
+            m = mine.get(rid)
+            if m is None or m.inc != inc:
+                mine[rid] = Slots(epoch=e, inc=inc)
+            m = mine[rid]
+            m.epoch = e
+
+    def room(m, rid, now):
+        r = reps[rid][0]
+        if (m.state != "ready" or r[LEAVING] or r[ZONE] in evacuated(book)
+                or fresh is None or now - fresh > opt["alone"]):
+            return 0
+        return max(0, min(m.cap, r[SLOTS]) - m.used())
+
+    def fair(m, tenant, now):
+        """A tenant that holds more yields to one that waits with fewer."""
+        m.hungry = {t: h for t, h in m.hungry.items() if now - h[1] < opt["settle"] * 2}
+        return all(m.held(t) >= m.held(tenant) for t in m.hungry if t != tenant)
+
+    def lease(m, rid, lid, owner, tenant, now):
+        m.leases[lid] = (owner, tenant, now + opt["grant"] + opt["queue_wait"] * 60)
+
+    def offer(rid, m, now):
+        n = 0
+        while room(m, rid, now) and m.hungry:
+            t = min(m.hungry, key=lambda t: (m.held(t), m.hungry[t][1]))
+            owner, at = m.hungry.pop(t)
+            if now - at < opt["settle"] * 2:
+                n, m.num = n + 1, m.num + 1
+                lid = f"{rid}/{m.epoch}/{m.num}"
+                lease(m, rid, lid, owner, t, now)
+                out.append(send(owner, "offer", rid, m.epoch, lid, t))
+
+    def tell(rid, m):
+        m.num += 1
+        out.append(post("registry", "status", (
+            rid, m.inc, m.epoch, m.num, m.state, m.use, m.served, m.run,
+            min(m.cap, reps[rid][0][SLOTS]), m.used())))
+
+    while True:
+        now, ev = yield tuple(out)
+        out = []
+        match ev:
+            case ("fresh", f):
+                fresh = f
+            case ("roll", r):
+                roll = {x[0] for x in r}
+            case ("book", b, _):
+                book = b
+                open_(now)
+            case ("replicas", rs):
+                reps = rs
+                open_(now)
+            case ("froze",):
+                mine.clear()                         # a frozen holder distrusts its leases
+                open_(now)
+            case ("pulse",):
+                for rid, m in mine.items():
+                    if now >= m.due:
+                        m.due, m.asked = now + opt["probe"], m.asked or now
+                        out.append(("probe", rid, m.inc, reps[rid][0][ADDR]))
+                        if m.heard and now - m.heard > opt["stale"] / 2 and m.state != "dark":
+                            m.state, m.warm, m.cap = "dark", False, 1
+                            out.append(log("replica-dark", replica=rid))
+                            tell(rid, m)
+                    dead = [i for i, (o, _, till) in m.leases.items() if now > till or o not in roll]
+                    for i in dead:
+                        del m.leases[i]
+                    offer(rid, m, now)
+            case ("probed", rid, inc, got):
+                m = mine.get(rid)
+                if m is None or inc != m.inc:
+                    continue
+                if got is None or got[0] != m.inc:   # silent, or another life of it
+                    continue
+                _, state, m.use, m.served, m.run, warm = got
+                m.heard, m.asked = now, None
+                if warm and not m.warm:
+                    m.cap = reps[rid][0][SLOTS]
+                if state != m.state:
+                    out.append(log("replica-state", replica=rid, was=m.state, now=state))
+                m.warm, m.state = warm, state
+                tell(rid, m)
+                offer(rid, m, now)
+            case ("msg", frm, ("lease", str(rid), int(e), str(lid), str(tenant))):
+                m = mine.get(rid)
+                if m is None or e != m.epoch:
+                    out.append(send(frm, "unleased", lid, rid, "moved"))
+                elif lid in m.leases:
+                    out.append(send(frm, "leased", lid, rid, m.epoch))
+                elif room(m, rid, now) and fair(m, tenant, now):
+                    lease(m, rid, lid, frm, tenant, now)
+                    out.append(send(frm, "leased", lid, rid, m.epoch))
+                else:
+                    m.hungry[tenant] = (frm, now)
+                    out.append(send(frm, "unleased", lid, rid, "full"))
+            case ("msg", frm, ("release", str(rid), str(lid), bool(good))):
+                m = mine.get(rid)
+                if m and m.leases.pop(lid, None):
+                    if m.run > len(m.leases):
+                        m.run -= 1                   # until the next probe says
+                    if good and m.cap < reps[rid][0][SLOTS]:
+                        m.cap += 1                   # the cold ramp
+                    offer(rid, m, now)
+
+
--- /dev/null
+++ b/silverglade/replicas/registry.py
@@ -0,0 +1,137 @@
+"""What replicas declared and what probes found (design 7.1), known to every daemon.
+
+record: id, incarnation, beat, address, zone, kind, homes, prefixes, slots, leaving
+status: id, incarnation, ledger epoch, number, state, use, served, running, cap, used
+Both merge monotonically and travel along the roster's edges.
+"""
+from .. import check as c
+from ..part import ZERO, log, send
+
+RID, INC, BEAT, ADDR, ZONE, KIND, HOMES, PREFIXES, SLOTS, LEAVING = range(10)
+S_RID, S_INC, S_EPOCH, S_NUM, S_STATE, S_USE, S_SERVED, S_RUNNING, S_CAP, S_USED = range(10)
+REC = (str, int, int, str, str, str, tuple, tuple, int, bool)
+STAT = (str, int, int, int, str, float, float, int, int, int)
+
+ANNOTATIONS = c.table({
+    "incarnation": c.whole(least=1),
+    "address": c.address(),
+    "zone": c.text(),
+    "kind": c.text(default="model"),
+    "homes": c.each(c.text(), least=1, unique=True),
+    "prefixes": c.each(c.text(), default=(), unique=True),
+    "slots": c.whole(least=1, most=1024),
+})
+
+
+def sound(r, types):
+    return isinstance(r, tuple) and len(r) == len(types) and all(
+        type(v) is t for v, t in zip(r, types))
+
+
+def registry(*, me, opt):
+    """Casts ("replicas", {id: (record, status or None, when heard)})."""
+    recs, stats, heard = {}, {}, {}
+    edges, due, last, out, dirty = (), ZERO, None, [], False
+
+    def put(r):
+        """Newer by incarnation, then beat; leaving is never taken back in a life."""
+        old = recs.get(r[RID])
+        if old and r[INC] == old[INC] and (r[LEAVING] or old[LEAVING]):
+            r = r[:LEAVING] + (True,)
+            old_ = old[:LEAVING] + (True,)
+            if r[BEAT] <= old[BEAT] and old_ != old:
+                recs[r[RID]] = old_
+                return True
+        if old and (r[INC], r[BEAT]) <= (old[INC], old[BEAT]):
+            return False
+        recs[r[RID]] = r
+        return old is None or old[:BEAT] + old[BEAT + 1:] != r[:BEAT] + r[BEAT + 1:]
+
+    def stat(s, now):
+        old = stats.get(s[S_RID])
+        if old and s[1:4] <= old[1:4]:
+            return False
+        stats[s[S_RID]], heard[s[S_RID]] = s, now
+        return old is None or old[S_STATE] != s[S_STATE]
+
+    def show():
+        out.append(("cast", ("replicas", {i: (r, s if (s := stats.get(i)) and s[S_INC] == r[INC]
+                                              else None, heard.get(i)) for i, r in recs.items()})))
+
+    def tell(to):
+        out.extend(send(i, "reps", tuple(recs.values()), tuple(stats.values())) for i in to)
+
+    def leave(rid, why):
+        r = recs.get(rid)
+        if r and not r[LEAVING]:
+            recs[rid] = r[:LEAVING] + (True,)
+            out.append(log("replica-leaving", replica=rid, incarnation=r[INC], why=why))
+            return True
+        return False
+
+    while True:
+        now, ev = yield tuple(out)
+        out, dirty = [], False
+        match ev:
+            case ("roll", roll):
+                edges = tuple(r[0] for r in roll if r[0] != me)
+            case ("pulse",) if now >= due:
+                due = now + opt["beat"]
+                n = max(1, opt["watch"] // 2)      # a turn round the live ones each beat
+                k = int(now / opt["beat"]) * n
+                tell({edges[(k + i) % len(edges)] for i in range(n)} if edges else ())
+                show()
+            case ("msg", frm, ("reps", tuple(rs), tuple(ss))):
+                for r in rs:
+                    dirty |= sound(r, REC) and put(r)
+                for s in ss:
+                    dirty |= sound(s, STAT) and stat(s, now)
+            case ("status", s):
+                dirty = stat(s, now)
+                if s[S_STATE] == "leaving":
+                    dirty |= leave(s[S_RID], "said so when probed")
+                show()
+            case ("call", cid, "replica-put", (rid, raw)):
+                a, bad = c.run(ANNOTATIONS, raw)
+                old = recs.get(rid)
+                if bad:
+                    out.append(("reply", cid, 508, {"detail": "; ".join(f"{p}: {s}" for p, s in bad)}))
+                elif old and a["incarnation"] < old[INC]:
+                    out.append(("reply", cid, 509, {"held": old[INC]}))
+                else:
+                    dirty = put((rid, a["incarnation"], old[BEAT] + 1 if old else 1, a["address"],
+                                 a["zone"], a["kind"], a["homes"], a["prefixes"], a["slots"], False))
+                    out.append(("reply", cid, 100, {"leaving": recs[rid][LEAVING]}))
+                    if dirty:
+                        out.append(log("replica", replica=rid, incarnation=a["incarnation"],
+                                       zone=a["zone"], slots=a["slots"]))
+            case ("call", cid, "replica-leave", (rid,)):
+                dirty = leave(rid, "signed off")
+                out.append(("reply", cid, 100 if rid in recs else 507, {}))
+            case ("call", cid, "platform", (rows,)):
+                for rid, inc, leaving in rows:
+                    if leaving and rid in recs and recs[rid][INC] <= inc:
+                        dirty |= leave(rid, "marked by the platform")
+                out.append(("reply", cid, 100, {"known": sorted(recs)}))
+        if dirty:                                   # of note: tell all at once
+            show()
+            tell(edges)
+        elif ev[0] == "msg":
+            show()
+        if ev[0] in ("call", "msg", "pulse", "status") and last != (
+                ls := tuple(sorted((i, r[ZONE]) for i, r in recs.items()))):
+            last = ls
+            out.append(("cast", ("ledgers", ls)))
+
+
+def usable(e, *, now, opt, evac, homes=None, kind=None):
+    """May this replica get new work now (design 7.2)? Checked at election and before sending."""
+    r, s, at = e
+    return (s is not None and s[S_STATE] == "ready" and not r[LEAVING] and r[ZONE] not in evac
+            and at is not None and now - at <= opt["stale"]
+            and (kind is None or r[KIND] == kind)
+            and (homes is None or r[ZONE] in homes and any(h in homes for h in r[HOMES])))
+
+
+def evacuated(book):
+    return {k[5:] for k, (_, on) in book.items() if k.startswith("evac/") and on}
--- /dev/null
+++ b/silverglade/scaler/scaler.py
@@ -0,0 +1,122 @@
+"""The scaler inside every daemon (design 9): its part of the replicas its region needs."""
+from collections import deque
+from datetime import timedelta
+from math import ceil
+
+from ..control import book as bk
+from ..part import ZERO, log
+from ..replicas.registry import KIND, S_STATE, S_USE, ZONE
+from ..roster import extra
+from .chain import smallest
+
+SEC = timedelta(seconds=1)
+
+
+class Gauge:
+    """What one kind's orders looked like here lately."""
+
+    def __init__(self):
+        self.came, self.went = deque(), deque()       # times; (time, service seconds)
+        self.past, self.mean, self.named, self.low = deque(), None, 0, None
+
+    def rates(self, now, win):
+        while self.came and now - self.came[0] > win:
+            self.came.popleft()
+        while self.went and now - self.went[0][0] > win:
+            self.went.popleft()
+        return len(self.came) / (win / SEC), len(self.went) / (win / SEC)
+
+    def trend(self, now, lam, opt):
+        """The rise over the last 10 s carried 10 s ahead (design 9.3)."""
+        self.past.append((now, lam))
+        while len(self.past) > 1 and now - self.past[1][0] >= opt["scale_trend"]:
+            self.past.popleft()
+        old = self.past[0][1]
+        return lam + max(0.0, lam - old)
+
+    def service(self, *, use, ready, count, served, opt):
+        """1/mu in seconds (design 9.4): by use, else by latency while use is low."""
+        if use > 0 and served > 0 and ready:
+            self.mean = use * ready / (count * served)
+        elif self.went and use < opt["scale_idle"]:
+            self.mean = sum(s for _, s in self.went) / len(self.went)
+        return self.mean
+
+    def hold(self, now, m, opt):
+        """Up at once; down only to what was enough all through the hold (design 9.5)."""
+        if m >= self.named:
+            self.named, self.low = m, None
+            return self.named
+        if self.low is None:
+            self.low = (now, m)
+        t, top = self.low
+        self.low = (t, max(top, m))
+        if now - t >= opt["scale_hold"]:
+            self.named, self.low = self.low[1], None
+        return self.named
+
+
+def scaler(*, me, region, opt):
+    """Casts ("wanted", {(region, kind): m}); names its own part in its roster record."""
+    gauges, roll, book, reps, due, out = {}, (), {}, {}, ZERO, []
+
+    def aims(cfg):
+        a = {}
+        for t in cfg["tenants"].values():
+            for c in t["classes"].values():
+                a[c["kind"]] = min(a.get(c["kind"], 1 << 60), c["aim_ms"])
+        return a
+
+    def name(now):
+        cfg = bk.get(book, "config")
+        mine = {z: d for z, d in cfg["zones"].items() if d["region"] == region}
+        count = max(1, sum(1 for r in roll if r[5] == region and r[9] == "ready"))
+        least = sum(d["least"] for d in mine.values())
+        parts = []
+        for kind, aim in sorted(aims(cfg).items()):
+            g = gauges.setdefault(kind, Gauge())
+            here = [(r, s) for r, s, _ in reps.values() if r[KIND] == kind and r[ZONE] in mine]
+            uses = [s[S_USE] for _, s in here if s and s[S_STATE] == "ready"]
+            came, served = g.rates(now, opt["scale_every"])
+            lam = g.trend(now, came * count, opt)
+            sv = g.service(use=sum(uses) / len(uses) if uses else 0.0, ready=len(uses),
+                           count=count, served=served, opt=opt)
+            m, met = 0, True
+            if lam > 0 and sv:
+                m, met = smallest(lam=lam, mu=1 / sv, replicas=len(here), aim=aim / 1000,
+                                  room=opt["scale_room"], fan=opt["scale_fan"],
+                                  top=opt["scale_top"], fall=opt["scale_fall"],
+                                  flow=opt["scale_flow"])
+            m = max(g.hold(now, m, opt), least if here or kind == "model" else 0)
+            parts.append((kind, m, m / count, round(lam, 3), round(sv or 0.0, 6), met))
+        out.append(("post", "roster", ("extra", "parts", tuple(parts))))
+        out.append(log("scaler", region=region, daemons=count,
+                       parts=";".join(f"{p[0]}:{p[1]}:{p[2]:.2f}:{p[3]:.2f}" for p in parts)))
+
+    def totals():
+        t = {}
+        for r in roll:
+            for p in extra(r, "parts", ()):
+                k = (r[5], p[0])
+                t[k] = t.get(k, 0.0) + p[2]
+        return {k: ceil(v - 1e-6) for k, v in t.items()}
+
+    while True:
+        now, ev = yield tuple(out)
+        out = []
+        match ev:
+            case ("roll", r):
+                roll = r
+                out.append(("cast", ("wanted", totals())))
+            case ("book", b, _):
+                book = b
+            case ("replicas", rs):
+                reps = rs
+            case ("arrived", kind):
+                gauges.setdefault(kind, Gauge()).came.append(now)
+            case ("served", f, took, _):
+                gauges.setdefault(f["kind"], Gauge()).went.append((now, took / SEC))
+            case ("pulse",) if now >= due:
+                due = now + opt["scale_every"]
+                if bk.get(book, "config"):
+                    name(now)
--- /dev/null
+++ b/silverglade/shards/follower.py
@@ -0,0 +1,68 @@
+"""A core's follower part (design 6.3): claims synced before any grant exists.
+
+Tables: "shard" shard -> epoch; "claim" "shard\\0key digest" -> (grant, state).
+States: "claimed" (may run), "ran" (a replica had it), "done".
+"""
+from ..part import send
+
+
+def follower(*, saved, opt):
+    epochs = dict(saved.get("shard", {}))
+    claims = {}
+    for k, v in saved.get("claim", {}).items():
+        sh, kd = k.split("\0")
+        claims.setdefault(sh, {})[kd] = v
+    tok, wait, out = 0, {}, []
+
+    def write(todo, *answer):
+        nonlocal tok
+        tok += 1
+        wait[tok] = answer
+        out.append(("disk", ("follower", tok), tuple(todo)))
+
+    while True:
+        now, ev = yield tuple(out)
+        out = []
+        match ev:
+            case ("msg", frm, ("claim", str(sh), int(e), cid, str(kd), str(gid))):
+                held = epochs.get(sh)
+                if held is None or held != e:
+                    out.append(send(frm, "unclaimed", sh, e, cid, "none" if held is None else "old"))
+                    continue
+                was = claims[sh].get(kd)
+                if was and was[0] != gid:
+                    out.append(send(frm, "unclaimed", sh, e, cid, "seen"))
+                    continue
+                claims[sh][kd] = (gid, "claimed")
+                write([("put", "claim", f"{sh}\0{kd}", (gid, "claimed"))],
+                      frm, "claimed", sh, e, cid)
+            case ("msg", frm, ("mark", str(sh), int(e), str(kd), str(gid), str(st))):
+                if epochs.get(sh) != e or claims[sh].get(kd, ("",))[0] != gid:
+                    continue
+                if st == "free":             # surely never ran: the key may be claimed anew
+                    del claims[sh][kd]
+                    write([("del", "claim", f"{sh}\0{kd}")])
+                elif claims[sh][kd][1] != "done":
+                    claims[sh][kd] = (gid, st)
+                    write([("put", "claim", f"{sh}\0{kd}", (gid, st))])
+            case ("msg", frm, ("adopt", str(sh), int(e))):
+                held = epochs.get(sh)
+                if held is None or e < held:
+                    out.append(send(frm, "unadopted", sh, e, "none" if held is None else "old"))
+                    continue
+                epochs[sh] = e
+                write([("put", "shard", sh, e)], frm, "adopted", sh, e,
+                      tuple((k, *v) for k, v in sorted(claims[sh].items())))
+            case ("msg", frm, ("copy", str(sh), int(e), int(n), tuple(cs))):
+                if e < epochs.get(sh, 0):
+                    out.append(send(frm, "unadopted", sh, e, "old"))
+                    continue
+                old = claims.get(sh, {})
+                epochs[sh], claims[sh] = e, {k: (g, s) for k, g, s in cs}
+                write([("put", "shard", sh, e)] + [("del", "claim", f"{sh}\0{k}") for k in old]
+                      + [("put", "claim", f"{sh}\0{k}", (g, s)) for k, g, s in cs],
+                      frm, "copied", sh, e, n)
+            case ("disk", ("follower", n), ok, _):
+                ans = wait.pop(n, ())
+                if ok and ans:
+                    out.append(send(*ans))
--- /dev/null
+++ b/silverglade/shards/owner.py
@@ -0,0 +1,276 @@
+"""Shard owners (design 6): one owner per tenant; queue, claim, elect, grant."""
+from ..config import digest
+from ..control import book as bk
+from ..part import log, post, send, span
+from ..rank import ranked
+from ..replicas.elect import elect
+from ..replicas.registry import ADDR, INC, S_STATE, ZONE, evacuated
+from .shard import Shard
+
+
+def owner(*, me, zone, cores, opt, rng):
+    shards, todo = {}, {}                  # tenant -> Shard; order id -> entry
+    book, reps, roll, out = {}, {}, (), []
+    fresh, want, burden, lid_n = None, {}, {}, 0
+
+    def verdict(x):
+        """May this owner promise that the key never ran? "?": it cannot tell (6.5)."""
+        sh = shards.get(x["tenant"])
+        if x["resumable"]:
+            return "maybe" if sh and x["kd"] in sh.tried else "?"
+        return "no" if x["seen"] else "?"
+
+    def deny(x, code, ran=None, wait=None):
+        ran = ran or verdict(x)
+        todo.pop(x["oid"], None)
+        drop_lease(x, False)
+        sh = shards.get(x["tenant"])
+        if sh and x["claim"] and ran == "no":
+            out.extend(sh.mark(x["kd"], x["oid"], "free"))
+        out.append(send(x["frm"], "deny", x["oid"], x["n"], code, ran, wait))
+
+    def drop_lease(x, good):
+        if x["lid"]:
+            burden[x["rid"]] = max(0, burden.get(x["rid"], 0) - 1)
+            e = book.get(f"duty/ledger/{x['rid']}", (0, (0, "", "")))[1]
+            out.append(send(e[1], "release", x["rid"], x["lid"], good))
+            x["lid"] = ""
+
+    def waiting(tenant):
+        return [x for x in todo.values() if x["tenant"] == tenant and x["step"] == "wait"]
+
+    def cands(x, now):
+        cfg = bk.get(book, "config")
+        home, rest = elect(reps=reps, cfg=cfg, tenant=x["tenant"], kind=x["kind"],
+                           prefix=x["prefix"], now=now, opt=opt, evac=evacuated(book), extra=burden)
+        z0 = cfg["tenants"][x["tenant"]]["homes"][0]
+        g = cfg["zones"][z0]["region"]
+        ready = sum(1 for r, s, _ in reps.values() if s and s[S_STATE] == "ready"
+                    and r[ZONE] in cfg["zones"] and cfg["zones"][r[ZONE]]["region"] == g
+                    and r[5] == x["kind"])
+        # spill: home cannot take it, and the estimate says that it is short (design 7.4)
+        short = want.get((g, x["kind"]), 0) > ready
+        if not home or (short and now - x["at"] >= min(opt["spill_wait"], x["left"] / 4)):
+            x["spill"] = bool(rest)
+            home = home + rest
+        return [i for i in home if i not in x["avoid"]]
+
+    def try_(x, now):
+        """Ask the next candidate's ledger for a slot."""
+        nonlocal lid_n
+        x["list"] = [i for i in x["list"] if i in reps]
+        if not x["list"]:
+            x["step"], x["next"] = "wait", now + opt["beat"]
+            return
+        rid = x["list"].pop(0)
+        duty = bk.get(book, f"duty/ledger/{rid}")
+        if not duty:
+            return try_(x, now)
+        lid_n += 1
+        x.update(step="lease", rid=rid, lid="", ask=f"{x['oid']}/{lid_n}", till=now + opt["owner_wait"])
+        out.append(send(duty[1], "lease", rid, duty[0], x["ask"], x["tenant"]))
+
+    def step(x, now):
+        """Move a waiting order on, if it is first in its tenant's line."""
+        sh = shards.get(x["tenant"])
+        if sh is None:
+            return deny(x, 304, wait=500)
+        if not x["resumable"] and not sh.open:
+            return None                          # held briefly; the pulse gives up
+        if look(sh, x):
+            return None
+        x["list"] = cands(x, now)
+        return try_(x, now)
+
+    def look(sh, x):
+        """The key's claim, once the claims are known; True: it was claimed before."""
+        if not x["resumable"] and not x["seen"] and sh.open:
+            x["seen"] = True
+            c = sh.claims.get(x["kd"])
+            if c and c[0] != x["oid"]:
+                deny(x, 401, ran="yes" if c[1] == "done" else "maybe")
+                return True
+        return False
+
+    def leased(x, rid, lid, now):
+        x.update(rid=rid, lid=lid)
+        burden[rid] = burden.get(rid, 0) + 1
+        if x["resumable"]:
+            shards[x["tenant"]].tried.add(x["kd"])
+            return grant(x, now)
+        sh = shards.get(x["tenant"])
+        if sh is None or not sh.open:
+            return deny(x, 303, wait=500)
+        x.update(step="claim", claim=True, till=now + opt["claim_wait"])
+        out.extend(sh.claim(x["kd"], x["oid"]))
+        return None
+
+    def grant(x, now):
+        r = reps[x["rid"]][0]
+        x.update(step="granted", till=now + x["left"] + opt["grant"])
+        out.append(send(x["frm"], "grant", x["oid"], x["n"], x["rid"], r[INC], r[ADDR],
+                        shards[x["tenant"]].epoch, bool(x.get("spill"))))
+
+    def ask(now, frm, oid, n, tenant, e, facts):
+        cls, key, prefix, left = facts
+        cfg = bk.get(book, "config")
+        sh = shards.get(tenant)
+        no = lambda code: out.append(send(frm, "deny", oid, n, code, "?", 500))
+        if not cfg or tenant not in cfg["tenants"] or cls not in cfg["tenants"][tenant]["classes"]:
+            return no(203)
+        if sh is None or e != sh.epoch:
+            return out.append(send(frm, "moved", oid, n))
+        if fresh is None or now - fresh > opt["alone"]:
+            return no(307)
+        if oid in todo and todo[oid]["n"] >= n:
+            if todo[oid]["step"] == "granted" and todo[oid]["n"] == n and todo[oid]["rid"] in reps:
+                grant(todo[oid], now)
+            return None
+        line = waiting(tenant)
+        c = cfg["tenants"][tenant]["classes"][cls]
+        x = dict(oid=oid, n=n, frm=frm, tenant=tenant, kd=digest(f"{tenant}\0{key}"), prefix=prefix,
+                 kind=c["kind"], resumable=c["resumable"], at=now, left=span(left), due=now + span(left),
+                 step="wait", rid="", lid="", ask="", list=[], seen=False, till=None, next=now,
+                 claim=oid in todo and todo[oid]["claim"],
+                 avoid=todo[oid]["avoid"] if oid in todo else set())
+        todo[oid], ahead = x, any(w["kind"] == x["kind"] for w in line)
+        if look(sh, x):
+            return None
+        if len(line) >= opt["queue"]:
+            return deny(x, 302, wait=1000)
+        if not ahead or not sh.open and not c["resumable"]:
+            step(x, now)
+        return None
+
+    def open_(now):
+        """Shards wanted (duties that name me) against shards held."""
+        for k, (_, v) in book.items():
+            if k.startswith("duty/shard/"):
+                t, (e, holder, fol) = k[11:], v
+                if holder == me and (t not in shards or shards[t].epoch < e):
+                    old = shards.get(t)
+                    shards[t] = Shard(name=t, epoch=e, follower=fol, me=me,
+                                      claims=old.claims if old and old.full(e) else None)
+                    out.append(log("shard-owned", shard=t, epoch=e, follower=fol or "none"))
+                elif holder != me and t in shards:
+                    del shards[t]
+                    out.append(log("shard-passed", shard=t, epoch=e, owner=holder))
+                    for x in [x for x in todo.values() if x["tenant"] == t]:
+                        todo.pop(x["oid"])
+                        if x["step"] != "granted":
+                            drop_lease(x, False)
+                            out.append(send(x["frm"], "moved", x["oid"], x["n"]))
+
+    def spare():
+        """Cores that may follow my shards, in order: not in my zone where that can be."""
+        live = {r[0]: r for r in roll if r[9] == "ready" and r[0] in cores and r[0] != me}
+        far = [i for i in live if live[i][4] != zone]
+        return lambda t: ranked(f"follow/{t}", far or list(live))
+
+    def pulse(now):
+        live = {r[0] for r in roll}
+        for sh in shards.values():
+            out.extend(sh.pulse(now, live, spare(), opt))
+        for x in list(todo.values()):
+            if x["frm"] not in live and x["step"] == "granted":
+                drop_lease(x, False)             # its claim stays: nobody knows what ran
+                todo.pop(x["oid"])
+            elif x["step"] in ("granted", "idle"):
+                if now > x["till"]:
+                    drop_lease(x, False)
+                    todo.pop(x["oid"])
+            elif x["frm"] not in live:
+                deny(x, 405)
+            elif now >= x["due"]:
+                deny(x, 301, wait=1000)
+            elif x["step"] == "claim" and now > x["till"]:
+                deny(x, 303, wait=1000)
+            elif x["step"] == "wait":
+                sh = shards.get(x["tenant"])
+                shut = not x["resumable"] and not (sh and sh.open)
+                if shut and now - x["at"] > opt["claim_wait"]:
+                    deny(x, 303, wait=1000)
+                elif now - x["at"] > opt["queue_wait"]:
+                    deny(x, 301, wait=1000)
+                elif now >= x["next"]:
+                    step(x, now)
+            elif x["step"] == "lease" and now > x["till"]:
+                try_(x, now)
+
+    while True:
+        now, ev = yield tuple(out)
+        out = []
+        match ev:
+            case ("book", b, _):
+                book = b
+                open_(now)
+            case ("replicas", rs):
+                reps = rs
+            case ("roll", r):
+                roll = r
+            case ("fresh", f):
+                fresh = f
+            case ("wanted", w):
+                want = w
+            case ("froze",):
+                fresh = None
+                for sh in shards.values():
+                    sh.doubt()
+            case ("pulse",):
+                pulse(now)
+            case ("msg", frm, ("ask", str(oid), int(n), str(tenant), int(e), (str(cls), str(key), str(prefix), int(left)))):
+                ask(now, frm, oid, n, tenant, e, (cls, key, prefix, left))
+            case ("msg", frm, ("leased", str(lid), str(rid), int(e))):
+                x = todo.get(lid.rsplit("/", 1)[0])
+                if x and x["step"] == "lease" and x["ask"] == lid and rid in reps:
+                    leased(x, rid, lid, now)
+                else:
+                    out.append(send(frm, "release", rid, lid, False))
+            case ("msg", frm, ("unleased", str(lid), str(rid), str(why))):
+                x = todo.get(lid.rsplit("/", 1)[0])
+                if x and x["step"] == "lease" and x["ask"] == lid:
+                    try_(x, now)
+            case ("msg", frm, ("offer", str(rid), int(e), str(lid), str(tenant))):
+                x = next((x for x in sorted(waiting(tenant), key=lambda x: x["due"])
+                          if rid in reps and (x["resumable"] or shards[tenant].open)
+                          and rid in cands(x, now)), None) if tenant in shards else None
+                if x:
+                    leased(x, rid, lid, now)
+                else:
+                    out.append(send(frm, "release", rid, lid, False))
+            case ("msg", frm, ("claimed", str(t), int(e), str(oid))):
+                x = todo.get(oid)
+                if x and x["step"] == "claim" and t in shards and shards[t].epoch == e and x["rid"] in reps:
+                    grant(x, now)
+            case ("msg", frm, ("unclaimed", str(t), int(e), str(oid), str(why))):
+                x = todo.get(oid)
+                if x and x["step"] == "claim":
+                    if why == "seen":
+                        x["claim"] = False
+                        deny(x, 401, ran="maybe")
+                    else:
+                        shards[t].lost(e, why)
+                        deny(x, 303, wait=500)
+            case ("msg", frm, (("adopted" | "unadopted" | "copied") as k, str(t), int(e), *r)) if t in shards:
+                out.extend(shards[t].hear(frm, k, e, r))
+            case ("msg", frm, ("fin", str(oid), int(n), str(how))):
+                x = todo.get(oid)
+                if x and x["n"] == n and x["frm"] == frm:
+                    drop_lease(x, how == "done")
+                    if how == "unrun" and x["rid"]:
+                        x["avoid"].add(x["rid"])     # the ingress may ask again under its claim
+                        x.update(step="idle", till=now + opt["grant"])
+                    else:
+                        todo.pop(oid)
+                        if x["claim"] and x["tenant"] in shards:
+                            out.extend(shards[x["tenant"]].mark(x["kd"], oid, how))
+            case ("msg", frm, ("quit", str(oid))):   # the ingress will never send it
+                x = todo.pop(oid, None)
+                if x and x["frm"] == frm:
+                    drop_lease(x, False)
+                    if x["claim"] and x["tenant"] in shards:
+                        out.extend(shards[x["tenant"]].mark(x["kd"], oid, "free"))
+            case ("look",):
+                out.append(post("desk", "shards", tuple(
+                    (t, s.epoch, s.follower, s.open, len(s.claims or {}), len(waiting(t)))
+                    for t, s in sorted(shards.items()))))
--- /dev/null
+++ b/silverglade/shards/shard.py
@@ -0,0 +1,95 @@
+"""One shard in its owner's hands (design 6.3, 6.4).
+
+Steps: adopt (fetch the follower's claims under my epoch), open, copy (a new follower gets
+every claim, then control names it, then adopt again). Unresumable orders wait while not open.
+"""
+from ..part import log, send
+
+
+class Shard:
+    def __init__(self, *, name, epoch, follower, me, claims):
+        self.name, self.epoch, self.follower, self.me = name, epoch, follower, me
+        self.claims = claims          # None: not known here
+        self.open, self.sent, self.to, self.num = False, None, "", 0
+        self.tried = set()            # resumable keys granted here
+        self.step = "adopt" if follower else "copy"
+        if not follower:
+            self.claims = {}          # no follower yet: nothing was ever claimed
+
+    def full(self, epoch):
+        """Are my claims still whole under this epoch? Only if nobody owned it between."""
+        return self.claims is not None and epoch == self.epoch + 1
+
+    def claim(self, kd, gid):
+        self.claims[kd] = (gid, "claimed")
+        return [send(self.follower, "claim", self.name, self.epoch, gid, kd, gid)]
+
+    def mark(self, kd, gid, st):
+        c = (self.claims or {}).get(kd)
+        if not c or c[0] != gid:
+            return []
+        if st == "free":
+            del self.claims[kd]
+        else:
+            self.claims[kd] = (gid, st)
+        return [send(self.follower, "mark", self.name, self.epoch, kd, gid, st)]
+
+    def doubt(self):
+        """After a freeze: another may own it by now, so ask the follower again."""
+        if self.step == "open":
+            self.open, self.step, self.sent = False, "adopt", None
+
+    def lost(self, e, why):
+        """The follower refused a claim: it is empty, or follows a newer epoch."""
+        if e == self.epoch and why in ("none", "old"):
+            self.open, self.sent = False, None
+            self.step = "copy" if why == "none" else "adopt"
+
+    def hear(self, frm, kind, e, rest):
+        if e != self.epoch:
+            return []
+        if kind == "adopted" and frm == self.follower and self.step == "adopt":
+            got = {k: (g, s) for k, g, s in rest[0]}
+            mine = self.claims or {}
+            self.claims = {**got, **mine}
+            if any(k not in got for k in mine):      # it holds less than I do: copy anew
+                self.step, self.sent = "copy", None
+                return []
+            self.open, self.step = True, "open"
+            return [log("shard-open", shard=self.name, epoch=e, claims=len(got))]
+        if kind == "unadopted" and self.step == "adopt" and rest[0] == "none":
+            if self.claims is not None:
+                self.step, self.sent = "copy", None
+                return []
+            self.step = "shut"
+            return [log("claims-lost", shard=self.name, follower=frm)]
+        if kind == "copied" and frm == self.to and self.step == "copy" and rest == [self.num]:
+            if self.to == self.follower:
+                self.step, self.sent = "adopt", None
+                return []
+            self.step, self.sent = "name", None
+        return []
+
+    def pulse(self, now, live, spare, opt):
+        gone = self.follower not in live
+        if self.step in ("open", "adopt") and self.follower and gone and self.claims is not None:
+            self.open, self.step, self.sent = False, "copy", None
+        if self.step == "shut" and not gone and (self.sent is None or now - self.sent > opt["gone"]):
+            self.step = "adopt"
+        if self.step == "open" or (self.sent is not None and now - self.sent < opt["takeover"] / 3):
+            return []
+        self.sent = now
+        if self.step == "adopt":
+            return [send(self.follower, "adopt", self.name, self.epoch)]
+        if self.step == "copy":
+            cs = spare(self.name)
+            self.to = self.follower if not gone else cs[0] if cs else ""
+            self.num += 1
+            return [send(self.to, "copy", self.name, self.epoch, self.num, tuple(
+                (k, *v) for k, v in sorted(self.claims.items())))] if self.to else []
+        if self.step == "name":
+            if self.to not in live:
+                self.step = "copy"
+                return []
+            return [("post", "desk", ("self", ("duty", "shard", self.name, self.epoch, self.me, self.to)))]
+        return []
