--- /dev/null
+++ b/silverglade/__main__.py
@@ -0,0 +1,48 @@
+"""The command line (design 8.5)."""
+import argparse
+import sys
+
+from . import __version__, log, options
+from .faults import Fault
+
+
+def parser():
+    p = argparse.ArgumentParser(prog="silverglade", description="Serving across regions for a language model.")
+    p.add_argument("--version", action="version", version=__version__)
+    sub = p.add_subparsers(dest="cmd", required=True)
+    r = sub.add_parser("run", help="run a daemon")
+    r.add_argument("--settings", help="a JSON file of settings; flags go before it")
+    for k in ("name", "zone", "region", "listen", "advertise", "http", "data", "operator_key", "orders_to"):
+        r.add_argument("--" + k.replace("_", "-"), dest=k)
+    for k in ("seeds", "cores"):
+        r.add_argument("--" + k, type=lambda s: s.split(","), help="comma-separated")
+    r.add_argument("--log-level", dest="log_level")
+    r.add_argument("--check", action="store_true", help="check the settings and stop")
+    return p
+
+
+def run(a):
+    flags = {k: getattr(a, k) for k in options.SETTINGS if k != "tuning"}
+
+    def reread():
+        return options.read(path=a.settings, flags=flags)
+    s = reread()
+    if a.check:
+        print("settings are sound")
+        return 0
+    from .daemon.run import start
+    start(settings=s, lg=log.setup(level=s["log_level"]), reread=reread)
+    return 0
+
+
+def main(argv=None):
+    a = parser().parse_args(argv)
+    try:
+        return {"run": run}[a.cmd](a)
+    except Fault as e:
+        print(f"silverglade: {e}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/silverglade/control/book.py
+++ b/silverglade/control/book.py
@@ -42,7 +42,7 @@
             cfg, bad = config.checked(raw)
             if bad:
                 return ("refuse", 502, "; ".join(f"{p}: {s}" for p, s in bad))
-            return ("take", (("config", raw),))
+            return ("take", (("config", cfg),))
         case ("evac", zone, bool(on)):
             cfg = get(book, "config")
             if not cfg or zone not in cfg["zones"]:
--- /dev/null
+++ b/silverglade/daemon/disk.py
@@ -0,0 +1,97 @@
+"""The data folder (design 5.1): sqlite with a rollback journal, synced in full, one writer.
+
+No shared memory: never WAL; the file is locked whole, so two daemons cannot share a folder.
+"""
+import os
+import secrets
+import sqlite3
+
+import ormsgpack
+
+from ..faults import Fault
+from ..wire import tupled
+
+MARK, SHAPE = 0x51_76_6C_67, 1          # application_id, user_version
+FILE = "state.db"
+
+
+class Store:
+    def __init__(self, *, folder, name):
+        self.folder, self.name = folder, name
+        path = os.path.join(folder, FILE)
+        try:
+            os.makedirs(folder, exist_ok=True)
+            new = not os.path.exists(path)
+            if new and any(f for f in os.listdir(folder) if not f.startswith(FILE)):
+                raise Fault(702, f"{folder} holds files that are not silverglade's")
+            self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=0.5)
+            self._open(new)
+        except (sqlite3.Error, OSError) as e:
+            raise Fault(702, f"{path}: {e}") from e
+
+    def _open(self, new):
+        q = self.db.execute
+        if not new:
+            if q("PRAGMA application_id").fetchone()[0] != MARK:
+                if q("SELECT count(*) FROM sqlite_master").fetchone()[0] or os.path.getsize(
+                        os.path.join(self.folder, FILE)):
+                    raise Fault(702, "the file is not silverglade's")
+                new = True
+            elif q("PRAGMA user_version").fetchone()[0] != SHAPE:
+                raise Fault(702, "the file has a layout of another version")
+        q("PRAGMA locking_mode=EXCLUSIVE")
+        q("PRAGMA journal_mode=DELETE")
+        q("PRAGMA synchronous=EXTRA")
+        if new:
+            q("BEGIN EXCLUSIVE")
+            q(f"PRAGMA application_id={MARK}")
+            q(f"PRAGMA user_version={SHAPE}")
+            q("CREATE TABLE kv (tab TEXT NOT NULL, key TEXT NOT NULL, val BLOB NOT NULL,"
+              " PRIMARY KEY (tab, key)) WITHOUT ROWID")
+            q("INSERT INTO kv VALUES ('ident', 'name', ?), ('ident', 'disk', ?)",
+              (ormsgpack.packb(self.name), ormsgpack.packb(secrets.token_hex(8))))
+            q("COMMIT")
+            fd = os.open(self.folder, os.O_RDONLY)
+            try:
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+        bad = q("PRAGMA integrity_check").fetchone()[0]
+        if bad != "ok":
+            raise Fault(702, f"damaged: {bad}")
+        who = self.table("ident")
+        if who.get("name") != self.name or not who.get("disk"):
+            raise Fault(702, f"the folder belongs to {who.get('name')}, not to {self.name}")
+        self.id = who["disk"]
+
+    def table(self, tab):
+        try:
+            return {k: tupled(ormsgpack.unpackb(v)) for k, v in
+                    self.db.execute("SELECT key, val FROM kv WHERE tab = ?", (tab,))}
+        except ValueError as e:
+            raise Fault(702, f"damaged: table {tab}") from e
+
+    def load(self):
+        return {t: self.table(t) for t in ("meta", "book", "shard", "claim")}
+
+    def write(self, ops):
+        """One transaction, synced when this returns."""
+        q = self.db.execute
+        q("BEGIN IMMEDIATE")
+        try:
+            for op in ops:
+                match op:
+                    case ("put", t, k, v):
+                        q("INSERT OR REPLACE INTO kv VALUES (?, ?, ?)", (t, k, ormsgpack.packb(v)))
+                    case ("del", t, k):
+                        q("DELETE FROM kv WHERE tab = ? AND key = ?", (t, k))
+                    case ("wipe", t):
+                        q("DELETE FROM kv WHERE tab = ?", (t,))
+            q("COMMIT")
+        except BaseException:
+            if self.db.in_transaction:
+                q("ROLLBACK")
+            raise
+
+    def close(self):
+        self.db.close()
--- /dev/null
+++ b/silverglade/daemon/links.py
@@ -0,0 +1,81 @@
+"""Links between daemons (design 3.1): one task per peer owns its socket; frames over TCP."""
+import anyio
+
+from .. import wire
+from ..faults import Fault
+from ..log import line
+
+QUEUE = 4096
+
+
+def split(addr):
+    ip, port = addr.rsplit(":", 1)
+    return ip, int(port)
+
+
+class Links:
+    def __init__(self, *, me, life, addr, inbox, lg):
+        self.me, self.life, self.addr, self.inbox, self.lg = me, life, addr, inbox, lg
+        self.at, self.out, self.group, self.lost = {}, {}, None, 0
+
+    def peer(self, name, addr):
+        self.at[name] = addr
+
+    def send(self, to, body):
+        """Never waits: a full queue drops the message, which every protocol here survives."""
+        addr = to[1:] if to.startswith("@") else self.at.get(to)
+        if addr is None or self.group is None:
+            return
+        if addr not in self.out:
+            self.out[addr], r = anyio.create_memory_object_stream(QUEUE)
+            self.group.start_soon(self.link, addr, r)
+        try:
+            self.out[addr].send_nowait(wire.pack(frm=self.me, life=self.life, body=body))
+        except anyio.WouldBlock:
+            self.lost += 1
+        except Fault as e:
+            self.lg.warning(line("frame-not-sent", [("to", to), ("kind", body[0]), ("code", e.code)]))
+
+    async def link(self, addr, queue):
+        wait = 0.05
+        while True:
+            data = await queue.receive()
+            try:
+                with anyio.fail_after(1):
+                    s = await anyio.connect_tcp(*split(addr), local_host=split(self.addr)[0])
+            except (OSError, TimeoutError):
+                while queue.statistics().current_buffer_used > 64:
+                    queue.receive_nowait()           # stale news to a dead peer
+                await anyio.sleep(wait)
+                wait = min(0.5, wait * 2)
+                continue
+            wait = 0.05
+            async with s:
+                try:
+                    while True:
+                        with anyio.fail_after(5):
+                            await s.send(data)
+                        data = await queue.receive()
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError, TimeoutError):
+                    self.lg.info(line("link-down", [("to", addr)]))
+
+    async def take(self, s):
+        """One inbound connection; a bad frame closes it and nothing else."""
+        fr = wire.frames()
+        next(fr)
+        async with s:
+            try:
+                async for chunk in s:
+                    for raw in fr.send(chunk):
+                        frm, _, body = wire.unpack(raw)
+                        await self.inbox.send(("msg", frm, body))
+            except Fault as e:
+                self.lg.warning(line("frame-refused", [("code", e.code), ("why", e.detail)]))
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                pass
+
+    async def run(self):
+        ip, port = split(self.addr)
+        lis = await anyio.create_tcp_listener(local_host=ip, local_port=port, reuse_port=False)
+        async with anyio.create_task_group() as self.group, lis:
+            await lis.serve(self.take)
--- /dev/null
+++ b/silverglade/daemon/run.py
@@ -0,0 +1,223 @@
+"""The daemon (design 1.3): tasks round one hub, each owning its socket or its file."""
+import random
+import secrets
+import signal
+import time
+from datetime import timedelta
+
+import anyio
+import anyio.to_thread
+
+from ..faults import Fault
+from ..hub import Hub
+from ..log import line
+from . import callout
+from .disk import Store
+from .links import Links
+from .tree import keep
+
+INBOX, RELAY, DISK = 4096, 256, 4096
+DRAIN = timedelta(seconds=30)
+
+
+def clock():
+    return timedelta(seconds=time.monotonic())
+
+
+class Daemon:
+    def __init__(self, *, settings, lg, reread=None):
+        s = self.s = settings
+        self.lg, self.reread, self.opt = lg, reread, s["tuning"]
+        self.store = Store(folder=s["data"], name=s["name"]) if s["data"] else None
+        self.life = secrets.token_hex(6)
+        self.put, self.inbox = anyio.create_memory_object_stream(INBOX)
+        self.disk_put, self.disk_get = anyio.create_memory_object_stream(DISK)
+        self.links = Links(me=s["name"], life=self.life, addr=s["listen"], inbox=self.put, lg=lg)
+        self.hub = Hub(me=s["name"], life=self.life, zone=s["zone"], region=s["region"],
+                       addr=s["advertise"] or s["listen"], http=s["http"], seeds=s["seeds"], cores=tuple(s["cores"]),
+                       opt=self.opt, rng=random.Random(secrets.randbits(64)),
+                       disk=self.store.id if self.store else "",
+                       saved=self.store.load() if self.store else None)
+        self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
+        self.relays, self.calls, self.n, self.counts = {}, {}, 0, {}
+        self.stopping, self.ready = anyio.Event(), anyio.Event()
+
+    # for the front: orders and calls
+    def oid(self):
+        self.n += 1
+        return f"{self.s['name']}~{self.life}~{self.n}"
+
+    async def order(self, oid, spec):
+        """-> the order's results as a bounded stream."""
+        w, r = anyio.create_memory_object_stream(RELAY)
+        self.relays[oid] = w
+        await self.put.send(("order", oid, spec))
+        return r
+
+    async def gone(self, oid):
+        if self.relays.pop(oid, None):
+            await self.put.send(("gone", oid))
+
+    async def call(self, op, args):
+        self.n += 1
+        cid, done = f"c{self.n}", anyio.Event()
+        self.calls[cid] = box = [done, None]
+        await self.put.send(("call", cid, op, args))
+        await done.wait()
+        return box[1]
+
+    # effects of the hub
+    def act(self, e):
+        match e:
+            case ("send", to, body):
+                self.links.send(to, body)
+            case ("peer", name, addr):
+                self.links.peer(name, addr)
+            case ("disk", token, ops):
+                try:
+                    self.disk_put.send_nowait((token, ops))
+                except anyio.WouldBlock:
+                    self.lg.error(line("disk-queue-full", []))
+            case ("dispatch", did, rid, addr, meta, body):
+                self.group.start_soon(self.dispatch, did, addr, meta, body)
+            case ("abort", did):
+                if did in self.jobs:
+                    self.jobs.pop(did).cancel()
+            case ("probe", rid, inc, addr):
+                self.group.start_soon(self.probe, rid, inc, addr)
+            case ("result", oid, kind, *r):
+                self.result(oid, kind, r)
+            case ("reply", cid, code, kw):
+                box = self.calls.pop(cid, None)
+                if box:
+                    box[1] = (code, kw)
+                    box[0].set()
+            case ("log", ev, pairs):
+                self.counts[ev] = self.counts.get(ev, 0) + 1
+                self.lg.info(line(ev, pairs))
+
+    def result(self, oid, kind, r):
+        w = self.relays.get(oid)
+        if w is None:
+            return
+        try:
+            w.send_nowait((kind, *r))
+        except (anyio.WouldBlock, anyio.BrokenResourceError):   # a visitor too slow, or gone
+            self.relays.pop(oid)
+            w.close()
+            self.group.start_soon(self.put.send, ("gone", oid))
+            return
+        if kind in ("whole", "done", "fault"):
+            self.relays.pop(oid)
+            w.close()
+            k = r[0] if kind == "fault" else 100
+            self.counts[f"code-{k}"] = self.counts.get(f"code-{k}", 0) + 1
+
+    async def dispatch(self, did, addr, meta, body):
+        oid = did.rsplit(".", 1)[0]
+
+        async def tell(*what):
+            await self.put.send(("ran", did, *what))
+
+        async def room():
+            while (w := self.relays.get(oid)) and w.statistics().current_buffer_used > RELAY // 2:
+                await anyio.sleep(0.01)
+        with anyio.CancelScope() as scope:
+            self.jobs[did] = scope
+            try:
+                await callout.dispatch(pool=self.pool, did=did, addr=addr, meta=meta, body=body,
+                                       tell=tell, room=room)
+            finally:
+                self.jobs.pop(did, None)
+
+    async def probe(self, rid, inc, addr):
+        await self.put.send(("probed", rid, inc, await callout.probe(pool=self.pool, addr=addr)))
+
+    # tasks
+    async def think(self):
+        """Owns the hub. A fault in here leaves its state untrusted, so it ends the daemon."""
+        async for ev in self.inbox:
+            for e in self.hub.feed(clock(), ev):
+                self.act(e)
+
+    async def pulse(self):
+        gap = self.opt["pulse"] / timedelta(seconds=1)
+        while True:
+            await self.put.send(("pulse",))
+            await anyio.sleep(gap)
+
+    async def write(self):
+        """The one writer: a stalled disk holds up this task alone."""
+        async for token, ops in self.disk_get:
+            try:
+                await anyio.to_thread.run_sync(self.store.write, ops, abandon_on_cancel=True)
+                ok = True
+            except Exception as e:                    # noqa: BLE001  full, failing, gone
+                ok = False
+                self.lg.error(line("disk-write", [("why", e)]))
+            await self.put.send(("disk", token, ok, None))
+
+    async def drain(self):
+        """SIGTERM: no new orders, the others learn it, those under way end (design 1.4)."""
+        self.lg.info(line("drain", []))
+        await self.put.send(("drain",))
+        await self.put.send(("state", "leaving"))
+        end = clock() + DRAIN
+        while clock() < end and (self.relays or self.jobs):
+            await anyio.sleep(0.1)
+        await anyio.sleep(0.3)
+        await self.put.send(("state", "left"))
+        await anyio.sleep(0.3)
+        self.stopping.set()
+
+    async def signals(self):
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as sigs:
+            async for s in sigs:
+                if s == signal.SIGHUP:
+                    self.hup()
+                elif s == signal.SIGINT:
+                    self.stopping.set()
+                else:
+                    self.group.start_soon(self.drain)
+
+    def hup(self):
+        """Settings re-read whole: tuning and log level change in place, faults change nothing."""
+        try:
+            new = self.reread()
+        except Fault as e:
+            self.lg.error(line("settings-refused", [("code", e.code), ("why", e.detail)]))
+            return
+        fixed = [k for k in new if k not in ("tuning", "log_level") and new[k] != self.s[k]]
+        if fixed:
+            self.lg.error(line("settings-refused", [("why", "needs a restart: " + ",".join(fixed))]))
+            return
+        self.opt.update(new["tuning"])
+        self.s["log_level"] = new["log_level"]
+        self.lg.setLevel({"DEBUG": 10, "INFO": 20, "WARNING": 30}[new["log_level"]])
+        self.lg.info(line("settings", [("level", new["log_level"])]))
+
+    async def run(self):
+        from ..front.serve import serve
+        s = self.s
+        self.lg.info(line("start", [("daemon", s["name"]), ("zone", s["zone"]), ("life", self.life),
+                                    ("disk", self.store.id if self.store else "none")]))
+        async with anyio.create_task_group() as tg:
+            self.group = tg
+            tg.start_soon(self.think)
+            if self.store:
+                tg.start_soon(self.write)
+            for name, run in (("links", self.links.run), ("pulse", self.pulse),
+                              ("front", lambda: serve(self)), ("signals", self.signals)):
+                tg.start_soon(lambda n=name, r=run: keep(name=n, run=r, lg=self.lg))
+            await self.stopping.wait()
+            self.lg.info(line("stop", [("daemon", s["name"])]))
+            tg.cancel_scope.cancel()
+        if self.store:
+            self.store.close()
+
+
+def start(*, settings, lg, reread):
+    d = Daemon(settings=settings, lg=lg, reread=reread)
+    anyio.run(d.run)
+
+
--- /dev/null
+++ b/silverglade/front/routes.py
@@ -0,0 +1,85 @@
+"""Calls of replicas, platform and operators (design 2.2, 2.3)."""
+import hmac
+import json
+import secrets
+
+from ..faults import CODES, Fault, status
+from .metrics import exposition
+
+
+def parse(b):
+    try:
+        return json.loads(b)
+    except ValueError as e:
+        raise Fault(506, "the body is not JSON") from e
+
+
+def version(head):
+    v = head.get("if-match", "").strip().strip('"')
+    a, _, b = v.partition(".")
+    if not v:
+        raise Fault(510)
+    if not (a.isdigit() and b.isdigit() and len(v) < 40):
+        raise Fault(506, "If-Match wants EPOCH.NUMBER")
+    return int(a), int(b)
+
+
+def change(head):
+    c = head.get("silverglade-change", "") or secrets.token_hex(8)
+    if len(c) > 100:
+        raise Fault(506, "the change id is too long")
+    return c
+
+
+def listed(raw):
+    rows = raw.get("replicas") if isinstance(raw, dict) else None
+    if not isinstance(rows, list):
+        raise Fault(506, "wants {\"replicas\": [...]}")
+    out = []
+    for i, r in enumerate(rows):
+        if not (isinstance(r, dict) and isinstance(r.get("id"), str)
+                and type(r.get("incarnation", 1 << 53)) is int and type(r.get("leaving", False)) is bool):
+            raise Fault(506, f"replicas[{i}]")
+        out.append((r["id"], r.get("incarnation", 1 << 53), r.get("leaving", False)))
+    return tuple(out)
+
+
+async def route(d, verb, path, head, body, send, answer, key):
+    want = d.s["operator_key"]
+    if want and path != "/healthz" and not hmac.compare_digest(key, want):
+        raise Fault(201 if not key else 202, "this call wants the operator's key")
+    p = [x for x in path.split("/") if x]
+    match (verb, p):
+        case ("GET", ["healthz"]):
+            return await answer(send, 200, {"daemon": d.s["name"]})
+        case ("GET", ["metrics"]):
+            b = await exposition(d)
+            await send({"type": "http.response.start", "status": 200, "headers": [
+                (b"content-type", b"text/plain; version=0.0.4"), (b"content-length", str(len(b)).encode())]})
+            return await send({"type": "http.response.body", "body": b})
+        case ("GET", ["v1", "config"]):
+            op = ("config-get", ())
+        case ("PUT", ["v1", "config"]):
+            op = ("config-put", (version(head), change(head), parse(await body())))
+        case ("PUT" | "DELETE", ["v1", "zones", zone, "evacuation"]):
+            op = ("evac", (zone, verb == "PUT", change(head)))
+        case ("GET", ["v1", ("status" | "fleet" | "replicas") as what]):
+            op = (what, ())
+        case ("GET", ["v1", "regions", region, "orders"]):
+            op = ("orders", (region,))
+        case ("PUT", ["v1", "replicas", rid]):
+            op = ("replica-put", (rid, parse(await body())))
+        case ("DELETE", ["v1", "replicas", rid]):
+            op = ("replica-leave", (rid,))
+        case ("PUT", ["v1", "platform", "replicas"]):
+            op = ("platform", (listed(parse(await body())),))
+        case _:
+            raise Fault(507, path[:100])
+    code, kw = await d.call(*op)
+    if code == 100:
+        extra = ()
+        if "version" in kw and p[1] == "config":
+            extra = ((b"etag", f'"{kw["version"][0]}.{kw["version"][1]}"'.encode()),)
+        return await answer(send, 200, kw, extra)
+    ran = "maybe" if code == 503 else "no"
+    return await answer(send, status(code), {"code": code, "name": CODES[code][0], "ran": ran, **kw})
--- a/silverglade/log.py
+++ b/silverglade/log.py
@@ -1,12 +1,13 @@
 """One key=value line for each event (design 8.3)."""
 import sys
+from datetime import datetime, timezone
 
 import picologging
 
 
 def setup(*, level="INFO", stream=None):
     h = picologging.StreamHandler(stream or sys.stderr)
-    h.setFormatter(picologging.Formatter("%(asctime)s %(message)s"))
+    h.setFormatter(picologging.Formatter("%(message)s"))
     lg = picologging.getLogger("silverglade")
     lg.handlers = [h]
     lg.setLevel(getattr(picologging, level))
@@ -21,4 +22,5 @@
 
 
 def line(event, pairs):
-    return " ".join([f"event={event}"] + [f"{k}={quoted(v)}" for k, v in pairs])
+    at = datetime.now(timezone.utc).isoformat(timespec="milliseconds")
+    return " ".join([f"at={at}", f"event={event}"] + [f"{k}={quoted(v)}" for k, v in pairs])
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -49,6 +49,7 @@
     "zone": c.text(),
     "region": c.text(),
     "listen": c.address(),          # wire between daemons
+    "advertise": c.text(default=""),  # what others are told instead of listen
     "http": c.address(),            # visitors, replicas, platform, operators
     "seeds": c.each(c.address(), least=1),
     "cores": c.each(c.text(), least=3, unique=True),
--- /dev/null
+++ b/tests/test_chain.py
@@ -0,0 +1,129 @@
+"""The paper's chain (design 9.1) against its printed equations, a linear solve and a simulation."""
+import random
+from fractions import Fraction as F
+
+import pytest
+
+from silverglade.scaler.chain import measures, smallest, states
+
+CASES = [(m, k, lam) for m in (1, 2, 3, 5) for k in (1, 2, 3, 6, 9) for lam in (F(1, 3), F(2), F(7, 2))]
+
+
+def printed(lam, mu, r, m, room):
+    """Recursions (1) to (6) as the source prints them, with differences; k ranges from m >= 3."""
+    q0, q1 = {0: F(1)}, {0: F(0)}
+    q0[1] = lam / mu
+    q1[1] = (lam + mu) / r * (lam / mu)
+    q0[2] = (lam + r) / (2 * mu) * q1[1] - lam / (2 * mu)
+    for k in range(2, room):
+        d = min(k, m) * mu
+        if k > 2:
+            q0[k] = (lam + r) / d * q1[k - 1] - lam / d * q1[k - 2]
+        q1[k] = (lam + d) / r * q0[k] - lam / r * q0[k - 1]
+    q1[room] = lam / r * q1[room - 1]
+    q0[room] = lam / (m * mu) * (q0[room - 1] + q1[room - 1])
+    return [(q0[k], q1[k]) for k in range(room + 1)]
+
+
+@pytest.mark.parametrize("m,room", [(3, 4), (3, 9), (5, 12), (4, 20)])
+def test_states_are_those_of_the_printed_recursions_in_exact_arithmetic(m, room):
+    lam, mu, r = F(7, 2), F(1), F(200)
+    assert states(lam=lam, mu=mu, r=r, m=m, room=room) == printed(lam, mu, r, m, room)
+
+
+def balance(lam, mu, r, m, room):
+    """Rates between the states of the source's diagram."""
+    go = {}
+    for k in range(room + 1):
+        if k < room:
+            go[(k, 0), (k + 1, 0 if k else 1)] = lam
+            if k:
+                go[(k, 1), (k + 1, 1)] = lam
+        if k:
+            go[(k, 1), (k, 0)] = r
+            go[(k, 0), (k - 1, 1 if k > 1 else 0)] = min(k, m) * mu
+    return go
+
+
+@pytest.mark.parametrize("m,room,lam", CASES)
+def test_states_balance_every_state_of_the_diagram(m, room, lam):
+    mu, r = F(3, 2), F(40)
+    q = states(lam=lam, mu=mu, r=r, m=m, room=room)
+    p = {(k, n): q[k][n] for k in range(room + 1) for n in (0, 1)}
+    net = dict.fromkeys(p, F(0))
+    for (a, b), x in balance(lam, mu, r, m, room).items():
+        net[a] -= p[a] * x
+        net[b] += p[a] * x
+    assert set(net.values()) == {F(0)}
+
+
+def test_states_are_those_of_a_linear_solve():
+    lam, mu, r, m, room = F(5), F(2), F(100), 3, 7
+    ids = [(k, n) for k in range(room + 1) for n in (0, 1) if (k, n) != (0, 1)]
+    at = {s: i for i, s in enumerate(ids)}
+    a = [[F(0)] * len(ids) + [F(0)] for _ in ids]
+    for (s, t), x in balance(lam, mu, r, m, room).items():
+        a[at[s]][at[s]] -= x
+        a[at[t]][at[s]] += x
+    a[-1] = [F(1)] * (len(ids) + 1)                # in place of one equation: they sum to 1
+    for i in range(len(ids)):                      # Gauss and Jordan, exactly
+        p = next(j for j in range(i, len(ids)) if a[j][i])
+        a[i], a[p] = a[p], a[i]
+        a[i] = [x / a[i][i] for x in a[i]]
+        for j in range(len(ids)):
+            if j != i and a[j][i]:
+                f = a[j][i]
+                a[j] = [x - f * y for x, y in zip(a[j], a[i])]
+    q = states(lam=lam, mu=mu, r=r, m=m, room=room)
+    tot = sum(x + y for x, y in q)
+    assert [a[at[s]][-1] for s in ids] == [q[k][n] / tot for k, n in ids]
+
+
+def test_a_simulated_chain_holds_and_serves_what_the_measures_say():
+    lam, mu, r, m, room = 2.4, 1.0, 60.0, 3, 12
+    rng, s, t, held, out, in0 = random.Random(5), (0, 0), 0.0, 0.0, 0, 0.0
+    go = {}
+    for (a, b), x in balance(lam, mu, r, m, room).items():
+        go.setdefault(a, []).append((b, x))
+    for _ in range(300000):
+        tot = sum(x for _, x in go[s])
+        dt = rng.expovariate(tot)
+        t, held, in0 = t + dt, held + dt * s[0], in0 + (dt if s[0] and not s[1] else 0)
+        u = rng.random() * tot
+        for b, x in go[s]:
+            u -= x
+            if u <= 0:
+                break
+        out += b[0] < s[0]
+        s = b
+    w, g, _, _ = measures(lam=lam, mu=mu, r=r, m=m, room=room, flow="served")
+    assert abs(out / t - g) / g < 0.02 and abs(held / out - w) / w < 0.02
+    w, g, _, _ = measures(lam=lam, mu=mu, r=r, m=m, room=room)
+    assert abs(mu * in0 / t - g) / g < 0.02 and abs(held / (mu * in0) - w) / w < 0.02
+
+
+KW = dict(mu=1.0, replicas=3, room=20, fan=50, top=0.8, fall=0.65)
+
+
+def test_the_smallest_m_that_meets_the_aim_is_taken_and_no_smaller_one_does():
+    for lam in (0.3, 0.9, 1.7, 2.3):
+        for aim in (1.05, 1.2, 2.0, 6.0):
+            m, met = smallest(lam=lam, aim=aim, **KW)
+            if met:
+                for x in range(1, m + 1):
+                    w = measures(lam=lam, mu=1.0, r=150.0, m=x, room=60)[0]
+                    assert (w <= aim and lam / x <= 0.8) == (x == m)
+
+
+def test_no_m_busier_than_the_top_and_failing_the_aim_the_fall():
+    assert smallest(lam=0.79, aim=100.0, **KW) == (1, True)
+    assert smallest(lam=0.81, aim=100.0, **KW) == (2, True)         # above 0.8 on one
+    assert smallest(lam=3.0, aim=0.5, **KW) == (5, False)           # 3/0.65 = 4.6
+    assert smallest(lam=2.6, aim=0.5, **KW) == (4, False)           # 2.6/0.65 = 4, at most
+    assert smallest(lam=0.0, aim=0.5, **KW) == (0, True)
+    assert smallest(lam=1e6, aim=0.5, **KW) == (150, False)         # fifty times the replicas
+
+
+def test_long_chains_neither_overflow_nor_vanish():
+    w, g, loss, use = measures(lam=5000.0, mu=1.0, r=1e6, m=3, room=2000, flow="served")
+    assert 0.99 < use <= 1.0 and loss > 0.99 and 600 < w < 700
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,76 @@
+"""Codecs under fuzz, with an oracle (design 3)."""
+import random
+
+import pytest
+
+from silverglade import messages, wire
+from silverglade.daemon.callout import events
+from silverglade.faults import Fault
+
+
+def some(rng, d=3):
+    k = rng.randrange(7 if d else 5)
+    return [lambda: rng.getrandbits(40), lambda: "x" * rng.randrange(9), lambda: rng.random() < 0.5,
+            lambda: rng.randbytes(rng.randrange(9)), lambda: None,
+            lambda: tuple(some(rng, d - 1) for _ in range(rng.randrange(4))),
+            lambda: {"k": some(rng, d - 1)}][k]()
+
+
+def test_frames_come_out_as_they_went_in_however_the_bytes_are_cut():
+    rng = random.Random(7)
+    for _ in range(60):
+        sent = [("kind", *[some(rng) for _ in range(rng.randrange(5))]) for _ in range(rng.randrange(1, 6))]
+        raw = b"".join(wire.pack(frm="a", life="l", body=b) for b in sent)
+        fr, got = wire.frames(), []
+        next(fr)
+        while raw:
+            n = rng.randrange(1, 40)
+            got += [wire.unpack(p) for p in fr.send(raw[:n])]
+            raw = raw[n:]
+        assert got == [("a", "l", b) for b in sent]
+
+
+def test_damaged_frames_are_refused_by_code_and_never_pass_as_another():
+    rng = random.Random(8)
+    codes = set()
+    for _ in range(3000):
+        b = bytearray(wire.pack(frm="a", life="l", body=("ping", 1, (1, 2)))[4:])
+        for _ in range(rng.randrange(1, 4)):
+            b[rng.randrange(len(b))] = rng.getrandbits(8)
+        try:
+            _, _, body = wire.unpack(bytes(b[:rng.randrange(len(b) + 1)]))
+            assert isinstance(body[0], str)
+        except Fault as f:
+            codes.add(f.code)
+    assert codes == {601, 603}
+
+
+def test_an_oversized_frame_and_a_strange_version_have_their_codes():
+    fr = wire.frames(cap=100)
+    next(fr)
+    with pytest.raises(Fault) as e:
+        fr.send(wire.HEAD.pack(101))
+    assert e.value.code == 602
+    with pytest.raises(Fault) as e:
+        wire.unpack(wire.pack(frm="a", life="l", body=("x",), version=99)[4:])
+    assert e.value.code == 603
+
+
+def test_events_survive_any_cut():
+    rng = random.Random(9)
+    raw = b"id: 1\ndata: a\ndata: b\n\nid: 2\r\ndata: c\r\n\r\nevent: done\nid: 2\ndata:\n\n"
+    for _ in range(50):
+        ev, got, r = events(), [], raw
+        next(ev)
+        while r:
+            n = rng.randrange(1, 9)
+            got += ev.send(r[:n])
+            r = r[n:]
+        assert got == [("", 1, b"a\nb"), ("", 2, b"c"), ("done", 2, b"")]
+
+
+def test_only_messages_of_the_stated_shape_reach_a_part():
+    assert messages.checked(("get", 1, (0, 0)))
+    for bad in (("get", 1, (0,)), ("get", "1", (0, 0)), ("get", 1), ("nothing", 1),
+                ("op", 1, "", ("evac", "z"), ""), ("news", 1, (1, 1), (("k", (1,), 0),), 5)):
+        assert not messages.checked(bad)
