--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -340,9 +340,9 @@
             case ("msg", frm, ("op", n, change, op, key)):
                 if not is_primary() or not fit:
                     out.append(send(frm, "opr", n, ("elsewhere", view[1] if view else "")))
-                elif len(ops) >= 256:
-                    out.append(send(frm, "opr", n, ("refuse", 504, "too many changes waiting")))
-                else:
+                elif len(ops) < 256 and not any(o[0] == (frm, n) for o in ops) and not (
+                        pend and pend["cid"] == (frm, n)):
+                    # asked again while it waits: once is enough. No room: no word, asked again
                     ops.append(((frm, n), change, op, key))
             case ("duties", todo):
                 if is_primary() and opened == view[0] and not ops and not pend and todo:
--- /dev/null
+++ b/silverglade/rehearsal/__main__.py
@@ -0,0 +1,70 @@
+"""`python -m silverglade.rehearsal`: seeded runs, and whole fleets of real processes."""
+import argparse
+import os
+import sys
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+
+from . import faults
+from .towns import TOWNS
+
+
+def one(job):
+    town, seed, kinds, secs = job
+    try:
+        s, bad = faults.run(town=town, seed=seed, kinds=kinds, secs_=secs)
+    except Exception as e:                           # noqa: BLE001  a part fell: that is a finding
+        import traceback
+        return seed, [("fell", repr(e), traceback.format_exc()[-900:])], {}
+    return seed, bad, s.told()
+
+
+def seeds(a):
+    """Many seeds; a failing one prints the command that replays it."""
+    kinds = tuple(a.only.split(",")) if a.only else faults.ALL
+    jobs = [(a.town, n, kinds, a.secs) for n in range(a.first, a.first + a.count)]
+    fell = 0
+    with ProcessPoolExecutor(a.jobs) as pool:
+        for seed, bad, told in pool.map(one, jobs):
+            if bad:
+                fell += 1
+                print(f"seed {seed}: {len(bad)} broken; replay: python -m silverglade.rehearsal seeds"
+                      f" --town {a.town} --first {seed} --count 1 --secs {a.secs}"
+                      + (f" --only {a.only}" if a.only else "") + " --trace")
+                for b in bad[:6]:
+                    print("   ", *b)
+            elif a.verbose:
+                print(f"seed {seed}: sound", told)
+    if a.trace:
+        s, bad = faults.run(town=a.town, seed=a.first, kinds=kinds, secs_=a.secs)
+        for row in s.w.trace:
+            print(*row)
+    print(f"{a.count - fell} sound, {fell} broken")
+    return 1 if fell else 0
+
+
+def main(argv=None):
+    p = argparse.ArgumentParser(prog="python -m silverglade.rehearsal")
+    sub = p.add_subparsers(dest="cmd", required=True)
+    q = sub.add_parser("seeds", help="seeded runs in the simulator")
+    q.add_argument("--town", choices=TOWNS, default="navrang")
+    for k, v in (("first", 1), ("count", 20), ("jobs", os.cpu_count() or 1), ("secs", 40)):
+        q.add_argument("--" + k, type=int, default=v)
+    q.add_argument("--only", help="comma-separated kinds of fault: " + ", ".join(sorted(set(faults.ALL))))
+    q.add_argument("--trace", action="store_true")
+    q.add_argument("--verbose", action="store_true")
+    for t in TOWNS:
+        q = sub.add_parser(t, help=f"start the fleet of {t} as real processes and rehearse a minute")
+        q.add_argument("--secs", type=int, default=60)
+        q.add_argument("--seed", type=int, default=1)
+        q.add_argument("--folder", default="")
+    a = p.parse_args(argv)
+    if a.cmd == "seeds":
+        return seeds(a)
+    from .minute import rehearse
+    return rehearse(town=a.cmd, secs=a.secs, seed=a.seed,
+                    folder=a.folder or tempfile.mkdtemp(prefix="silverglade-"))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/silverglade/shards/follower.py
+++ b/silverglade/shards/follower.py
@@ -8,7 +8,7 @@
 
 def follower(*, saved, opt):
     epochs = dict(saved.get("shard", {}))
-    claims = {}
+    claims = {sh: {} for sh in epochs}
     for k, v in saved.get("claim", {}).items():
         sh, kd = k.split("\0")
         claims.setdefault(sh, {})[kd] = v
