--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -14,7 +14,7 @@
 
     def __init__(self, *, opt):
         self.opt, self.book, self.reps, self.roll, self.ids = opt, {}, {}, (), set()
-        self.evac, self.heard, self.budget = set(), None, Budget(opt=opt)
+        self.spills, self.evac, self.heard, self.budget = 0, set(), None, Budget(opt=opt)
 
     def duty(self, tenant):
         return bk.get(self.book, f"duty/shard/{tenant}")
@@ -81,7 +81,9 @@
             f = admit(cfg=cfg, bearer=bearer, cls=cls, key=key, due=due, prefix=prefix,
                       attempt=attempt, size=len(body), minted=f"{me}-{life}-{num}")
         except Fault as e:
-            return refuse(oid, e.code, "no", 1000 if e.code == 309 else None, e.detail)
+            known = key and (attempt.isdigit() and int(attempt) > 1 or e.code == 309 and attempt != "1")
+            return refuse(oid, e.code, "maybe" if known else "no", 1000 if e.code == 309 else None,
+                          e.detail)
         out.append(("result", oid, "key", f["key"], f["stream"]))
         maybe = "no" if sure(f) else "maybe"
         if drain:
@@ -122,7 +124,7 @@
             f = admit(cfg=bk.get(ctx.book, "config"), bearer=bearer, cls=cls, key=key, due=str(left),
                       prefix=prefix, attempt=str(attempt or ""), size=len(body), minted="")
         except Fault as e:
-            no(e.code, "no")
+            no(e.code, "no" if minted or attempt == 1 else "maybe")
             return
         f["minted"] = minted
         if zone not in f["homes"]:
@@ -205,4 +207,5 @@
                 if frm == hands[oid]["to"]:
                     relay(oid, hands[oid], seq, r, now)
             case ("look",):
-                out.append(("post", "desk", ("orders", len(gens), len(hands), dict(ctx.budget.total))))
+                out.append(("post", "desk", ("orders", len(gens), len(hands), dict(ctx.budget.total),
+                                             ctx.spills)))
--- a/silverglade/path/order.py
+++ b/silverglade/path/order.py
@@ -55,6 +55,7 @@
             match ev:
                 case ("grant", k, rid, inc, addr, e, spill) if k == n:
                     grant = (rid, inc, addr)
+                    ctx.spills += bool(spill)
                 case ("deny", k, code, r, wait) if k == n:
                     if code == 304 and now - began < opt["owner_wait"]:
                         epoch, moved = None, now
--- a/silverglade/rehearsal/oracle.py
+++ b/silverglade/rehearsal/oracle.py
@@ -7,7 +7,6 @@
 LEAVE = timedelta(seconds=5)
 EMPTY = timedelta(seconds=5)
 FLIGHT = timedelta(milliseconds=100)   # an answer under way while another ask of the key runs
-FORCE = timedelta(seconds=3)
 
 
 class Oracle:
--- a/silverglade/rehearsal/replica.py
+++ b/silverglade/rehearsal/replica.py
@@ -4,6 +4,7 @@
 import json
 import os
 import sys
+import time
 
 import anyio
 import httpcore
@@ -21,6 +22,7 @@
         self.leaving = False
 
     def note(self, *row):
+        row = (row[0], time.monotonic(), *row[1:])
         os.write(self.out.fileno(), (json.dumps(row) + "\n").encode())
 
     def state(self):
@@ -28,12 +30,13 @@
                     use=min(1.0, self.running / self.a.slots), served=self.done, running=self.running,
                     warm=self.done >= 4)
 
-    async def run(self, head, send):
+    async def run(self, head, body, send):
+        key = json.loads(body).get("key", "")
         did, prefix = head["silverglade-dispatch"], head.get("silverglade-prefix", "")
         self.running += 1
         hit = prefix in self.cache
         self.note("run", did, head["silverglade-tenant"], head["silverglade-class"], self.a.zone,
-                  self.a.id, prefix, hit, self.running, self.done)
+                  self.a.id, prefix, hit, self.running, self.done, key)
         self.cache.add(prefix)
         mark = (b"silverglade-dispatch", did.encode())
         ok = False
@@ -66,11 +69,13 @@
         if scope["path"] == "/v1/state":
             return await reply(send, 200, self.state())
         if scope["path"] == "/v1/run" and scope["method"] == "POST":
-            while (await receive()).get("more_body"):
-                pass
+            body, more = b"", True
+            while more:
+                m = await receive()
+                body, more = body + m.get("body", b""), m.get("more_body")
             if self.running >= self.a.slots * 2:
                 return await reply(send, 503, {"ran": "no"}, (b"silverglade-ran", b"no"))
-            return await self.run(head, send)
+            return await self.run(head, body, send)
         return await reply(send, 404, {})
 
 
--- a/silverglade/rehearsal/scene.py
+++ b/silverglade/rehearsal/scene.py
@@ -7,6 +7,7 @@
 from .world import World
 
 SEC = timedelta(seconds=1)
+FORCE = timedelta(seconds=3)
 
 
 class Scene:
@@ -37,6 +38,8 @@
 
         def got(code, kw):
             self.o.put(code, kw, tag)
+            if code == 100:
+                self.w.after(FORCE, self.forced, tuple(kw["version"]), self.w.cut_at)
             self.w.note("put", tag, code, tuple(kw.get("version", ())))
 
         def go(code, kw):
@@ -47,6 +50,15 @@
         self.w.call(who, "config-get", (), go)
         return tag
 
+    def forced(self, v, quiet):
+        """3 s after an acknowledgement: in force at every daemon that nothing befell meanwhile."""
+        if self.w.cut_at != quiet or self.w.cuts:
+            return
+        for n in self.w.nodes.values():
+            if n.hub is not None and n.frozen is None and n.since + FORCE * 2 < self.w.now:
+                self.w.call(n.name, "config-get", (), lambda c, kw, n=n: tuple(kw["version"]) >= v
+                            or self.o.bad("not-in-force", n.name, kw["version"], v))
+
     def empty(self, zone, on=True, then=None):
         who = self.rng.choice(self.live())
         asked = self.w.now
--- a/silverglade/rehearsal/towns.py
+++ b/silverglade/rehearsal/towns.py
@@ -49,4 +49,13 @@
                 delay=6.0, mix=mix)
 
 
-TOWNS = {"navrang": navrang, "banyan": banyan}
+def hamlet():
+    """Small: for directed runs. lone lives in one zone, pair in two."""
+    z = {"north": "n", "middle": "m", "south": "s"}
+    cls = dict(lookup=LOOKUP, chat=CHAT, receipt=dict(RECEIPT, kind="model"))
+    ts = {"lone": tenant("lone", ["north"], cls), "pair": tenant("pair", ["middle", "south"], cls)}
+    return town(zones=z, edges=1, replicas=dict.fromkeys(z, 1), accounts={}, tenants=ts, delay=10.0,
+                mix=[("lookup", 2.0, "rules"), ("chat", 2.0, ""), ("receipt", 2.0, "")])
+
+
+TOWNS = {"navrang": navrang, "banyan": banyan, "hamlet": hamlet}
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -48,7 +48,7 @@
                        http=self.http, seeds=w.seeds, cores=w.cores, opt=w.opt,
                        rng=random.Random(w.rng.getrandbits(64)),
                        disk=self.disk.id if self.disk else "", saved=saved)
-        self.frozen, self.held = None, []
+        self.frozen, self.held, self.since = None, [], w.now
         w.after(span(w.rng.randrange(50)), self.pulse, self.life)
         w.note("boot", self.name)
 
@@ -76,6 +76,7 @@
 
     def freeze(self, on):
         self.w.note("freeze" if on else "wake", self.name)
+        self.since = self.w.now
         if on:
             self.frozen = self.w.now
         elif self.frozen is not None:
@@ -94,7 +95,7 @@
                       for i, d in enumerate(daemons)}
         self.seeds = tuple(self.nodes[c].addr for c in self.cores)
         self.by_addr = {n.addr: n for n in self.nodes.values()}
-        self.delay, self.cuts, self.links, self.trace = delay_ms, set(), {}, []
+        self.delay, self.cuts, self.links, self.trace, self.cut_at = delay_ms, set(), {}, [], ZERO
         self.region = {z: d["region"] for z, d in config["zones"].items()}
         self.config, self.calls, self.jobs = config, {}, {}
         self.oracle = Oracle(world=self)
@@ -122,9 +123,11 @@
     # network
     def cut(self, a, b, both=True):
         """Cut the links between two sets of places (daemon, replica or zone names)."""
+        self.cut_at = self.now
         self.cuts |= {(x, y) for x in a for y in b} | ({(y, x) for x in a for y in b} if both else set())
 
     def heal(self):
+        self.cut_at = self.now
         self.cuts.clear()
         self.note("heal")
 
--- a/silverglade/replicas/ledger.py
+++ b/silverglade/replicas/ledger.py
@@ -8,12 +8,13 @@
 
     def __init__(self, *, epoch, inc, now):
         self.epoch, self.inc, self.num, self.born = epoch, inc, 0, now
+        self.ghosts = []                         # leases ended with the run perhaps going on
         self.leases, self.hungry = {}, {}        # lease -> (owner, tenant, till); tenant -> (owner, at)
         self.cap, self.state, self.warm, self.run = 1, "starting", False, 0
         self.use, self.served, self.due, self.heard, self.asked = 0.0, 0.0, ZERO, None, None
 
     def used(self):
-        return max(len(self.leases), self.run)
+        return max(len(self.leases) + len(self.ghosts), self.run)
 
     def held(self, tenant):
         return sum(t == tenant for _, t, _ in self.leases.values())
@@ -99,6 +100,8 @@
                     dead = [i for i, (o, _, till) in m.leases.items() if now > till or o not in roll]
                     for i in dead:
                         del m.leases[i]
+                        m.ghosts.append(now + opt["stale"])
+                    m.ghosts = [t for t in m.ghosts if t > now]
                     offer(rid, m, now)
             case ("probed", rid, inc, got):
                 m = mine.get(rid)
@@ -108,6 +111,7 @@
                     continue
                 _, state, m.use, m.served, m.run, warm = got
                 m.heard, m.asked = now, None
+                m.ghosts = m.ghosts[:m.run]
                 if warm and not m.warm:
                     m.cap = reps[rid][0][SLOTS]
                 if state != m.state:
@@ -135,7 +139,9 @@
             case ("msg", frm, ("release", str(rid), str(lid), bool(good))):
                 m = mine.get(rid)
                 if m and m.leases.pop(lid, None):
-                    if m.run > len(m.leases):
+                    if not good:
+                        m.ghosts.append(now + opt["stale"])
+                    elif m.run > len(m.leases) + len(m.ghosts):
                         m.run -= 1                   # until the next probe says
                     if good and m.cap < reps[rid][0][SLOTS]:
                         m.cap += 1                   # the cold ramp
