--- a/silverglade/config.py
+++ b/silverglade/config.py
@@ -52,18 +52,3 @@
         if d in x["keys"]:
             return t
     return None
-
-
-def shard(cfg, tenant, /, *, buckets):
-    """Shard = home set and bucket (design 6.1)."""
-    h = sorted(cfg["tenants"][tenant]["homes"])
-    b = int(digest("bucket" + tenant)[:8], 16) % buckets
-    return ",".join(h) + "#" + str(b)
-
-
-def shards(cfg, /, *, buckets):
-    return sorted({shard(cfg, t, buckets=buckets) for t in cfg["tenants"]})
-
-
-def homes_of(sh, /):
-    return tuple(sh.split("#")[0].split(","))
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -33,8 +33,6 @@
     "retry_share": c.number(default=0.10, most=1.0),
     "retry_stop": c.number(default=0.20, most=1.0),
     "retry_window": c.span(default=td(seconds=30)),
-    "retry_after": c.span(default=td(seconds=1)),
-    "buckets": c.whole(default=4, least=1, most=64),
     "scale_every": c.span(default=td(seconds=2)),
     "scale_trend": c.span(default=td(seconds=10)),
     "scale_hold": c.span(default=td(seconds=6)),
--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -34,6 +34,8 @@
             return "incarnation"
         cfg = bk.get(self.book, "config")
         homes = cfg["tenants"].get(f["tenant"], {"homes": ()})["homes"]
+        if e[2] is None or now - e[2] > self.opt["stale"]:
+            return "unheard"
         return "" if usable(e, now=now, opt=self.opt, evac=self.evac, homes=homes,
                             kind=f["kind"]) else "unusable"
 
--- a/silverglade/path/order.py
+++ b/silverglade/path/order.py
@@ -4,7 +4,7 @@
 `ctx` reads what the path part holds: duty(tenant), live(id), usable(rid, inc, homes, kind),
 fresh(now), budget.
 """
-from ..part import ms, send, span
+from ..part import log, ms, send, span
 from .admit import sure
 
 ENDS = ("whole", "done", "fault")
@@ -76,6 +76,7 @@
         why = ctx.barred(rid, inc, f, now)
         if why:
             how, r = "refused", "no"
+            out.append(log("dispatch-barred", order=oid, replica=rid, why=why))
         else:
             out.append(("dispatch", did, rid, addr, dict(
                 tenant=f["tenant"], cls=f["cls"], stream=f["stream"], prefix=f["prefix"],
--- a/silverglade/replicas/ledger.py
+++ b/silverglade/replicas/ledger.py
@@ -1,6 +1,6 @@
 """Slot ledgers (design 7.3): one holder per replica hands out its slots, under an epoch."""
 from ..part import ZERO, log, post, send
-from .registry import ADDR, INC, LEAVING, SLOTS, ZONE, evacuated
+from .registry import ADDR, INC, LEAVING, S_EPOCH, S_NUM, SLOTS, ZONE, evacuated
 
 
 class Slots:
@@ -35,7 +35,9 @@
             if m is None or m.inc != inc:
                 mine[rid] = Slots(epoch=e, inc=inc, now=now)
             m = mine[rid]
-            m.epoch = e
+            m.epoch, s = e, reps[rid][1]
+            if s and s[S_EPOCH] == e and s[S_NUM] > m.num:
+                m.num = s[S_NUM]                 # told in an earlier life of mine: go on from there
 
     def room(m, rid, now):
         r = reps[rid][0]
--- a/silverglade/scaler/scaler.py
+++ b/silverglade/scaler/scaler.py
@@ -20,9 +20,9 @@
         self.past, self.mean, self.named, self.low = deque(), None, 0, None
 
     def rates(self, now, win):
-        while self.came and now - self.came[0] > win:
+        while self.came and now - self.came[0] >= win:
             self.came.popleft()
-        while self.went and now - self.went[0][0] > win:
+        while self.went and now - self.went[0][0] >= win:
             self.went.popleft()
         return len(self.came) / (win / SEC), len(self.went) / (win / SEC)
 
--- /dev/null
+++ b/tests/test_scaler.py
@@ -0,0 +1,73 @@
+"""The scaler's rules round the chain (design 9): each fails without its rule."""
+from datetime import timedelta
+
+from silverglade.options import tuning
+from silverglade.part import start
+from silverglade.rehearsal.towns import hamlet
+from silverglade.scaler.scaler import Gauge, scaler
+
+SEC = timedelta(seconds=1)
+OPT = tuning()
+
+
+def test_the_rise_of_ten_seconds_is_carried_ten_seconds_ahead():
+    g, got = Gauge(), []
+    for i, lam in enumerate([2, 2, 2, 2, 2, 2, 5, 5, 5, 5, 5, 5, 3]):
+        got.append(g.trend(i * 2 * SEC, float(lam), OPT))
+    assert got[:6] == [2.0] * 6
+    assert got[6:11] == [8.0] * 5                 # 5 now, 2 ten seconds ago
+    assert got[11] == 5.0                         # the rise is over
+    assert got[12] == 3.0                         # a fall is not carried
+
+
+def test_more_is_named_at_once_and_less_only_after_it_was_enough_for_six_seconds():
+    g = Gauge()
+    ms = [(0, 2), (2, 5), (4, 3), (6, 4), (8, 3), (10, 3), (12, 3)]
+    assert [g.hold(t * SEC, m, OPT) for t, m in ms] == [2, 5, 5, 5, 5, 4, 4]
+    g = Gauge()
+    ms = [(0, 5), (2, 3), (4, 3), (6, 5), (8, 3), (10, 3), (12, 3), (14, 3)]
+    assert [g.hold(t * SEC, m, OPT) for t, m in ms] == [5, 5, 5, 5, 5, 5, 5, 3]   # asked for again
+
+
+def test_service_is_use_times_ready_over_daemons_times_the_served_rate():
+    g = Gauge()
+    assert abs(g.service(use=0.6, ready=4, count=3, served=2.0, opt=OPT) - 0.4) < 1e-12
+    assert g.service(use=0.0, ready=4, count=3, served=0.0, opt=OPT) == g.mean   # held
+    g.went.append((0 * SEC, 0.3))
+    assert g.service(use=0.4, ready=4, count=3, served=0.0, opt=OPT) == 0.3      # mean latency
+    g.went.append((0 * SEC, 0.9))
+    assert g.service(use=0.6, ready=4, count=3, served=0.0, opt=OPT) == 0.3      # not while busy
+
+
+def run(*, came, daemons=2, least=1, secs=18, use=0.5):
+    """A scaler part of region m with one ready replica -> its last named parts."""
+    cfg = hamlet()["config"]
+    cfg["zones"]["middle"]["least"] = least
+    g = start(scaler(me="a", region="m", opt=OPT))
+    roll = tuple((f"d{i}", "l", 1, 1, "middle", "m", "", "", False, "ready", (), ()) for i in range(daemons))
+    g.send((0 * SEC, ("book", {"config": ((1, 1), cfg)}, (1, 1))))
+    g.send((0 * SEC, ("roll", roll)))
+    rec = ("r", 1, 1, "", "middle", "model", ("middle",), (), 4, False)
+    g.send((0 * SEC, ("replicas", {"r": (rec, ("r", 1, 1, 1, "ready", use, 0.0, 1, 4, 1), 0 * SEC)})))
+    last = {}
+    for t in range(0, secs * 20):
+        now = t * SEC / 20
+        if t and t % 20 == 0:
+            for _ in range(came):
+                g.send((now, ("arrived", "model")))
+                g.send((now, ("served", {"kind": "model"}, SEC / 4, SEC / 4)))
+        for e in g.send((now, ("pulse",))):
+            if e[0] == "post" and e[2][1] == "parts":
+                last = {p[0]: p for p in e[2][2]}
+    return last["model"]
+
+
+def test_arrivals_over_two_seconds_times_the_daemon_count_feed_the_chain():
+    _, m, part, lam, sv, met = run(came=2, daemons=2)
+    assert (lam, sv, met) == (4.0, 0.125, True)           # 2 a second here, twice; 0.5*1/(2*2)
+    assert part == m / 2
+
+
+def test_the_regions_least_is_kept_when_nothing_comes():
+    assert run(came=0, least=3)[1:3] == (3, 1.5)
+    assert run(came=0, least=0)[1] == 0
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,79 @@
+"""Settings, configuration and order heads: refused whole, each fault with its path."""
+import pytest
+
+from silverglade import config, faults, options
+from silverglade.faults import Fault
+from silverglade.path.admit import admit, sure
+
+GOOD = dict(name="e", zone="z", region="r", listen="127.0.0.1:1", http="127.0.0.1:2",
+            seeds=["127.0.0.1:3"], cores=["a", "b", "c"])
+CFG = {"zones": {"z": {"region": "r"}},
+       "tenants": {"t": {"homes": ["z"], "keys": [config.digest("k")],
+                         "classes": {"chat": {"aim_ms": 100}}}}}
+
+
+def test_every_fault_of_the_settings_is_told_with_its_path(snapshot):
+    bad = dict(GOOD, listen="nowhere", seeds=[], cores=["a", "a"], colour=1, tuning={"beat": -1, "x": 2},
+               log_level="LOUD")
+    with pytest.raises(Fault) as e:
+        options.checked(bad)
+    assert e.value.code == 701
+    assert e.value.detail == snapshot
+    assert options.checked(GOOD)["tuning"]["beat"].total_seconds() == 0.25
+
+
+def test_a_core_keeps_data_and_nobody_else_does():
+    for bad in (dict(GOOD, data="x"), dict(GOOD, name="a"), dict(GOOD, cores=["a", "b"])):
+        with pytest.raises(Fault):
+            options.checked(bad)
+
+
+def test_every_fault_of_a_configuration_is_told_with_its_path(snapshot):
+    bad = {"zones": {"z": {"region": "r", "least": -1}, "y": {}}, "extra": 1,
+           "tenants": {"t": {"homes": [], "keys": ["short"], "classes": {}},
+                       "u": {"homes": ["z", "z"], "keys": [], "classes": {"c": {"aim_ms": "9"}}}}}
+    assert config.checked(bad)[1] == snapshot
+    twice = {"zones": CFG["zones"], "tenants": {"t": CFG["tenants"]["t"],
+                                                "u": dict(CFG["tenants"]["t"], homes=["x"])}}
+    assert config.checked(twice)[1] == (("tenants.u.homes[0]", "unknown zone x"),
+                                        ("tenants.u.keys[0]", "also a key of t"))
+    good, bad = config.checked(CFG)
+    assert bad == () and good["tenants"]["t"]["classes"]["chat"]["due_ms"] == 30000
+
+
+def head(**kw):
+    base = dict(cfg=config.checked(CFG)[0], bearer="k", cls="chat", key="", due="", prefix="",
+                attempt="", size=1, minted="m")
+    return admit(**{**base, **kw})
+
+
+@pytest.mark.parametrize("kw,code", [
+    (dict(bearer=""), 201), (dict(bearer="other"), 202), (dict(cls="nothing"), 203),
+    (dict(size=1 << 21), 204), (dict(due="soon"), 206), (dict(due="1.5"), 206), (dict(due="0"), 207),
+    (dict(due="-4"), 207), (dict(attempt="x"), 208), (dict(key="k" * 201), 208), (dict(cfg=None), 309)])
+def test_a_bad_order_has_its_code_before_anything_is_handed_on(kw, code):
+    with pytest.raises(Fault) as e:
+        head(**kw)
+    assert e.value.code == code
+
+
+def test_not_run_is_promised_without_an_owner_only_when_that_is_sure():
+    assert sure(head()) and sure(head(key="a", attempt="1"))
+    assert not sure(head(key="a")) and not sure(head(key="a", attempt="2"))
+
+
+def test_every_code_has_a_name_of_its_own_and_stands_in_the_docs():
+    assert len({n for n, _, _ in faults.CODES.values()}) == len(faults.CODES)
+    doc = open("docs/faults.md", encoding="utf-8").read()
+    for code, (name, http, say) in faults.CODES.items():
+        assert f"| {code} | {name} | {http or ''} | {say} |" in doc
+
+
+def test_every_setting_stands_in_the_docs_with_its_default():
+    doc = open("docs/options.md", encoding="utf-8").read()
+    for k in options.SETTINGS:
+        assert f"| `{k}` |" in doc
+    for k, kind in options.TUNING.items():
+        d = kind.default
+        d = f"{d.total_seconds():g} s" if hasattr(d, "total_seconds") else d
+        assert f"| `{k}` | {d} |" in doc
