--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -97,7 +97,7 @@
             case ("wanted", w):
                 want = w
             case ("self", op):
-                if not any(p["op"] == op for p in pend.values()):
+                if not any(p["cid"] is None for p in pend.values()):   # one at a time
                     begin(None, "", op, now)
             case ("note", k, v):
                 notes[k] = v
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -75,6 +75,8 @@
 
 
 def sound_op(op):
+    if op[:1] == ("duties",):
+        return len(op) == 2 and type(op[1]) is tuple and rows(op[1], OPS["duty"])
     return len(op) >= 1 and op[0] in OPS and rows((op[1:],), OPS[op[0]])
 
 
--- a/silverglade/path/order.py
+++ b/silverglade/path/order.py
@@ -24,6 +24,8 @@
             ran_ = ran
         if ran_ == "?":
             ran_ = "no" if sure(f) else "maybe"
+        if ran_ == "no" and now > due + opt["beat"] and not f["minted"]:
+            ran_ = "maybe"                       # frozen meanwhile: its visitor may have asked elsewhere
         result("fault", code, ran_, wait)
         out.append(("end", oid))
 
--- a/silverglade/rehearsal/scene.py
+++ b/silverglade/rehearsal/scene.py
@@ -149,7 +149,7 @@
             r.dark, r.sabotage = False, None
             if not r.up or r.state == "leaving" or (r.rid, r.inc) in self.o.left:
                 r.boot()
-        for z in {z for z, _, b in self.o.emptied if b is None}:
+        for z in sorted({z for z, _, b in self.o.emptied if b is None}):
             self.empty(z, False)
 
     def finish(self):
--- a/silverglade/replicas/registry.py
+++ b/silverglade/replicas/registry.py
@@ -79,7 +79,7 @@
                 due = now + opt["beat"]
                 n = max(1, opt["watch"] // 2)      # a turn round the live ones each beat
                 k = int(now / opt["beat"]) * n
-                tell({edges[(k + i) % len(edges)] for i in range(n)} if edges else ())
+                tell(dict.fromkeys(edges[(k + i) % len(edges)] for i in range(n)) if edges else ())
                 show()
             case ("msg", frm, ("reps", tuple(rs), tuple(ss))):
                 for r in rs:
--- a/silverglade/shards/owner.py
+++ b/silverglade/shards/owner.py
@@ -188,8 +188,11 @@
             turn = now + opt["beat"] / 2
             renew()
             cs = spare()
-            for sh in shards.values():
-                out.extend(sh.pulse(now, live, *cs, opt))
+            todo_ = [e for sh in shards.values() for e in sh.pulse(now, live, *cs, opt)]
+            out.extend(e for e in todo_ if e[0] != "name")
+            names = tuple(e[1] for e in todo_ if e[0] == "name")
+            if names:                            # all in one change: hundreds of shards move at once
+                out.append(post("desk", "self", ("duties", names)))
         for x in list(todo.values()):
             if x["frm"] not in live and x["step"] == "granted":
                 drop_lease(x, False)             # its claim stays: nobody knows what ran
--- a/silverglade/shards/shard.py
+++ b/silverglade/shards/shard.py
@@ -113,5 +113,5 @@
             if self.to not in live:
                 self.step = "copy"
                 return []
-            return [("post", "desk", ("self", ("duty", "shard", self.name, self.epoch, self.me, self.to)))]
+            return [("name", ("shard", self.name, self.epoch, self.me, self.to))]
         return []
