--- a/silverglade/__main__.py
+++ b/silverglade/__main__.py
@@ -4,6 +4,7 @@
 
 from . import __version__, log, options
 from .faults import Fault
+from .tools import operator, place, restore
 
 
 def parser():
@@ -18,6 +19,9 @@
         r.add_argument("--" + k, type=lambda s: s.split(","), help="comma-separated")
     r.add_argument("--log-level", dest="log_level")
     r.add_argument("--check", action="store_true", help="check the settings and stop")
+    operator.parsers(sub)
+    place.parsers(sub)
+    restore.parsers(sub)
     return p
 
 
@@ -38,7 +42,8 @@
 def main(argv=None):
     a = parser().parse_args(argv)
     try:
-        return {"run": run}[a.cmd](a)
+        verbs = {"run": run, "place": place.run, "restore": restore.run}
+        return verbs.get(a.cmd, operator.run)(a)
     except Fault as e:
         print(f"silverglade: {e}", file=sys.stderr)
         return 2
--- a/silverglade/daemon/callout.py
+++ b/silverglade/daemon/callout.py
@@ -94,6 +94,18 @@
     return await tell("fault", "yes")               # ended without its mark of success
 
 
+async def tell(*, pool, addr, data):
+    """A region's orders to the platform's address; true if it took them."""
+    b = json.dumps(data).encode()
+    try:
+        with anyio.fail_after(2):
+            r = await pool.request("PUT", f"http://{addr}/v1/orders", content=b, headers=[
+                ("Host", addr), ("Content-Type", "application/json"), ("Content-Length", str(len(b)))])
+        return r.status < 300
+    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError):
+        return False
+
+
 async def probe(*, pool, addr):
     """-> (incarnation, state, use, served, running, warm) or None."""
     try:
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -11,6 +11,7 @@
 from ..faults import Fault
 from ..hub import Hub
 from ..log import line
+from ..rank import first
 from . import callout
 from .disk import Store
 from .links import Links
@@ -157,6 +158,20 @@
                 self.lg.error(line("disk-write", [("why", e)]))
             await self.put.send(("disk", token, ok, None))
 
+    async def platform(self):
+        """The first live daemon of the region, in the agreed order, sends its orders on (9.6)."""
+        gap = self.opt["scale_every"] / timedelta(seconds=1)
+        at, region = self.s["orders_to"], self.s["region"]
+        while at:
+            await anyio.sleep(gap)
+            _, fl = await self.call("fleet", ())
+            here = [n for n, d in fl["fleet"].items() if d["region"] == region and d["state"] == "ready"]
+            if first(f"orders/{region}", here) == self.s["name"]:
+                _, got = await self.call("orders", (region,))
+                ok = await callout.tell(pool=self.pool, addr=at, data=got)
+                if not ok:
+                    self.lg.warning(line("platform-silent", [("to", at)]))
+
     async def drain(self):
         """SIGTERM: no new orders, the others learn it, those under way end (design 1.4)."""
         self.lg.info(line("drain", []))
@@ -207,6 +222,7 @@
             if self.store:
                 tg.start_soon(self.write)
             for name, run in (("links", self.links.run), ("pulse", self.pulse),
+                              ("platform", self.platform),
                               ("front", lambda: serve(self)), ("signals", self.signals)):
                 tg.start_soon(lambda n=name, r=run: keep(name=n, run=r, lg=self.lg))
             await self.stopping.wait()
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -33,7 +33,8 @@
                 "items", "pull", "get", "op"),
     "follower": ("claim", "mark", "adopt", "copy"),
 }
-CALLS = {"replica-put": "registry", "replica-leave": "registry", "platform": "registry"}
+CALLS = {"replica-put": "registry", "replica-leave": "registry", "platform": "registry",
+         "trace": "path"}
 
 
 class Hub:
--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -42,14 +42,35 @@
 
 def ingress(*, me, life, zone, opt):
     ctx, gens, hands, guests, out = Ctx(opt=opt), {}, {}, {}, []
-    num, drain = 0, False
+    num, drain, tale, clock = 0, False, {}, None
 
     def run(oid, now, ev):
         """Drive one order's generator and sort its effects."""
         for e in gens[oid].send((now, ev)):
             settle(oid, e)
 
+    def mark(oid, now, what):
+        """What befell an order lately, for `silverglade trace` (design 8.6); no content."""
+        if oid in tale:
+            tale[oid]["steps"].append((ms(now - tale[oid]["born"]), what))
+
+    def told(e):
+        match e:
+            case ("send", to, ("ask" | "hand", *r)):
+                return f"asked {to}"
+            case ("dispatch", did, rid, *_):
+                return f"dispatched {did} to {rid}"
+            case ("result", _, "fault", code, ran, *_):
+                return f"told {code} ran={ran}"
+            case ("result", _, "whole" | "done", *_):
+                return "told done"
+            case ("result", _, "piece", 1, _):
+                return "first piece"
+        return None
+
     def settle(oid, e):
+        if what := told(e):
+            mark(oid, clock, what)
         match e:
             case ("end", _):
                 gens.pop(oid, None)
@@ -73,9 +94,13 @@
 
     def refuse(oid, code, ran, wait=None, detail=""):
         out.append(("result", oid, "fault", code, ran, wait, detail))
+        mark(oid, clock, f"told {code} ran={ran}")
 
     def fresh_order(oid, spec, now):
         nonlocal num
+        tale[oid] = dict(order=oid, key=spec[2], cls=spec[1], born=now, steps=[])
+        if len(tale) > 512:
+            del tale[next(iter(tale))]
         bearer, cls, key, due, prefix, attempt, body = spec
         num += 1
         cfg = bk.get(ctx.book, "config")
@@ -86,6 +111,7 @@
             known = key and (attempt.isdigit() and int(attempt) > 1 or e.code == 309 and attempt != "1")
             return refuse(oid, e.code, "maybe" if known else "no", 1000 if e.code == 309 else None,
                           e.detail)
+        tale[oid].update(key=f["key"], tenant=f["tenant"])
         out.append(("result", oid, "key", f["key"], f["stream"]))
         maybe = "no" if sure(f) else "maybe"
         if drain:
@@ -169,10 +195,13 @@
 
     while True:
         now, ev = yield tuple(out)
-        out = []
+        out, clock = [], now
         match ev:
             case ("pulse",):
                 pulse(now)
+            case ("call", cid, "trace", (word,)):
+                rows = [dict(t, born=ms(now - t["born"])) for t in tale.values() if word in (t["order"], t["key"])]
+                out.append(("reply", cid, 100 if rows else 507, dict(orders=rows)))
             case ("book", b, _):
                 ctx.book, ctx.evac = b, evacuated(b)
             case ("replicas", rs):
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -58,12 +58,18 @@
         q.add_argument("--secs", type=int, default=60)
         q.add_argument("--seed", type=int, default=1)
         q.add_argument("--folder", default="")
+    q = sub.add_parser("up", help="start a town as real processes, put its configuration, and stay up")
+    q.add_argument("--town", choices=TOWNS, default="hamlet")
+    q.add_argument("--folder", default="")
     a = p.parse_args(argv)
     if a.cmd == "seeds":
         return seeds(a)
+    folder = a.folder or tempfile.mkdtemp(prefix="silverglade-")
+    if a.cmd == "up":
+        from .minute import stay
+        return stay(town=a.town, folder=folder)
     from .minute import rehearse
-    return rehearse(town=a.cmd, secs=a.secs, seed=a.seed,
-                    folder=a.folder or tempfile.mkdtemp(prefix="silverglade-"))
+    return rehearse(town=a.cmd, secs=a.secs, seed=a.seed, folder=folder)
 
 
 if __name__ == "__main__":
--- a/silverglade/rehearsal/minute.py
+++ b/silverglade/rehearsal/minute.py
@@ -247,3 +247,29 @@
     for b in m.bad[:20]:
         print("BROKEN", *b)
     return 1 if m.bad else 0
+
+
+def stay(*, town, folder):
+    """Start a town and stay up until interrupted."""
+    m = Minute(town=town, secs=0, seed=1, folder=folder)
+
+    async def run():
+        async with anyio.create_task_group() as tg:
+            try:
+                await m.f.open(tg)
+                await m.settle()
+                print(f"logs and data: {folder}")
+                for d in m.f.daemons.values():
+                    print(f"{d['name']:24} {d['zone']:12} http://{d['http']}")
+                t, d = next(iter(m.f.t["config"]["tenants"].items()))
+                print(f"a tenant: {t}, homes {', '.join(d['homes'])}, bearer key key-{t},"
+                      f" classes {', '.join(d['classes'])}\nup; Ctrl-C stops it all", flush=True)
+                await anyio.sleep_forever()
+            finally:
+                m.f.stop()
+                tg.cancel_scope.cancel()
+    try:
+        anyio.run(run)
+    except KeyboardInterrupt:
+        print("stopped")
+    return 0
