--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -58,12 +58,18 @@
         q.add_argument("--secs", type=int, default=60)
         q.add_argument("--seed", type=int, default=1)
         q.add_argument("--folder", default="")
+    q = sub.add_parser("measure", help="figures of recovery, isolation, prefixes, latency (simulated)")
+    q.add_argument("--town", choices=TOWNS, default="navrang")
+    q.add_argument("--count", type=int, default=6)
     q = sub.add_parser("up", help="start a town as real processes, put its configuration, and stay up")
     q.add_argument("--town", choices=TOWNS, default="hamlet")
     q.add_argument("--folder", default="")
     a = p.parse_args(argv)
     if a.cmd == "seeds":
         return seeds(a)
+    if a.cmd == "measure":
+        from .measure import main as figures
+        return figures(a.town, range(1, a.count + 1))
     folder = a.folder or tempfile.mkdtemp(prefix="silverglade-")
     if a.cmd == "up":
         from .minute import stay
--- /dev/null
+++ b/silverglade/rehearsal/measure.py
@@ -0,0 +1,104 @@
+"""Figures for rounds (design 10.5): seeded and simulated, so two commits compare exactly."""
+from datetime import timedelta
+
+from .faults import Faults
+from .scene import Scene
+
+SEC = timedelta(seconds=1)
+
+
+def spread(xs):
+    xs = sorted(xs)
+    return f"n {len(xs)}, median {xs[len(xs) // 2]:.3f}, 95th {xs[int(len(xs) * .95)]:.3f}, most {xs[-1]:.3f}" \
+        if xs else "none"
+
+
+def waits(s, since, **want):
+    return [(o["when"] - o["at"]) / SEC for o in s.o.orders.values()
+            if o["told"] == ("ok",) and o["at"] >= since and all(o[k] == v for k, v in want.items())]
+
+
+def recovery(town, seeds, what):
+    """From a kill until an order of every tenant's unresumable class is served, asked each 0.25 s."""
+    out = []
+    for seed in seeds:
+        s = Scene(town=town, seed=seed)
+        s.settle()
+        cls = next(c for c, d in next(iter(s.t["config"]["tenants"].values()))["classes"].items()
+                   if not d["resumable"])
+        f, t0 = Faults(s), s.w.now
+        names = {"primary": f.primary(), "owner": next(
+            v[1] for k, (_, v) in sorted(s.w.nodes[s.live()[0]].hub.parts["desk"].gi_frame.f_locals[
+                "book"].items()) if k.startswith("duty/shard/"))}
+        s.w.nodes[names[what]].kill()
+        left = set(s.t["config"]["tenants"])
+        while left and s.w.now - t0 < 20 * SEC:
+            asked = {t: s.order(tenant=t, cls=cls, retry=False, at=s.rng.choice(s.live(
+                zone=s.t["config"]["tenants"][t]["homes"][0]) or s.live())) for t in sorted(left)}
+            s.w.run(0.25)
+            now = {t for t, o in asked.items() if s.o.orders[o]["told"] == ("ok",)}
+            left -= now
+            s.w.run(0.25)
+            left -= {t for t, o in asked.items() if s.o.orders[o]["told"] == ("ok",)}
+        out.append((s.w.now - t0) / SEC)
+    return out
+
+
+def isolation(town, seed, crowd):
+    """A quiet tenant's waits while another sends a crowd, and without it."""
+    s = Scene(town=town, seed=seed)
+    s.settle()
+    ts = sorted(s.t["config"]["tenants"])
+    homes = s.t["config"]["tenants"]
+    loud = ts[0]
+    quiet = next(t for t in ts[1:] if set(homes[t]["homes"]) & set(homes[loud]["homes"]))
+    cls = next(c for c, d in homes[quiet]["classes"].items() if d["kind"] == "model" and d["stream"])
+    t0 = s.w.now
+    for i in range(40):
+        s.w.after(i * SEC / 2, lambda: s.order(tenant=quiet, cls=cls, retry=False))
+    for i in range(400 if crowd else 0):
+        s.w.after(i * SEC / 20, lambda: s.order(tenant=loud, cls=cls, retry=False))
+    s.w.run(40)
+    lost = sum(1 for o in s.o.orders.values() if o["tenant"] == quiet and o["told"] != ("ok",))
+    return waits(s, t0, tenant=quiet), lost
+
+
+def day(town, seed, pace):
+    """A plain day: waits by class, prefix hits, spills, retries, wanted against ready."""
+    s = Scene(town=town, seed=seed, pace=pace)
+    hits = [0, 0]
+    for r in s.w.replicas.values():
+        def take(n, life, did, meta, body, r=r, was=r.take):
+            if meta["prefix"]:
+                hits[meta["prefix"] in r.cache] += 1
+            return was(n, life, did, meta, body)
+        r.take = take
+    s.settle()
+    t0 = s.w.now
+    s.traffic()
+    s.w.run(60)
+    spills = sum(n.hub.parts["path"].gi_frame.f_locals["ctx"].spills for n in s.w.nodes.values())
+    want = dict(s.w.nodes[s.live()[0]].hub.parts["desk"].gi_frame.f_locals["want"])
+    s.open = False
+    s.w.run(20)
+    classes = sorted({o["cls"] for o in s.o.orders.values()})
+    told = s.told()
+    return ({c: waits(s, t0, cls=c) for c in classes}, hits, spills, s.o.again, want, told)
+
+
+def main(town, seeds):
+    for what in ("primary", "owner"):
+        print(f"{town}: back after the {what} is killed, s: {spread(recovery(town, seeds, what))}")
+    for crowd in (False, True):
+        ws, lost = [], 0
+        for n in seeds:
+            w, k = isolation(town, n, crowd)
+            ws, lost = ws + w, lost + k
+        print(f"{town}: a quiet tenant {'beside a crowd' if crowd else 'alone'}, s: {spread(ws)}; not served {lost}")
+    for pace in (1.0, 4.0):
+        w, hits, spills, again, want, told = day(town, seeds[0], pace)
+        print(f"{town}: a day at {pace:g} times the traffic: prefix hits {hits[1]} of {sum(hits)}, spills {spills},"
+              f" runs again {again}, wanted {want}, told {told}")
+        for c, ws in w.items():
+            print(f"    {c}, s: {spread(ws)}")
+    return 0
