Control is asked anew at once after a takeover; proofs of the primary age less

Cause: a call waiting for the primary was sent to the dead one again and again until op_wait (4 s) had passed, as the time since the last try never grew past the limit for choosing another. Ruled out: detection (1.5 s) and the register's round (0.2 s), unchanged. Now a waiting call follows the newest view; the backup echoes the primary's heartbeat at once, and a core says how long it held an ask.

--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -139,17 +139,19 @@
         for t, frm, n, v in asks[:]:
             if shown > v or now - t >= opt["ask_wait"]:
                 asks.remove((t, frm, n, v))
-                out.append(send(frm, "news", n, shown, bk.since(book, v), a))
+                out.append(send(frm, "news", n, shown, bk.since(book, v), a, ms(now - t)))
 
     def age(now):
         return ms(now - fresh) if fresh is not None else -1
 
+    def hb(c, now):
+        p, blank = peer.get(c), view is None and reg["view"] is None
+        out.append(send(c, "hb", vb, view, shown, fit, disk, sealed, blank, ms(now),
+                        p["stamp"] if p else -1, age(now)))
+
     def beat(now):
-        blank = view is None and reg["view"] is None
         for c in others:
-            p = peer.get(c)
-            out.append(send(c, "hb", vb, view, shown, fit, disk, sealed, blank, ms(now),
-                            p["stamp"] if p else -1, age(now)))
+            hb(c, now)
         if is_primary() and fit:
             if opened != view[0]:
                 open_up(now)
@@ -197,6 +199,8 @@
                          epoch=rg.epoch(v))
         if v and rg.epoch(v) > rg.epoch(view):
             adopt(b, v, now)
+        if view and frm == view[1] and me == view[2]:
+            hb(frm, now)                         # at once: the primary's proof that it still is
         if not view or rg.epoch(v) != view[0] or echo < 0:
             return
         if is_primary() and opened == view[0] and frm == view[2] and sl < view[0]:
--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -126,7 +126,9 @@
                 out.append(reply(cid, 100, **status(now)))
             case ("msg", frm, ("opr", n, res)) if n in pend and isinstance(res, tuple) and res:
                 if res[0] == "elsewhere":
-                    pend[n]["to"] = res[1] if res[1] != frm else ""
+                    if res[1] and res[1] != frm and pend[n]["to"] != res[1]:
+                        pend[n]["to"] = res[1]
+                        push(n, now)
                 elif res[0] != "unknown" or not pend[n]["change"]:
                     settle(n, res)               # unknown: ask on, by the change id
             case ("pulse",):
@@ -134,5 +136,5 @@
                     if now - p["born"] > opt["op_wait"]:
                         settle(n, ("unknown",))
                     elif now - p["at"] > opt["beat"]:
-                        p["to"] = primary()[1] if now - p["at"] > opt["beat"] * 2 else p["to"]
+                        p["to"] = ""             # whoever is primary by now
                         push(n, now)
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -10,7 +10,7 @@
     "copied": "sii", "fin": "sis", "quit": "s",
     "grant": "sisisib", "deny": "siis?", "moved": "si",
     "hand": "ssssbisiy", "left": "s", "res": "sis...",
-    "news": "ivti", "opr": "it", "hb": "o?vbsibiii",
+    "news": "ivtii", "opr": "it", "hb": "o?vbsibiii",
     "prep": "o", "acc": "o?", "prom": "oso?", "accd": "os", "nack": "oso",
     "snap": "iio?t", "snapok": "iis", "repl": "iivvt", "repd": "ii", "items": "ivvt",
     "pull": "v", "get": "iv", "op": "ists",
--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -34,7 +34,7 @@
                 fresh = None
                 out.append(("cast", ("fresh", None)))
                 ask(now)
-            case ("msg", frm, ("news", n, v, items, age)) if pend and n == pend[0]:
+            case ("msg", frm, ("news", n, v, items, age, held_ms)) if pend and n == pend[0]:
                 if not (bk.sound(items) and bk.sound_version(v) and type(age) is int):
                     pend = None
                     continue
@@ -52,7 +52,7 @@
                     if any(k == "config" or k.startswith("evac/") for k, _, _ in new):
                         out.append(log("news", version=f"{held[0]}.{held[1]}",
                                        keys=",".join(k for k, _, _ in new)[:200]))
-                f = pend[2] - span(age)
+                f = pend[2] + span(min(held_ms, ms(now - pend[2]))) - span(age)
                 if age >= 0 and (fresh is None or f > fresh):
                     fresh = f
                     out.append(("cast", ("fresh", fresh)))
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -72,5 +72,5 @@
 def test_only_messages_of_the_stated_shape_reach_a_part():
     assert messages.checked(("get", 1, (0, 0)))
     for bad in (("get", 1, (0,)), ("get", "1", (0, 0)), ("get", 1), ("nothing", 1),
-                ("op", 1, "", ("evac", "z"), ""), ("news", 1, (1, 1), (("k", (1,), 0),), 5)):
+                ("op", 1, "", ("evac", "z"), ""), ("news", 1, (1, 1), (("k", (1,), 0),), 5, 0)):
         assert not messages.checked(bad)
