--- a/silverglade/rehearsal/faults.py
+++ b/silverglade/rehearsal/faults.py
@@ -109,6 +109,17 @@
             self.later(6, self.free)
         self.later(t, wake)
 
+    def jump(self):
+        """A machine's clock leaps ahead. Monotonic clocks never go back; wall clocks decide nothing."""
+        name = self.rng.choice(self.places())
+        if self.busy or self.w.nodes[name].hub is None:
+            return
+        self.busy = name
+        self.w.nodes[name].skew += secs(self.rng.choice([0.3, 1.0, 3.0, 30.0, 3600.0]))
+        self.w.nodes[name].since = self.w.now
+        self.w.note("clock-jump", name)
+        self.later(6, self.free)
+
     # disks
     def disk(self):
         cores = [n for n in self.w.nodes.values() if n.core and n.hub is not None]
@@ -226,6 +237,18 @@
             r.sabotage = how
         self.later(self.rng.uniform(1, 8), again)
 
+    def swing(self):
+        """Traffic swings between long prompts and long answers."""
+        pre, step = self.rng.choice([(6, 1), (1, 8), (3, 3)])
+        for r in self.w.replicas.values():
+            r.prefill, r.step = r.prefill * pre, r.step * step
+        self.w.note("swing", pre, step)
+
+        def back():
+            for r in self.w.replicas.values():
+                r.prefill, r.step = r.pace
+        self.later(self.rng.uniform(3, 8), back)
+
     # operators
     def race(self):
         """Two operators over the same version: at most one may win."""
@@ -275,7 +298,7 @@
 
 ALL = ("kill", "kill_holder", "kill_primary", "empty_disk", "ack_then_power", "freeze", "disk",
        "cut_machine", "cut_region", "cut_cores", "lose_region", "replica", "replica", "race", "quick",
-       "large", "evacuate", "crowd", "repeat")
+       "large", "evacuate", "crowd", "repeat", "jump", "swing")
 
 
 def storm(scene, *, secs_=40, kinds=ALL, gap=2.5):
--- a/silverglade/rehearsal/scene.py
+++ b/silverglade/rehearsal/scene.py
@@ -138,6 +138,8 @@
         w = self.w
         w.heal()
         w.loss = 0.0
+        for r in w.replicas.values():
+            r.prefill, r.step = r.pace
         for n in w.nodes.values():
             if n.disk:
                 n.disk.stall, n.disk.full, n.disk.slow = False, False, timedelta(0)
--- a/silverglade/rehearsal/standin.py
+++ b/silverglade/rehearsal/standin.py
@@ -12,6 +12,7 @@
         self.w, self.rid, self.zone, self.slots, self.kind = world, rid, zone, slots, kind
         self.homes, self.prefixes = homes or [zone], list(prefixes)
         self.prefill, self.step, self.pieces = prefill_ms, piece_ms, pieces
+        self.pace = (prefill_ms, piece_ms)
         self.inc, self.up, self.dark, self.state, self.addr = 0, False, False, "ready", ""
         self.runs, self.done, self.served, self.cache = {}, 0, 0, set()
         self.sabotage = None                     # a fault to answer with, see take()
