--- a/silverglade/rehearsal/measure.py
+++ b/silverglade/rehearsal/measure.py
@@ -44,7 +44,7 @@
     return out
 
 
-def isolation(town, seed, crowd):
+def isolation(town, seed, crowd, rate=60):
     """A quiet tenant's waits while another sends a crowd, and without it."""
     s = Scene(town=town, seed=seed)
     s.settle()
@@ -56,8 +56,8 @@
     t0 = s.w.now
     for i in range(40):
         s.w.after(i * SEC / 2, lambda: s.order(tenant=quiet, cls=cls, retry=False))
-    for i in range(400 if crowd else 0):
-        s.w.after(i * SEC / 20, lambda: s.order(tenant=loud, cls=cls, retry=False))
+    for i in range(20 * rate if crowd else 0):
+        s.w.after(i * SEC / rate, lambda: s.order(tenant=loud, cls=cls, retry=False))
     s.w.run(40)
     lost = sum(1 for o in s.o.orders.values() if o["tenant"] == quiet and o["told"] != ("ok",))
     return waits(s, t0, tenant=quiet), lost
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -339,3 +339,41 @@
     want = {"success-unearned-or-told": {"success-unearned", "foreign-body"},
             "joined-or-pieces": {"joined-runs", "pieces"}}.get(rule, {rule})
     assert got & want
+
+
+@pytest.mark.parametrize("name", ["core-north", "core-middle", "core-south", "edge-north-0", "edge-middle-0",
+                                  "edge-south-0"])
+def test_killing_any_one_daemon_loses_nothing_acknowledged_and_runs_nothing_twice(name):
+    s = hamlet(seed=11)
+    s.traffic()
+    for i in range(6):
+        s.w.after(i * SEC / 2, s.put)
+    s.w.after(1.3 * SEC, s.w.nodes[name].kill)
+    s.w.run(12)
+    assert s.finish() == []
+    assert sum(c == 100 for _, _, c, _ in s.o.acked) >= 4 and len(s.o.runs) > 60
+
+
+def test_control_calls_on_a_cut_off_side_or_at_a_joining_daemon_change_nothing():
+    s = hamlet()
+    mine = ["core-north", "edge-north-0"]
+    s.w.cut(mine, [x for x in s.w.nodes if x not in mine])
+    s.w.run(3)
+    got = []
+    s.w.call("edge-north-0", "evac", ("middle", True, "e1"), lambda c, kw: got.append(c))
+    s.w.call("edge-north-0", "status", (), lambda c, kw: got.append((c, kw["config"])))
+    s.w.run(6)
+    assert got == [(100, [1, 2]), 503]             # not known there; asking again by its id settles it
+    s.w.heal()
+    s.w.run(3)
+    s.w.call("edge-north-0", "fleet", (), lambda c, kw: got.append(len(kw["fleet"])))
+    s.w.call("edge-north-0", "evac", ("middle", True, "e1"), lambda c, kw: got.append(c))
+    s.w.run(3)
+    assert got[2:] == [6, 100]
+    s.w.nodes["edge-south-0"].kill()
+    s.w.cut(["edge-south-0"], [x for x in s.w.nodes if x != "edge-south-0"])
+    s.w.nodes["edge-south-0"].boot()
+    s.w.run(0.5)
+    s.w.call("edge-south-0", "config-put", ((1, 1), "c1", {}), lambda c, kw: got.append(c))
+    s.w.run(6)
+    assert got[4:] == [504]                        # it never knew a primary: surely nothing was changed
