Leaving marks are kept before a replica is known; claims are numbered and bounded

Marks are kept by incarnation and spread like records now. Ruled out: the ledger (it refuses leaving replicas in every trace). Cause 2 (by reading): claims grew without bound, and beyond some 80,000 for a tenant their copy would not fit a frame, so that no owner could be handed on. Owner and follower keep a tenant's newest 20,000 now.

--- a/silverglade/front/routes.py
+++ b/silverglade/front/routes.py
@@ -38,9 +38,9 @@
     out = []
     for i, r in enumerate(rows):
         if not (isinstance(r, dict) and isinstance(r.get("id"), str)
-                and type(r.get("incarnation", 1 << 53)) is int and type(r.get("leaving", False)) is bool):
+                and type(r.get("incarnation", 0)) is int and type(r.get("leaving", False)) is bool):
             raise Fault(506, f"replicas[{i}]")
-        out.append((r["id"], r.get("incarnation", 1 << 53), r.get("leaving", False)))
+        out.append((r["id"], r.get("incarnation"), r.get("leaving", False)))
     return tuple(out)
 
 
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -4,7 +4,7 @@
 numbers), o ballot (number, text), ? anything. "..." at the end: any rest.
 """
 SHAPES = {
-    "ping": "it", "pong": "it", "bye": "t", "reps": "tt",
+    "ping": "it", "pong": "it", "bye": "t", "reps": "ttt",
     "lease": "siss", "release": "ssb", "renew": "sit", "leased": "ssi", "unleased": "sss", "offer": "siss",
     "ask": "sisit", "claimed": "sis", "unclaimed": "siss", "adopted": "sit", "unadopted": "sis",
     "copied": "sii", "fin": "sis", "quit": "s",
@@ -14,7 +14,7 @@
     "prep": "o", "acc": "o?", "prom": "oso?", "accd": "os", "nack": "oso",
     "snap": "iio?t", "snapok": "iis", "repl": "iivvt", "repd": "ii", "items": "ivvt",
     "pull": "v", "get": "iv", "op": "ists",
-    "claim": "sisss", "mark": "sisss", "adopt": "si", "copy": "siit",
+    "claim": "sisssi", "mark": "sisss", "adopt": "si", "copy": "siit",
 }
 
 
@@ -57,8 +57,9 @@
 
 
 DEEP = {
-    "adopted": lambda b: rows(b[3], "sss"),
-    "copy": lambda b: rows(b[4], "sss"),
+    "adopted": lambda b: rows(b[3], "sssi"),
+    "copy": lambda b: rows(b[4], "sssi"),
+    "reps": lambda b: rows(b[3], "si"),
     "renew": lambda b: rows(b[3], "ss"),
     "ask": lambda b: rows((b[5],), "sssi"),
     "opr": lambda b: len(b[2]) >= 1 and type(b[2][0]) is str and (
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -27,6 +27,7 @@
     "claim_wait": c.span(default=td(milliseconds=1200)),
     "lease": c.span(default=td(seconds=3)),              # a slot's lease, unless renewed (7.3)
     "learn": c.span(default=td(milliseconds=1200)),      # a new ledger holder hears of leases first
+    "claims_most": c.whole(default=20000, least=8, most=40000),   # remembered per tenant (6.3)
     "grant": c.span(default=td(seconds=2)),              # a grant's life
     "spill_wait": c.span(default=td(milliseconds=200)),
     "hot": c.number(default=1.25, least=1.0),            # bounded burden (7.2)
--- a/silverglade/replicas/registry.py
+++ b/silverglade/replicas/registry.py
@@ -45,12 +45,14 @@
 
 def registry(*, me, opt):
     """Casts ("replicas", {id: (record, status or None, when heard)})."""
-    recs, stats, heard = {}, {}, {}
+    recs, stats, heard, marks = {}, {}, {}, {}   # marks: id -> newest incarnation known to leave
     edges, due, last, out, dirty, turn = (), ZERO, None, [], False, 0
 
     def put(r):
         """Newer by incarnation, then beat; leaving is never taken back in a life."""
         old = recs.get(r[RID])
+        if marks.get(r[RID], 0) >= r[INC]:
+            r = r[:LEAVING] + (True,)            # it was marked before it was known here
         if old and r[INC] == old[INC] and (r[LEAVING] or old[LEAVING]):
             r = r[:LEAVING] + (True,)
             old_ = old[:LEAVING] + (True,)
@@ -74,15 +76,17 @@
                                               else None, heard.get(i)) for i, r in recs.items()})))
 
     def tell(to):
-        out.extend(send(i, "reps", tuple(recs.values()), tuple(stats.values())) for i in to)
+        out.extend(send(i, "reps", tuple(recs.values()), tuple(stats.values()),
+                        tuple(marks.items())) for i in to)
 
-    def leave(rid, why):
-        r = recs.get(rid)
-        if r and not r[LEAVING]:
+    def leave(rid, inc, why):
+        if marks.get(rid, 0) >= inc:
+            return False
+        marks[rid], r = inc, recs.get(rid)
+        if r and r[INC] <= inc and not r[LEAVING]:
             recs[rid] = r[:LEAVING] + (True,)
-            out.append(log("replica-leaving", replica=rid, incarnation=r[INC], why=why))
-            return True
-        return False
+        out.append(log("replica-leaving", replica=rid, incarnation=inc, why=why))
+        return True
 
     while True:
         now, ev = yield tuple(out)
@@ -95,7 +99,9 @@
                 turn += 1
                 tell(partners(me, edges, turn))
                 show()
-            case ("msg", frm, ("reps", tuple(rs), tuple(ss))):
+            case ("msg", frm, ("reps", tuple(rs), tuple(ss), tuple(ms_))):
+                for rid, inc in ms_:
+                    dirty |= leave(rid, inc, "heard")
                 for r in rs:
                     dirty |= sound(r, REC) and put(r)
                 for s in ss:
@@ -103,7 +109,7 @@
             case ("status", s):
                 dirty = stat(s, now)
                 if s[S_STATE] == "leaving":
-                    dirty |= leave(s[S_RID], "said so when probed")
+                    dirty |= leave(s[S_RID], s[S_INC], "said so when probed")
                 show()
             case ("call", cid, "replica-put", (rid, raw)):
                 a, bad = c.run(ANNOTATIONS, raw)
@@ -120,12 +126,14 @@
                         out.append(log("replica", replica=rid, incarnation=a["incarnation"],
                                        zone=a["zone"], slots=a["slots"]))
             case ("call", cid, "replica-leave", (rid,)):
-                dirty = leave(rid, "signed off")
+                dirty = rid in recs and leave(rid, recs[rid][INC], "signed off")
                 out.append(("reply", cid, 100 if rid in recs else 507, {}))
             case ("call", cid, "platform", (rows,)):
                 for rid, inc, leaving in rows:
-                    if leaving and rid in recs and recs[rid][INC] <= inc:
-                        dirty |= leave(rid, "marked by the platform")
+                    if inc is None and rid in recs:
+                        inc = recs[rid][INC]     # the platform does not count lives: this one
+                    if leaving and inc is not None:
+                        dirty |= leave(rid, inc, "marked by the platform")
                 out.append(("reply", cid, 100, {"known": sorted(recs)}))
         if dirty:                                   # of note: tell all at once
             show()
--- a/silverglade/shards/follower.py
+++ b/silverglade/shards/follower.py
@@ -1,9 +1,10 @@
 """A core's follower part (design 6.3): claims synced before any grant exists.
 
-Tables: "shard" shard -> epoch; "claim" "shard\\0key digest" -> (grant, state).
+Tables: "shard" shard -> epoch; "claim" "shard\\0key digest" -> (grant, state, number).
 States: "claimed" (may run), "ran" (a replica had it), "done".
 """
 from ..part import send
+from .shard import aged
 
 
 def follower(*, saved, opt):
@@ -24,7 +25,7 @@
         now, ev = yield tuple(out)
         out = []
         match ev:
-            case ("msg", frm, ("claim", str(sh), int(e), cid, str(kd), str(gid))):
+            case ("msg", frm, ("claim", str(sh), int(e), cid, str(kd), str(gid), int(no))):
                 held = epochs.get(sh)
                 if held is None or held != e:
                     out.append(send(frm, "unclaimed", sh, e, cid, "none" if held is None else "old"))
@@ -33,9 +34,12 @@
                 if was and was[0] != gid:
                     out.append(send(frm, "unclaimed", sh, e, cid, "seen"))
                     continue
-                claims[sh][kd] = (gid, "claimed")
-                write([("put", "claim", f"{sh}\0{kd}", (gid, "claimed"))],
-                      frm, "claimed", sh, e, cid)
+                claims[sh][kd] = (gid, "claimed", no)
+                old = aged(claims[sh], opt["claims_most"])
+                for k in old:
+                    del claims[sh][k]
+                write([("put", "claim", f"{sh}\0{kd}", (gid, "claimed", no))]
+                      + [("del", "claim", f"{sh}\0{k}") for k in old], frm, "claimed", sh, e, cid)
             case ("msg", frm, ("mark", str(sh), int(e), str(kd), str(gid), str(st))):
                 if epochs.get(sh) != e or claims[sh].get(kd, ("",))[0] != gid:
                     continue
@@ -43,8 +47,8 @@
                     del claims[sh][kd]
                     write([("del", "claim", f"{sh}\0{kd}")])
                 elif claims[sh][kd][1] != "done":
-                    claims[sh][kd] = (gid, st)
-                    write([("put", "claim", f"{sh}\0{kd}", (gid, st))])
+                    c = claims[sh][kd] = (gid, st, claims[sh][kd][2])
+                    write([("put", "claim", f"{sh}\0{kd}", c)])
             case ("msg", frm, ("adopt", str(sh), int(e))):
                 held = epochs.get(sh)
                 if held is None or e < held:
@@ -58,9 +62,9 @@
                     out.append(send(frm, "unadopted", sh, e, "old"))
                     continue
                 old = claims.get(sh, {})
-                epochs[sh], claims[sh] = e, {k: (g, s) for k, g, s in cs}
+                epochs[sh], claims[sh] = e, {k: tuple(c) for k, *c in cs}
                 write([("put", "shard", sh, e)] + [("del", "claim", f"{sh}\0{k}") for k in old]
-                      + [("put", "claim", f"{sh}\0{k}", (g, s)) for k, g, s in cs],
+                      + [("put", "claim", f"{sh}\0{k}", tuple(c)) for k, *c in cs],
                       frm, "copied", sh, e, n)
             case ("disk", ("follower", n), ok, _):
                 ans = wait.pop(n, ())
--- a/silverglade/shards/owner.py
+++ b/silverglade/shards/owner.py
@@ -98,7 +98,7 @@
         x.update(rid=rid, lid=lid)
         burden[rid] = burden.get(rid, 0) + 1
         if x["resumable"]:
-            shards[x["tenant"]].tried.add(x["kd"])
+            shards[x["tenant"]].tries(x["kd"])
             return grant(x, now)
         sh = shards.get(x["tenant"])
         if sh is None or not sh.open:
@@ -152,7 +152,8 @@
                 if holder == me and (t not in shards or shards[t].epoch < e):
                     old = shards.get(t)
                     shards[t] = Shard(name=t, epoch=e, follower=fol, me=me,
-                                      claims=old.claims if old and old.full(e) else None)
+                                      claims=old.claims if old and old.full(e) else None,
+                                      most=opt["claims_most"])
                     out.append(log("shard-owned", shard=t, epoch=e, follower=fol or "none"))
                 elif holder != me and t in shards:
                     del shards[t]
--- a/silverglade/shards/shard.py
+++ b/silverglade/shards/shard.py
@@ -6,14 +6,23 @@
 from ..part import log, send
 
 
+def aged(claims, most):
+    """Keys whose claims are older than the newest `most`, once an eighth more has gathered (6.3)."""
+    if len(claims) <= most + most // 8:
+        return ()
+    floor = max(c[2] for c in claims.values()) - most
+    return tuple(k for k, c in claims.items() if c[2] <= floor)
+
+
 class Shard:
-    def __init__(self, *, name, epoch, follower, me, claims):
+    def __init__(self, *, name, epoch, follower, me, claims, most):
         self.name, self.epoch, self.follower, self.me = name, epoch, follower, me
         self.claims = claims          # None: not known here
         self.open, self.sent, self.to, self.num = False, None, "", 0
         self.life = None              # the follower's life as last seen
         self.bad, self.since = {}, (None, None)   # cores that let me wait; (step, to) since when
-        self.tried = set()            # resumable keys granted here
+        self.most, self.top = most, max((c[2] for c in (claims or {}).values()), default=0)
+        self.tried = {}               # resumable keys granted here, the last of them
         self.step = "adopt" if follower else "copy"
         if not follower:
             self.claims = {}          # no follower yet: nothing was ever claimed
@@ -23,8 +32,19 @@
         return self.claims is not None and epoch == self.epoch + 1
 
     def claim(self, kd, gid):
-        self.claims[kd] = (gid, "claimed")
-        return [send(self.follower, "claim", self.name, self.epoch, gid, kd, gid)]
+        old = self.claims.get(kd)
+        if not old:
+            self.top += 1
+        no = old[2] if old else self.top
+        self.claims[kd] = (gid, "claimed", no)
+        for k in aged(self.claims, self.most):
+            del self.claims[k]
+        return [send(self.follower, "claim", self.name, self.epoch, gid, kd, gid, no)]
+
+    def tries(self, kd):
+        self.tried[kd] = True
+        if len(self.tried) > self.most:
+            del self.tried[next(iter(self.tried))]
 
     def mark(self, kd, gid, st):
         c = (self.claims or {}).get(kd)
@@ -33,7 +53,7 @@
         if st == "free":
             del self.claims[kd]
         else:
-            self.claims[kd] = (gid, st)
+            self.claims[kd] = (gid, st, c[2])
         return [send(self.follower, "mark", self.name, self.epoch, kd, gid, st)]
 
     def doubt(self):
@@ -58,10 +78,11 @@
         if e != self.epoch:
             return []
         if kind == "adopted" and frm == self.follower and self.step == "adopt":
-            got = {k: (g, s) for k, g, s in rest[0]}
+            got = {k: (g, s, n) for k, g, s, n in rest[0]}
             mine = self.claims or {}
             self.claims = {**got, **mine}
-            if any(k not in got for k in mine):      # it holds less than I do: copy anew
+            self.top = max([self.top] + [c[2] for c in got.values()])
+            if any(k not in got and c[2] > self.top - self.most for k, c in mine.items()):      # it holds less than I do: copy anew
                 self.step, self.sent = "copy", None
                 return []
             self.open, self.step = True, "open"
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -143,6 +143,21 @@
     return s
 
 
+def a_replica_is_marked_where_it_is_not_known_yet():
+    s = hamlet()
+    r = s.w.replicas["model-middle-0"]
+    r.kill()
+    s.w.run(1)
+    s.traffic()
+    r.boot()                                       # one daemon knows its new life, another is told
+    at = next(n for n in s.live() if r.inc != s.w.nodes[n].hub.parts["registry"].gi_frame.f_locals[
+        "recs"]["model-middle-0"][1])
+    s.o.left[("model-middle-0", r.inc)] = s.w.now
+    s.w.call(at, "platform", ((("model-middle-0", r.inc, True),),))
+    s.w.run(12)
+    return s
+
+
 # 7: emptied zones
 def a_zone_is_emptied():
     s = hamlet()
@@ -268,7 +283,7 @@
 
 CASES = [
     (owner_dies_after_the_grant, "ran-twice",
-     [("silverglade.shards.shard", "got = {k: (g, s) for k, g, s in rest[0]}", "got = {}",
+     [("silverglade.shards.shard", "got = {k: (g, s, n) for k, g, s, n in rest[0]}", "got = {}",
        "silverglade.shards.owner.Shard"),
       ("silverglade.shards.follower", "if was and was[0] != gid:", "if False:", "silverglade.hub.follower")]),
     (a_cut_off_daemon_is_asked_again, "not-run-but-ran",
@@ -294,6 +309,9 @@
     (a_leaving_replica_stays_up, "work-after-leaving",
      [(REG, "and not r[LEAVING] and", "and", *USABLE),
       (LEDGER, "or r[LEAVING] or", "or", "silverglade.hub.ledger")]),
+    (a_replica_is_marked_where_it_is_not_known_yet, "work-after-leaving",
+     [(REG, ("if marks.get(r[RID], 0) >= r[INC]:", "tuple(marks.items())"), ("if False:", "()"),
+       "silverglade.hub.registry")]),
     (a_zone_is_emptied, "work-after-emptying",
      [(REG, 'and r[ZONE] not in evac', "", *USABLE),
       (LEDGER, "or r[ZONE] in evac", "", "silverglade.hub.ledger")]),
