--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -40,7 +40,7 @@
 class Hub:
     def __init__(self, *, me, life, zone, region, addr, http, seeds, cores, opt, rng,
                  disk="", saved=None):
-        self.me, self.stops = me, 0
+        self.me = me
         p = self.parts = {
             "roster": roster(me=me, life=life, place=(zone, region, addr, http, bool(disk)),
                              seeds=tuple(seeds), opt=opt),
--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -1,4 +1,6 @@
 """The path part (design 6.5, 6.6): orders at their ingress, and orders handed towards home."""
+from boltons.cacheutils import LRI
+
 from ..control import book as bk
 from ..faults import Fault
 from ..part import ms, send
@@ -9,6 +11,9 @@
 from .order import order
 
 
+TALES = 512          # orders whose steps are remembered for `silverglade trace`
+
+
 class Ctx:
     """What an order may look at (held and filled by the path part alone)."""
 
@@ -42,7 +47,7 @@
 
 def ingress(*, me, life, zone, opt):
     ctx, gens, hands, guests, out = Ctx(opt=opt), {}, {}, {}, []
-    num, drain, tale, clock = 0, False, {}, None
+    num, drain, tale, clock = 0, False, LRI(max_size=TALES), None
 
     def run(oid, now, ev):
         """Drive one order's generator and sort its effects."""
@@ -56,7 +61,7 @@
 
     def told(e):
         match e:
-            case ("send", to, ("ask" | "hand", *r)):
+            case ("send", to, ("ask" | "hand", *_)):
                 return f"asked {to}"
             case ("dispatch", did, rid, *_):
                 return f"dispatched {did} to {rid}"
@@ -99,8 +104,6 @@
     def fresh_order(oid, spec, now):
         nonlocal num
         tale[oid] = dict(order=oid, key=spec[2], cls=spec[1], born=now, steps=[])
-        if len(tale) > 512:
-            del tale[next(iter(tale))]
         bearer, cls, key, due, prefix, attempt, body = spec
         num += 1
         cfg = bk.get(ctx.book, "config")
--- a/silverglade/path/order.py
+++ b/silverglade/path/order.py
@@ -13,7 +13,7 @@
 def order(*, oid, f, body, opt, ctx, me, now):
     due = now + f["left"]
     n, ran, sent, piece = 0, "no", False, 0      # ran: worst over this order's dispatches
-    out, last = [], None
+    out = []
 
     def result(kind, *r):
         out.append(("result", oid, kind, *r))
@@ -56,7 +56,7 @@
             now, ev = yield tuple(out)
             out = []
             match ev:
-                case ("grant", k, rid, inc, addr, e, spill) if k == n:
+                case ("grant", k, rid, inc, addr, _, spill) if k == n:
                     grant = (rid, inc, addr)
                     ctx.spills += bool(spill)
                 case ("deny", k, code, r, wait) if k == n:
--- a/silverglade/replicas/ledger.py
+++ b/silverglade/replicas/ledger.py
@@ -21,8 +21,8 @@
 
 
 def ledger(*, me, opt):
-    reps, book, mine, duties, evac, out = {}, {}, {}, {}, set(), []
-    roll, fresh, froze = (), None, False
+    reps, mine, duties, evac, out = {}, {}, {}, set(), []
+    roll, fresh = (), None
 
     def open_(now):
         """Ledgers wanted (duties that name me) against ledgers held."""
@@ -80,7 +80,7 @@
             case ("roll", r):
                 roll = {x[0] for x in r}
             case ("book", b, _):
-                book, evac = b, evacuated(b)
+                evac = evacuated(b)
                 duties = {k[12:]: v[0] for k, (_, v) in b.items()
                           if k.startswith("duty/ledger/") and v[1] == me}
                 open_(now)
--- a/silverglade/replicas/registry.py
+++ b/silverglade/replicas/registry.py
@@ -99,7 +99,7 @@
                 turn += 1
                 tell(partners(me, edges, turn))
                 show()
-            case ("msg", frm, ("reps", tuple(rs), tuple(ss), tuple(ms_))):
+            case ("msg", _, ("reps", tuple(rs), tuple(ss), tuple(ms_))):
                 for rid, inc in ms_:
                     dirty |= leave(rid, inc, "heard")
                 for r in rs:
--- a/silverglade/shards/shard.py
+++ b/silverglade/shards/shard.py
@@ -3,6 +3,8 @@
 Steps: adopt (fetch the follower's claims under my epoch), open, copy (a new follower gets
 every claim, then control names it, then adopt again). Unresumable orders wait while not open.
 """
+from boltons.cacheutils import LRI
+
 from ..part import log, send
 
 
@@ -22,7 +24,7 @@
         self.life = None              # the follower's life as last seen
         self.bad, self.since = {}, (None, None)   # cores that let me wait; (step, to) since when
         self.most, self.top = most, max((c[2] for c in (claims or {}).values()), default=0)
-        self.tried = {}               # resumable keys granted here, the last of them
+        self.tried = LRI(max_size=most)   # resumable keys granted here, the last of them
         self.step = "adopt" if follower else "copy"
         if not follower:
             self.claims = {}          # no follower yet: nothing was ever claimed
@@ -43,8 +45,6 @@
 
     def tries(self, kd):
         self.tried[kd] = True
-        if len(self.tried) > self.most:
-            del self.tried[next(iter(self.tried))]
 
     def mark(self, kd, gid, st):
         c = (self.claims or {}).get(kd)
