A shard whose claims are lost can be reopened by an operator; blackouts tested

Cause: a run of a blackout with one core's disk lost showed shards shut for good (owner's memory and follower's disk gone at once) and nothing an operator could do. Considered: a second, unsynced copy of the claims; it could miss the last ones, so opening by it might run something twice. Now the operator may say so. Before: unresumable orders of those tenants 303 for ever. After: served once reopened; blackouts without a lost disk are back within 12 s.

--- a/silverglade/control/book.py
+++ b/silverglade/control/book.py
@@ -53,6 +53,11 @@
             if (old[0] if old else 0) != base:
                 return ("refuse", 501, name)
             return ("take", ((f"duty/{kind}/{name}", (base + 1, holder, follower)),))
+        case ("reopen", name):                # an operator accepts that its claims are lost (6.4)
+            old = get(book, f"duty/shard/{name}")
+            if old is None:
+                return ("refuse", 507, name)
+            return ("take", ((f"duty/shard/{name}", (old[0] + 1, old[1], "")),))
         case ("duties", todo):
             got = [decide(book, ("duty", *d), at) for d in todo]
             return ("take", tuple(i for g in got if g[0] == "take" for i in g[1]))
--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -113,6 +113,8 @@
                 begin(cid, change, ("config", base, raw), now)
             case ("call", cid, "evac", (zone, on, change)):
                 begin(cid, change, ("evac", zone, on), now)
+            case ("call", cid, "reopen", (name, change)):
+                begin(cid, change, ("reopen", name), now)
             case ("call", cid, "fleet", _):
                 out.append(reply(cid, 100, fleet=fleet(), duties={
                     k[5:]: list(v) for k, (_, v) in sorted(book.items()) if k.startswith("duty/")}))
--- a/silverglade/front/routes.py
+++ b/silverglade/front/routes.py
@@ -67,6 +67,8 @@
             op = (what, ())
         case ("GET", ["v1", "regions", region, "orders"]):
             op = ("orders", (region,))
+        case ("PUT", ["v1", "shards", name, "reopen"]):
+            op = ("reopen", (name, change(head)))
         case ("GET", ["v1", "trace", word]):
             op = ("trace", (word,))
         case ("PUT", ["v1", "replicas", rid]):
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -72,7 +72,7 @@
     "op": lambda b: sound_op(b[3]),
 }
 
-OPS = {"config": "v?", "evac": "sb", "duty": "ssiss"}
+OPS = {"config": "v?", "evac": "sb", "reopen": "s", "duty": "ssiss"}
 
 
 def sound_op(op):
--- a/silverglade/tools/operator.py
+++ b/silverglade/tools/operator.py
@@ -122,6 +122,10 @@
 
 
 def shards(a):
+    if a.what == "reopen":
+        if not a.tenant or not a.yes:
+            raise Fault(506, "reopen wants a tenant and --yes: keys that ran before may run again")
+        return change(a, "PUT", f"/v1/shards/{a.tenant}/reopen")
     duty = good(ask(a.at, "GET", "/v1/fleet", key=a.key))["duties"]
     _, got = everywhere(a.at, "/v1/status", key=a.key)
     held = {t: (n, s) for n, x in got.items() if x for t, s in x.get("shards", {}).items()}
@@ -184,7 +188,11 @@
     p.add_argument("zone")
     changing(p)
     new("replicas", "replicas as declared and probed")
-    new("shards", "tenant shards, owners and followers")
+    p = new("shards", "tenant shards, owners and followers; reopen one whose claims are lost")
+    p.add_argument("what", nargs="?", choices=["list", "reopen"], default="list")
+    p.add_argument("tenant", nargs="?")
+    p.add_argument("--yes", action="store_true", help="keys that ran before may run again")
+    changing(p)
     new("scaler", "replicas wanted and ready by region")
     p = new("trace", "what became of one order")
     p.add_argument("order", help="its idempotency key or its id")
--- /dev/null
+++ b/tests/test_whole.py
@@ -0,0 +1,93 @@
+"""Whole failures (docs/proof.md): any one daemon, a cut-off side, a blackout of everything."""
+import pytest
+
+from silverglade.rehearsal.scene import Scene
+
+from .test_nevers import SEC, hamlet
+
+
+@pytest.mark.parametrize("name", ["core-north", "core-middle", "core-south", "edge-north-0", "edge-middle-0",
+                                  "edge-south-0"])
+def test_killing_any_one_daemon_loses_nothing_acknowledged_and_runs_nothing_twice(name):
+    s = hamlet(seed=11)
+    s.traffic()
+    for i in range(6):
+        s.w.after(i * SEC / 2, s.put)
+    s.w.after(1.3 * SEC, s.w.nodes[name].kill)
+    s.w.run(12)
+    assert s.finish() == []
+    assert sum(c == 100 for _, _, c, _ in s.o.acked) >= 4 and len(s.o.runs) > 60
+
+
+def test_control_calls_on_a_cut_off_side_or_at_a_joining_daemon_change_nothing():
+    s = hamlet()
+    mine = ["core-north", "edge-north-0"]
+    s.w.cut(mine, [x for x in s.w.nodes if x not in mine])
+    s.w.run(3)
+    got = []
+    s.w.call("edge-north-0", "evac", ("middle", True, "e1"), lambda c, kw: got.append(c))
+    s.w.call("edge-north-0", "status", (), lambda c, kw: got.append((c, kw["config"])))
+    s.w.run(6)
+    assert got == [(100, [1, 2]), 503]             # not known there; asking again by its id settles it
+    s.w.heal()
+    s.w.run(3)
+    s.w.call("edge-north-0", "fleet", (), lambda c, kw: got.append(len(kw["fleet"])))
+    s.w.call("edge-north-0", "evac", ("middle", True, "e1"), lambda c, kw: got.append(c))
+    s.w.run(3)
+    assert got[2:] == [6, 100]
+    s.w.nodes["edge-south-0"].kill()
+    s.w.cut(["edge-south-0"], [x for x in s.w.nodes if x != "edge-south-0"])
+    s.w.nodes["edge-south-0"].boot()
+    s.w.run(0.5)
+    s.w.call("edge-south-0", "config-put", ((1, 1), "c1", {}), lambda c, kw: got.append(c))
+    s.w.run(6)
+    assert got[4:] == [504]                        # it never knew a primary: surely nothing was changed
+
+
+def blackout(town, empty=""):
+    """Power lost everywhere at once, a core's disk with it if named."""
+    s = Scene(town=town, seed=4)
+    s.settle()
+    s.traffic()
+    s.w.run(4)
+    s.put()
+    s.w.run(1)
+    for n in s.w.nodes.values():
+        n.kill()
+    for r in s.w.replicas.values():
+        r.kill()
+    if empty:
+        s.w.empty_disk(empty)
+    s.open = False
+    s.w.run(3)
+    s.open = True
+    return s
+
+
+@pytest.mark.parametrize("town", ["hamlet", "navrang"])
+def test_after_a_blackout_of_everything_service_is_back_within_twelve_seconds(town):
+    s = blackout(town)
+    assert s.finish() == []
+    assert [c for _, _, c, _ in s.o.acked] == [100, 100]
+
+
+def test_claims_lost_with_owner_and_follower_shut_their_shard_until_an_operator_reopens_it():
+    s = blackout("navrang", "core-surat")
+    s.peace()
+    s.w.run(10)
+    lost = sorted({dict(r[3])["shard"] for r in s.w.trace if len(r) > 3 and r[2] == "claims-lost"})
+    assert lost
+
+    def chats():
+        oids = [s.order(tenant=t, cls="chat", retry=False, at=s.live(zone=s.t["config"]["tenants"][t]["homes"][0])[0])
+                for t in sorted(s.t["config"]["tenants"])]
+        s.w.run(6)
+        return {s.o.orders[o]["tenant"]: s.o.orders[o]["told"] for o in oids}
+    got = chats()
+    assert {t for t, x in got.items() if x != ("ok",)} == set(lost)
+    assert {x[1] for t, x in got.items() if t in lost} == {303}
+    for t in lost + ["nobody"]:
+        s.w.call("edge-surat-0", "reopen", (t, f"r{t}"), lambda c, kw: s.o.acked.append((s.w.now, "", c, ())))
+    s.w.run(3)
+    assert [c for *_, c, _ in s.o.acked[-len(lost) - 1:]].count(100) == len(lost)
+    assert set(chats().values()) == {("ok",)} and s.o.faults == []
