--- a/silverglade/rehearsal/minute.py
+++ b/silverglade/rehearsal/minute.py
@@ -82,8 +82,7 @@
         f.kill(edge)
         await anyio.sleep(7 * s)
         f.start_daemon(edge)
-        st = (await f.ask(edge if edge in f.up() else f.cores[0], "GET", "/v1/status"))[1]
-        st = st if st else (await f.ask(f.cores[0], "GET", "/v1/status"))[1]
+        st = (await f.ask(f.cores[0], "GET", "/v1/status"))[1]
         prim = st["view"][1]
         f.kill(prim)
         t0 = time.monotonic()
@@ -98,11 +97,10 @@
         f.start_replica(rid)
         await self.leaving(list(f.reps)[1])
         await self.zone(zs[1])
-        if self.town:
-            edge2 = [n for n, d in f.daemons.items() if not d["core"]][-1]
-            f.kill(edge2, signal.SIGSTOP)
-            await anyio.sleep(4 * s)
-            f.kill(edge2, signal.SIGCONT)
+        last = [n for n, d in f.daemons.items() if not d["core"]][-1]
+        f.kill(last, signal.SIGSTOP)
+        await anyio.sleep(4 * s)
+        f.kill(last, signal.SIGCONT)
 
     async def takes(self, dead):
         at = next(n for n in self.f.up() if n != dead)
--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -1,6 +1,6 @@
 """Who lives (design 4): monotone records along rendezvous watch edges."""
 from .part import log, ms, send
-from .rank import ranked, score
+from .rank import score
 
 # record: id, life, inc, beat, zone, region, addr, http, core, state, doubts, extra
 ID, LIFE, INC, BEAT, ZONE, REGION, ADDR, HTTP, CORE, STATE, DOUBTS, EXTRA = range(12)
@@ -164,9 +164,3 @@
                 put(BEAT=recs[me][BEAT] + 1, STATE=s)
                 publish(now)
                 out += [send(i, "bye", recs[me]) for i in edges()]
-
-
-def agreed(key, roll, ok):
-    """The first live daemon in an agreed order (design 5.6)."""
-    o = ranked(key, [r[ID] for r in roll if r[STATE] == "ready" and ok(r)])
-    return o[0] if o else None
