--- a/silverglade/__main__.py
+++ b/silverglade/__main__.py
@@ -13,11 +13,13 @@
     sub = p.add_subparsers(dest="cmd", required=True)
     r = sub.add_parser("run", help="run a daemon")
     r.add_argument("--settings", help="a JSON file of settings; flags go before it")
-    for k in ("name", "zone", "region", "listen", "advertise", "http", "data", "operator_key", "orders_to"):
+    for k in ("name", "zone", "region", "listen", "advertise", "http", "data", "operator_key", "operator_key_file", "replica_key",
+              "replica_key_file", "platform_key", "platform_key_file", "orders_to"):
         r.add_argument("--" + k.replace("_", "-"), dest=k)
     for k in ("seeds", "cores"):
         r.add_argument("--" + k, type=lambda s: s.split(","), help="comma-separated")
     r.add_argument("--log-level", dest="log_level")
+    r.add_argument("--open", dest="open", action="store_true", default=None, help="listen beyond loopback without keys")
     r.add_argument("--check", action="store_true", help="check the settings and stop")
     operator.parsers(sub)
     place.parsers(sub)
--- a/silverglade/control/book.py
+++ b/silverglade/control/book.py
@@ -1,6 +1,8 @@
 """The book (design 5.3): what control holds, key to (version, value).
 
-Keys: "config"; "evac/ZONE"; "duty/KIND/NAME"; "change/ID" (not delivered as news).
+Keys: "config"; "evac/ZONE"; "duty/KIND/NAME"; "floor/KIND"; "change/ID" (not delivered as news).
+A duty that nobody needs any more has the value None for a while (so that daemons drop it); its
+epoch is kept in the kind's floor, above which every new duty begins (5.6).
 A version is (epoch, number); (0, 0) is before everything.
 """
 from .. import config
@@ -24,9 +26,10 @@
 
 
 def pruned(book):
-    """Keys of outcomes beyond those kept."""
+    """Keys of outcomes, and of duties dropped, beyond those kept."""
     cs = sorted((v, k) for k, (v, _) in book.items() if k.startswith("change/"))
-    return tuple(k for _, k in cs[:-KEEP]) if len(cs) > KEEP else ()
+    ds = sorted((v, k) for k, (v, x) in book.items() if x is None)
+    return tuple(k for t in (cs, ds) if len(t) > KEEP for _, k in t[:-KEEP])
 
 
 def decide(book, op, at):
@@ -52,7 +55,14 @@
             old = get(book, f"duty/{kind}/{name}")
             if (old[0] if old else 0) != base:
                 return ("refuse", 501, name)
-            return ("take", ((f"duty/{kind}/{name}", (base + 1, holder, follower)),))
+            e = max(base, 0 if old else get(book, f"floor/{kind}", 0)) + 1
+            return ("take", ((f"duty/{kind}/{name}", (e, holder, follower)),))
+        case ("drop", kind, names):
+            olds = {n: get(book, f"duty/{kind}/{n}") for n in names}
+            olds = {n: d for n, d in olds.items() if d}
+            floor = max([get(book, f"floor/{kind}", 0)] + [d[0] for d in olds.values()])
+            return ("take", ((f"floor/{kind}", floor), *((f"duty/{kind}/{n}", None) for n in sorted(olds)))
+                    if olds else ())
         case ("reopen", name):                # an operator accepts that its claims are lost (6.4)
             old = get(book, f"duty/shard/{name}")
             if old is None:
--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -81,6 +81,8 @@
         for k, iv, x in items:
             if iv > book.get(k, (bk.START,))[0]:
                 book[k] = (iv, x)
+        for k in bk.pruned(book):
+            del book[k]
         shown = max(shown, v)
 
     def commit(now):
@@ -189,7 +191,11 @@
         if have not in (prev, at):
             return                      # the primary will copy afresh on its next opening
         store.update({k: (v, x) for k, v, x in items})
-        write([("put", "book", k, (v, x)) for k, v, x in items] or keep(last=n),
+        gone = bk.pruned(store)                  # as its primary did
+        for k in gone:
+            del store[k]
+        write([("put", "book", k, (v, x)) for k, v, x in items] + [("del", "book", k) for k in gone]
+              or keep(last=n),
               lambda k, t: out.append(send(frm, "repd", e, n)) if k else None, now)
 
     def on_hb(frm, m, now):
@@ -348,10 +354,10 @@
                         pend and pend["cid"] == (frm, n)):
                     # asked again while it waits: once is enough. No room: no word, asked again
                     ops.append(((frm, n), change, op, key))
-            case ("duties", todo):
+            case ("duties" | "drop" as what, *todo):
                 # only what was decided in touch with the backup: a cut-off roll is no ground
                 near = fresh is not None and now - fresh <= opt["takeover"]
-                if is_primary() and opened == view[0] and near and not ops and not pend and todo:
-                    ops.append((None, "", ("duties", tuple(todo)), ""))
+                if is_primary() and opened == view[0] and near and not ops and not pend:
+                    ops.append((None, "", (what, *todo), ""))
         if is_primary() and opened == view[0]:
             begin(now)
--- a/silverglade/daemon/disk.py
+++ b/silverglade/daemon/disk.py
@@ -37,8 +37,9 @@
                         os.path.join(self.folder, FILE)):
                     raise Fault(702, "the file is not silverglade's")
                 new = True
-            elif q("PRAGMA user_version").fetchone()[0] != SHAPE:
-                raise Fault(702, "the file has a layout of another version")
+            elif (v := q("PRAGMA user_version").fetchone()[0]) != SHAPE:
+                raise Fault(702, f"the file has layout {v}, this program reads {SHAPE}: start the program that wrote"
+                                 " it; or move the folder away, start empty, and let this core rejoin by a copy")
         q("PRAGMA locking_mode=EXCLUSIVE")
         q("PRAGMA journal_mode=DELETE")
         q("PRAGMA synchronous=EXTRA")
--- a/silverglade/daemon/links.py
+++ b/silverglade/daemon/links.py
@@ -1,9 +1,14 @@
-"""Links between daemons (design 3.1): one task per peer owns its socket; frames over TCP."""
+"""Links between daemons (design 3.1): a task for each peer and lane owns its socket; frames over TCP.
+
+Three connections to each peer, so that a heartbeat waits neither behind a body nor behind a
+copy of the whole book: what keeps the system together, what concerns orders, what is bulky.
+"""
 import anyio
 
 from .. import wire
 from ..faults import Fault
 from ..log import line
+from .lanes import lane
 
 QUEUE = 4096
 
@@ -14,8 +19,8 @@
 
 
 class Links:
-    def __init__(self, *, me, life, addr, inbox, lg):
-        self.me, self.life, self.addr, self.inbox, self.lg = me, life, addr, inbox, lg
+    def __init__(self, *, me, life, addr, heard, lg):
+        self.me, self.life, self.addr, self.heard, self.lg = me, life, addr, heard, lg
         self.at, self.out, self.group, self.lost = {}, {}, None, 0
 
     def peer(self, name, addr):
@@ -26,11 +31,12 @@
         addr = to[1:] if to.startswith("@") else self.at.get(to)
         if addr is None or self.group is None:
             return
-        if addr not in self.out:
-            self.out[addr], r = anyio.create_memory_object_stream(QUEUE)
+        way = (addr, "bulk" if body[0] in wire.BULK else lane(body[0]))
+        if way not in self.out:
+            self.out[way], r = anyio.create_memory_object_stream(QUEUE)
             self.group.start_soon(self.link, addr, r)
         try:
-            self.out[addr].send_nowait(wire.pack(frm=self.me, life=self.life, body=body))
+            self.out[way].send_nowait(wire.pack(frm=self.me, life=self.life, body=body))
         except anyio.WouldBlock:
             self.lost += 1
         except Fault as e:
@@ -68,7 +74,7 @@
                 async for chunk in s:
                     for raw in fr.send(chunk):
                         frm, _, body = wire.unpack(raw)
-                        await self.inbox.send(("msg", frm, body))
+                        await self.heard(frm, body)
             except Fault as e:
                 self.lg.warning(line("frame-refused", [("code", e.code), ("why", e.detail)]))
             except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -1,4 +1,5 @@
 """The daemon (design 1.3): tasks round one hub, each owning its socket or its file."""
+import contextlib
 import random
 import secrets
 import signal
@@ -6,6 +7,7 @@
 from datetime import timedelta
 
 import anyio
+import anyio.lowlevel
 import anyio.to_thread
 
 from ..faults import Fault
@@ -14,10 +16,12 @@
 from ..rank import first
 from . import callout
 from .disk import Store
+from .lanes import Lanes
 from .links import Links
 from .tree import keep
 
-INBOX, RELAY, DISK = 4096, 256, 4096
+RELAY, DISK, GROUP = 256, 4096, 256
+BODIES = 64 * 1024 * 1024          # bytes of visitors' bodies held at once
 DRAIN = timedelta(seconds=30)
 
 
@@ -31,16 +35,16 @@
         self.lg, self.reread, self.opt = lg, reread, s["tuning"]
         self.store = Store(folder=s["data"], name=s["name"]) if s["data"] else None
         self.life = secrets.token_hex(6)
-        self.put, self.inbox = anyio.create_memory_object_stream(INBOX)
+        self.lanes, self.bodies, self.held = Lanes(), 0, set()
         self.disk_put, self.disk_get = anyio.create_memory_object_stream(DISK)
-        self.links = Links(me=s["name"], life=self.life, addr=s["listen"], inbox=self.put, lg=lg)
+        self.links = Links(me=s["name"], life=self.life, addr=s["listen"], heard=self.lanes.heard, lg=lg)
         self.hub = Hub(me=s["name"], life=self.life, zone=s["zone"], region=s["region"],
                        addr=s["advertise"] or s["listen"], http=s["http"], seeds=s["seeds"], cores=tuple(s["cores"]),
                        opt=self.opt, rng=random.Random(secrets.randbits(64)),
                        disk=self.store.id if self.store else "",
                        saved=self.store.load() if self.store else None)
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
-        self.relays, self.calls, self.n, self.counts = {}, {}, 0, {}
+        self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
         self.stopping, self.ready = anyio.Event(), anyio.Event()
 
     # for the front: orders and calls
@@ -51,22 +55,41 @@
     async def order(self, oid, spec):
         """-> the order's results as a bounded stream."""
         w, r = anyio.create_memory_object_stream(RELAY)
+        self.lanes.knock(("order", oid, spec))
         self.relays[oid] = w
-        await self.put.send(("order", oid, spec))
         return r
 
     async def gone(self, oid):
         if self.relays.pop(oid, None):
-            await self.put.send(("gone", oid))
+            await self.lanes.send(("gone", oid), "door")
+
+    async def drained(self, oid, n):
+        """A visitor has taken n results of its order: whoever sends them on may go on (6.6)."""
+        await self.lanes.send(("drained", oid, n), "work")
 
     async def call(self, op, args):
         self.n += 1
         cid, done = f"c{self.n}", anyio.Event()
+        ev = ("call", cid, op, args)
+        if op == "head":
+            self.lanes.knock(ev)
         self.calls[cid] = box = [done, None]
-        await self.put.send(("call", cid, op, args))
+        if op != "head":
+            await self.lanes.send(ev)
         await done.wait()
         return box[1]
 
+    @contextlib.contextmanager
+    def hold(self, size):
+        """Room for one visitor's body, or a refusal at once."""
+        if self.bodies + size > BODIES:
+            raise Fault(310, "bodies")
+        self.bodies += size
+        try:
+            yield
+        finally:
+            self.bodies -= size
+
     # effects of the hub
     def act(self, e):
         match e:
@@ -77,8 +100,9 @@
             case ("disk", token, ops):
                 try:
                     self.disk_put.send_nowait((token, ops))
-                except anyio.WouldBlock:
+                except anyio.WouldBlock:            # its waiter hears that it is not on disk
                     self.lg.error(line("disk-queue-full", []))
+                    self.group.start_soon(self.lanes.send, ("disk", token, False, None))
             case ("dispatch", did, rid, addr, meta, body):
                 self.group.start_soon(self.dispatch, did, addr, meta, body)
             case ("abort", did):
@@ -93,6 +117,8 @@
                 if box:
                     box[1] = (code, kw)
                     box[0].set()
+            case ("ease", oid, on):
+                self.held.discard(oid) if on else self.held.add(oid)
             case ("log", ev, pairs):
                 self.counts[ev] = self.counts.get(ev, 0) + 1
                 self.lg.info(line(ev, pairs))
@@ -106,7 +132,7 @@
         except (anyio.WouldBlock, anyio.BrokenResourceError):   # a visitor too slow, or gone
             self.relays.pop(oid)
             w.close()
-            self.group.start_soon(self.put.send, ("gone", oid))
+            self.group.start_soon(self.lanes.send, ("gone", oid), "door")
             return
         if kind in ("whole", "done", "fault"):
             self.relays.pop(oid)
@@ -118,10 +144,11 @@
         oid = did.rsplit(".", 1)[0]
 
         async def tell(*what):
-            await self.put.send(("ran", did, *what))
+            await self.lanes.send(("ran", did, *what), "work")
 
         async def room():
-            while (w := self.relays.get(oid)) and w.statistics().current_buffer_used > RELAY // 2:
+            while oid in self.held or (
+                    (w := self.relays.get(oid)) and w.statistics().current_buffer_used > RELAY // 2):
                 await anyio.sleep(0.01)
         with anyio.CancelScope() as scope:
             self.jobs[did] = scope
@@ -130,33 +157,47 @@
                                        tell=tell, room=room)
             finally:
                 self.jobs.pop(did, None)
+                self.held.discard(oid)
 
     async def probe(self, rid, inc, addr):
-        await self.put.send(("probed", rid, inc, await callout.probe(pool=self.pool, addr=addr)))
+        await self.lanes.send(("probed", rid, inc, await callout.probe(pool=self.pool, addr=addr)))
 
     # tasks
     async def think(self):
         """Owns the hub. A fault in here leaves its state untrusted, so it ends the daemon."""
-        async for ev in self.inbox:
+        while True:
+            ev = await self.lanes.take()
             for e in self.hub.feed(clock(), ev):
                 self.act(e)
+            self.fed += 1
+            if self.fed % 64 == 0:
+                await anyio.lowlevel.checkpoint()    # sockets and pulse get their turn in a crowd
 
     async def pulse(self):
         gap = self.opt["pulse"] / timedelta(seconds=1)
         while True:
-            await self.put.send(("pulse",))
+            self.lanes.pulse()
             await anyio.sleep(gap)
 
     async def write(self):
-        """The one writer: a stalled disk holds up this task alone."""
-        async for token, ops in self.disk_get:
+        """The one writer: a stalled disk holds up this task alone. What waits is synced together."""
+        while True:
+            got = [await self.disk_get.receive()]
+            while len(got) < GROUP:
+                try:
+                    got.append(self.disk_get.receive_nowait())
+                except anyio.WouldBlock:
+                    break
+            ok = True
+            await anyio.sleep(self.opt["drill_disk"])
             try:
-                await anyio.to_thread.run_sync(self.store.write, ops, abandon_on_cancel=True)
-                ok = True
+                await anyio.to_thread.run_sync(self.store.write, [op for _, ops in got for op in ops],
+                                               abandon_on_cancel=True)
             except Exception as e:                    # noqa: BLE001  full, failing, gone
                 ok = False
-                self.lg.error(line("disk-write", [("why", e)]))
-            await self.put.send(("disk", token, ok, None))
+                self.lg.error(line("disk-write", [("why", e), ("writes", len(got))]))
+            for token, _ in got:
+                await self.lanes.send(("disk", token, ok, None))
 
     async def platform(self):
         """The first live daemon of the region, in the agreed order, sends its orders on (9.6)."""
@@ -175,13 +216,13 @@
     async def drain(self):
         """SIGTERM: no new orders, the others learn it, those under way end (design 1.4)."""
         self.lg.info(line("drain", []))
-        await self.put.send(("drain",))
-        await self.put.send(("state", "leaving"))
+        await self.lanes.send(("drain",))
+        await self.lanes.send(("state", "leaving"))
         end = clock() + DRAIN
         while clock() < end and (self.relays or self.jobs):
             await anyio.sleep(0.1)
         await anyio.sleep(0.3)
-        await self.put.send(("state", "left"))
+        await self.lanes.send(("state", "left"))
         await anyio.sleep(0.3)
         self.stopping.set()
 
--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -101,8 +101,10 @@
                     begin(None, "", op, now)
             case ("note", k, v):
                 notes[k] = v
-            case ("orders", run, handed, budget, spills):
-                notes.update(orders=dict(running=run, handed=handed), retries=budget, spills=spills)
+            case ("orders", run, handed, spills):
+                notes.update(orders=dict(running=run, handed=handed), spills=spills)
+            case ("retries", n):
+                notes["retries"] = n
             case ("shards", rows):
                 notes["shards"] = {t: dict(epoch=e, follower=f, open=o, claims=c, waiting=w)
                                    for t, e, f, o, c, w in rows}
--- a/silverglade/front/app.py
+++ b/silverglade/front/app.py
@@ -2,32 +2,37 @@
 import json
 import random
 
+import anyio
+
 from ..faults import Fault, body as fault_body, status
 from .routes import route
 
 CAP = 4 * 1024 * 1024 + 1024
+BODY_SECS = 20
 
 
 def headers(scope):
     return {k.decode("latin-1").lower(): v.decode("latin-1") for k, v in scope["headers"]}
 
 
-async def read(receive, head):
-    """The read stage: the whole body, capped; a body cut off is refused."""
+async def read(receive, head, cap=CAP):
+    """The body stage: the whole of it, capped, in bounded time; a body cut off is refused."""
     want = head.get("content-length", "")
-    if want.isdigit() and int(want) > CAP:
-        raise Fault(204, f"{CAP} bytes at most")
+    if want.isdigit() and int(want) > cap:
+        raise Fault(204, f"{cap} bytes at most")
     got, size = [], 0
-    while True:
-        m = await receive()
-        if m["type"] == "http.disconnect":
-            raise Fault(205)
-        got.append(m.get("body", b""))
-        size += len(got[-1])
-        if size > CAP:
-            raise Fault(204, f"{CAP} bytes at most")
-        if not m.get("more_body"):
-            return b"".join(got)
+    with anyio.move_on_after(BODY_SECS):
+        while True:
+            m = await receive()
+            if m["type"] == "http.disconnect":
+                raise Fault(205)
+            got.append(m.get("body", b""))
+            size += len(got[-1])
+            if size > cap:
+                raise Fault(204, f"{cap} bytes at most")
+            if not m.get("more_body"):
+                return b"".join(got)
+    raise Fault(311)
 
 
 async def answer(send, code, data, extra=()):
@@ -53,17 +58,28 @@
 
 
 async def visit(d, cls, scope, receive, send):
-    """One order: read, admit, then its results as they come."""
+    """One order: its head, then room for its body, then the body, then its results as they come."""
     head = headers(scope)
+    key, due, prefix, attempt = (head.get(k, "") for k in (
+        "idempotency-key", "silverglade-due", "silverglade-prefix", "silverglade-attempt"))
+    ran = "no" if not key or attempt == "1" else "maybe"      # no owner has looked (design 6.5)
     try:
-        b = await read(receive, head)
+        code, kw = await d.call("head", (bearer(head), cls, key, due, prefix, attempt))
+        if code != 100:
+            return await refuse(send, code, ran=kw.get("ran", ran), wait=kw.get("wait"), detail=kw.get("detail", ""))
+        n = head.get("content-length", "")
+        with d.hold(min(int(n), kw["cap"]) if n.isdigit() and len(n) < 12 else kw["cap"]):
+            b = await read(receive, head, kw["cap"])
+            oid = d.oid()
+            res = await d.order(oid, (bearer(head), cls, key, due, prefix, attempt, b))
+            return await results(d, oid, res, receive, send)
     except Fault as e:
-        return await refuse(send, e.code, detail=e.detail)
-    oid = d.oid()
-    spec = (bearer(head), cls, head.get("idempotency-key", ""), head.get("silverglade-due", ""),
-            head.get("silverglade-prefix", ""), head.get("silverglade-attempt", ""), b)
-    res, key, began, ended = await d.order(oid, spec), "", False, False
-    import anyio
+        return await refuse(send, e.code, ran=ran, wait=1000 if e.code == 310 else None, detail=e.detail)
+
+
+async def results(d, oid, res, receive, send):
+    """An order's results to its visitor, as they come."""
+    key, began, ended = "", False, False
     async with anyio.create_task_group() as tg:
         async def watch():
             while (await receive())["type"] != "http.disconnect":
@@ -88,6 +104,8 @@
                         await send({"type": "http.response.start", "status": 200, "headers": [
                             (b"content-type", b"text/event-stream"), *mark]})
                     await send(event("", n, data))
+                    if n % 32 == 0:
+                        await d.drained(oid, n)
                 case ("done", n, *_):
                     await send(event("done", n, b""))
                     await send({"type": "http.response.body", "body": b""})
--- a/silverglade/front/routes.py
+++ b/silverglade/front/routes.py
@@ -4,6 +4,7 @@
 import secrets
 
 from ..faults import CODES, Fault, status
+from ..options import ROLES
 from .metrics import exposition
 
 
@@ -44,11 +45,31 @@
     return tuple(out)
 
 
+def roles(verb, p):
+    """Who may make this call (design 8.7)."""
+    if p[:2] == ["v1", "replicas"] and verb in ("PUT", "DELETE"):
+        return ("replica",)
+    if p[:2] == ["v1", "platform"]:
+        return ("platform",)
+    if p[:2] == ["v1", "regions"]:
+        return ("platform", "operator")
+    return ("operator",)
+
+
+def let_in(s, verb, p, key):
+    """The caller's key against the roles of the call; a role without a key is open."""
+    want = [s[f"{r}_key"] for r in roles(verb, p)]
+    if p == ["healthz"] or not all(want) or any(hmac.compare_digest(key.encode(), w.encode()) for w in want):
+        return
+    if not key:
+        raise Fault(201, "this call wants the key of " + " or ".join(roles(verb, p)))
+    other = any(s[f"{r}_key"] and hmac.compare_digest(key.encode(), s[f"{r}_key"].encode()) for r in ROLES)
+    raise Fault(511 if other else 202, "this call wants the key of " + " or ".join(roles(verb, p)))
+
+
 async def route(d, verb, path, head, body, send, answer, key):
-    want = d.s["operator_key"]
-    if want and path != "/healthz" and not hmac.compare_digest(key, want):
-        raise Fault(201 if not key else 202, "this call wants the operator's key")
     p = [x for x in path.split("/") if x]
+    let_in(d.s, verb, p, key)
     match (verb, p):
         case ("GET", ["healthz"]):
             return await answer(send, 200, {"daemon": d.s["name"]})
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -8,7 +8,7 @@
 from . import __version__
 from .control.core import core
 from .desk import desk
-from .messages import checked
+from .messages import checked, known
 from .news import keeper, news
 from .part import log, start
 from .path.ingress import ingress
@@ -26,7 +26,7 @@
     "ledger": ("lease", "release", "renew"),
     "owner": ("ask", "leased", "unleased", "offer", "claimed", "unclaimed", "adopted",
               "unadopted", "copied", "fin", "quit"),
-    "path": ("grant", "deny", "moved", "hand", "left", "res"),
+    "path": ("grant", "deny", "moved", "hand", "left", "res", "more"),
     "news": ("news",),
     "desk": ("opr",),
     "control": ("hb", "prep", "acc", "prom", "accd", "nack", "snap", "snapok", "repl", "repd",
@@ -34,7 +34,7 @@
     "follower": ("claim", "mark", "adopt", "copy"),
 }
 CALLS = {"replica-put": "registry", "replica-leave": "registry", "platform": "registry",
-         "trace": "path"}
+         "trace": "path", "head": "path"}
 
 
 class Hub:
@@ -56,7 +56,7 @@
             saved = saved or {}
             p["control"] = core(me=me, disk=disk, cores=cores, saved=saved, opt=opt, rng=rng)
             p["keeper"] = keeper(cores=cores, opt=opt)
-            p["follower"] = follower(saved=saved, opt=opt)
+            p["follower"] = follower(me=me, saved=saved, opt=opt)
         for g in p.values():
             start(g)
         self.hear = {k: n for n, ks in HEARS.items() for k in ks if n in p}
@@ -71,7 +71,7 @@
                 return (self.hear[kind],) if kind in self.hear else ()
             case ("disk", (part, _), _, _):
                 return (part,)
-            case ("order" | "gone" | "ran" | "drain", *_):
+            case ("order" | "gone" | "ran" | "drain" | "drained", *_):
                 return ("path",)
             case ("probed", *_):
                 return ("ledger",)
@@ -85,7 +85,9 @@
         out = []
         to = self.aim(ev)
         if not to or (ev[0] == "msg" and not checked(ev[2])):
-            return [log("message-refused", sender=str(ev[1:2])[:40], event=str(ev)[:80])]
+            return [log("message-refused", sender=str(ev[1:2])[:40], what=str(ev)[:80])]
+        if ev[0] == "msg":
+            ev = (*ev[:2], known(ev[2]))
         self.queue.extend((t, ev) for t in to)
         while self.queue:
             part, e = self.queue.popleft()
--- a/silverglade/log.py
+++ b/silverglade/log.py
@@ -5,8 +5,27 @@
 import picologging
 
 
+class Patient:
+    """A stream that may be full or gone: a line is lost then, never the daemon."""
+
+    def __init__(self, stream):
+        self.stream, self.lost = stream, 0
+
+    def write(self, s):
+        try:
+            self.stream.write(s)
+        except (OSError, ValueError):
+            self.lost += 1
+
+    def flush(self):
+        try:
+            self.stream.flush()
+        except (OSError, ValueError):
+            self.lost += 1
+
+
 def setup(*, level="INFO", stream=None):
-    h = picologging.StreamHandler(stream or sys.stderr)
+    h = picologging.StreamHandler(Patient(stream or sys.stderr))
     h.setFormatter(picologging.Formatter("%(message)s"))
     lg = picologging.getLogger("silverglade")
     lg.handlers = [h]
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -8,8 +8,8 @@
     "lease": "siss", "release": "ssb", "renew": "sit", "leased": "ssi", "unleased": "sss", "offer": "siss",
     "ask": "sisit", "claimed": "sis", "unclaimed": "siss", "adopted": "sit", "unadopted": "sis",
     "copied": "sii", "fin": "sis", "quit": "s",
-    "grant": "sisisib", "deny": "siis?", "moved": "si",
-    "hand": "ssssbisiy", "left": "s", "res": "sis...",
+    "grant": "sisisib...", "deny": "siis?", "moved": "si",
+    "hand": "ssssbisiy", "left": "s", "more": "si", "res": "sis...",
     "news": "ivtii", "opr": "it", "hb": "o?vbsibiii",
     "prep": "o", "acc": "o?", "prom": "oso?", "accd": "os", "nack": "oso",
     "snap": "iio?t", "snapok": "iis", "repl": "iivvt", "repd": "ii", "items": "ivvt",
@@ -44,10 +44,14 @@
     if sh is None:
         return False
     rest = body[1:]
-    if sh.endswith("..."):
-        sh = sh[:-3]
-        rest = rest[:len(sh)]
-    return len(rest) == len(sh) and all(fits(x, k) for x, k in zip(rest, sh))
+    sh = sh.removesuffix("...")
+    return len(rest) >= len(sh) and all(fits(x, k) for x, k in zip(rest, sh))
+
+
+def known(body):
+    """The fields that this program knows: a later one may have added some behind them (3.2)."""
+    sh = SHAPES[body[0]]
+    return body if sh.endswith("...") else body[:1 + len(sh)]
 
 
 def rows(t, sh):
@@ -61,7 +65,7 @@
     "copy": lambda b: rows(b[4], "sssi"),
     "reps": lambda b: rows(b[3], "si"),
     "renew": lambda b: rows(b[3], "ss"),
-    "ask": lambda b: rows((b[5],), "sssi"),
+    "ask": lambda b: rows((b[5][:4],), "sssi"),
     "opr": lambda b: len(b[2]) >= 1 and type(b[2][0]) is str and (
         b[2][0] not in ("ok", "refuse", "elsewhere") or rows(
             (b[2],), {"ok": "sv", "refuse": "sis", "elsewhere": "ss"}[b[2][0]])),
@@ -72,7 +76,7 @@
     "op": lambda b: sound_op(b[3]),
 }
 
-OPS = {"config": "v?", "evac": "sb", "reopen": "s", "duty": "ssiss"}
+OPS = {"config": "v?", "evac": "sb", "reopen": "s", "duty": "ssiss", "drop": "st"}
 
 
 def sound_op(op):
--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -55,7 +55,8 @@
                     continue
                 new = [i for i in items if i[1] > book.get(i[0], (bk.START,))[0]]
                 if new or v > held:
-                    book = dict(book, **{k: (iv, x) for k, iv, x in new})
+                    book = {k: v for k, v in {**book, **{k: (iv, x) for k, iv, x in new}}.items()
+                            if v[1] is not None}     # a duty dropped is none here
                     held = max(held, v)
                     out += [("cast", ("book", book, held)),
                             ("post", "roster", ("extra", "news", held))]
@@ -77,7 +78,19 @@
     copied. A ledger has no follower.
     """
     from .rank import first
-    roll, book, reps, due, out = (), {}, (), ZERO, []
+    roll, book, reps, due, out, idle = (), {}, (), ZERO, [], {}
+
+    def needless(now):
+        """Duties of replicas and tenants that have been gone for long (design 5.6): -> kind, names."""
+        nonlocal idle
+        ts = (bk.get(book, "config") or {"tenants": {}})["tenants"]
+        need = {f"duty/shard/{t}" for t in ts} | {f"duty/ledger/{r}" for r, _ in reps}
+        idle = {k: idle.get(k, now) for k in book if k.startswith("duty/") and k not in need}
+        for kind in ("shard", "ledger"):
+            p = f"duty/{kind}/"
+            names = tuple(k[len(p):] for k, t in sorted(idle.items()) if k.startswith(p) and now - t > opt["forget"])
+            if names:
+                yield kind, names[:256]
 
     def want():
         cfg = bk.get(book, "config")
@@ -111,3 +124,5 @@
                 todo = tuple(want())
                 if todo:
                     out.append(("post", "control", ("duties", todo)))
+                else:
+                    out += [("post", "control", ("drop", *d)) for d in needless(now)]
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -1,4 +1,5 @@
 """A daemon's settings (design 8.1): from a JSON file and flags, checked whole."""
+import ipaddress
 import json
 from datetime import timedelta as td
 
@@ -34,6 +35,8 @@
     "retry_share": c.number(default=0.10, most=1.0),
     "retry_stop": c.number(default=0.20, most=1.0),
     "retry_window": c.span(default=td(seconds=30)),
+    "forget": c.span(default=td(seconds=600)),           # a replica or tenant gone this long leaves no record
+    "drill_disk": c.number(default=0.0, most=60.0),      # seconds before each write: rehearsals of a slow disk
     "scale_every": c.span(default=td(seconds=2)),
     "scale_trend": c.span(default=td(seconds=10)),
     "scale_hold": c.span(default=td(seconds=6)),
@@ -55,7 +58,8 @@
     "seeds": c.each(c.address(), least=1),
     "cores": c.each(c.text(), least=3, unique=True),
     "data": c.text(default=""),
-    "operator_key": c.text(default=""),
+    **{f"{r}_{k}": c.text(default="") for r in ("operator", "replica", "platform") for k in ("key", "key_file")},
+    "open": c.flag(default=False),  # listen beyond loopback without keys
     "orders_to": c.text(default=""),
     "log_level": c.oneof("DEBUG", "INFO", "WARNING", default="INFO"),
     "tuning": c.table(TUNING, default=None),
@@ -81,12 +85,42 @@
         bad += (("data", "only a daemon named in cores keeps data"),)
     if not bad and not out["data"] and out["name"] in out["cores"]:
         bad += (("data", "a core needs a data folder"),)
+    bad += keyed(out) if not bad else ()
     if bad:
         raise Fault(701, said(bad))
     out["tuning"] = out["tuning"] or tuning()
     return out
 
 
+ROLES = ("operator", "replica", "platform")
+
+
+def keyed(s):
+    """Each role's key from its file or literal; -> faults. Beyond loopback there must be all (8.7)."""
+    bad = []
+    for r in ROLES:
+        name, path = f"{r}_key", s[f"{r}_key_file"]
+        if path and s[name]:
+            bad.append((name, "is given twice, in the settings and by a file"))
+        elif path:
+            try:
+                with open(path, encoding="utf-8") as f:
+                    s[name] = f.read().strip()
+            except (OSError, ValueError) as e:
+                bad.append((f"{name}_file", f"cannot be read: {e}"))
+                continue
+            if not s[name]:
+                bad.append((f"{name}_file", "holds no key"))
+    held = [s[f"{r}_key"] for r in ROLES if s[f"{r}_key"]]
+    if len(set(held)) < len(held):
+        bad.append(("keys", "each role wants a key of its own"))
+    near = ipaddress.ip_address(s["http"].rsplit(":", 1)[0].strip("[]")).is_loopback
+    if not bad and not near and not s["open"] and len(held) < len(ROLES):
+        bad.append(("http", "listens beyond loopback: it wants operator_key, replica_key and platform_key"
+                            " (or their files), or open set outright"))
+    return tuple(bad)
+
+
 def read(*, path, flags):
     raw = {}
     if path:
--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -7,10 +7,11 @@
 from ..rank import ranked
 from ..replicas.registry import INC, evacuated, usable
 from .admit import admit, sure
-from .budget import Budget
 from .order import order
 
 
+WINDOW = 128         # pieces handed on that its visitor has not taken yet (6.6)
+KNOWN = 4096         # keys remembered, to tell a repeated one without its header
 TALES = 512          # orders whose steps are remembered for `silverglade trace`
 
 
@@ -19,7 +20,7 @@
 
     def __init__(self, *, opt):
         self.opt, self.book, self.reps, self.roll, self.ids = opt, {}, {}, (), set()
-        self.spills, self.evac, self.heard, self.budget = 0, set(), None, Budget(opt=opt)
+        self.spills, self.evac, self.heard = 0, set(), None
 
     def duty(self, tenant):
         return bk.get(self.book, f"duty/shard/{tenant}")
@@ -47,7 +48,7 @@
 
 def ingress(*, me, life, zone, opt):
     ctx, gens, hands, guests, out = Ctx(opt=opt), {}, {}, {}, []
-    num, drain, tale, clock = 0, False, LRI(max_size=TALES), None
+    num, drain, tale, clock, known = 0, False, LRI(max_size=TALES), None, LRI(max_size=KNOWN)
 
     def run(oid, now, ev):
         """Drive one order's generator and sort its effects."""
@@ -83,15 +84,22 @@
             case ("result", _, *r) if oid in guests:
                 g = guests[oid]
                 g["seq"] += 1
+                if r[0] == "piece":                  # its visitor is slow: the replica is not read on
+                    g["piece"] = r[1]
+                    if not g["held"] and r[1] - g["taken"] > WINDOW:
+                        g["held"] = True
+                        out.append(("ease", oid, False))
                 out.append(send(g["to"], "res", oid, g["seq"], *r))
-            case ("served", *r):
+            case ("served" | "repeat", *_):
                 out.append(("cast", e))
             case _:
                 out.append(e)
 
     def start_(oid, f, body, now):
-        ctx.budget.fresh(now) if f["attempt"] < 2 else None
-        if f["attempt"] < 2:
+        k = (f["tenant"], f["key"])
+        f["counted"] = f["attempt"] < 2 and k not in known      # a retry never feeds lambda (9.3)
+        known[k] = True
+        if f["counted"]:
             out.append(("cast", ("arrived", f["kind"])))
         gens[oid] = g = order(oid=oid, f=f, body=body, opt=opt, ctx=ctx, me=me, now=now)
         for e in next(g):
@@ -101,6 +109,24 @@
         out.append(("result", oid, "fault", code, ran, wait, detail))
         mark(oid, clock, f"told {code} ran={ran}")
 
+    def head(bearer, cls, key, due, prefix, attempt, now):
+        """The head of an order, before its body is read: -> (code, what to say or the body's cap)."""
+        cfg = bk.get(ctx.book, "config")
+        try:
+            f = admit(cfg=cfg, bearer=bearer, cls=cls, key=key, due=due, prefix=prefix, attempt=attempt,
+                      size=0, minted="-")
+        except Fault as e:
+            return e.code, dict(ran=blank(e, key, attempt), detail=e.detail,
+                                wait=1000 if e.code == 309 else None)
+        if drain:
+            return 308, dict(ran="no" if sure(f) else "maybe", wait=1000)
+        return 100, dict(cap=cfg["body_cap"])
+
+    def blank(e, key, attempt):
+        """What a refusal of the head may promise."""
+        known = key and (attempt.isdigit() and int(attempt) > 1 or e.code == 309 and attempt != "1")
+        return "maybe" if known else "no"
+
     def fresh_order(oid, spec, now):
         nonlocal num
         tale[oid] = dict(order=oid, key=spec[2], cls=spec[1], born=now, steps=[])
@@ -111,16 +137,12 @@
             f = admit(cfg=cfg, bearer=bearer, cls=cls, key=key, due=due, prefix=prefix,
                       attempt=attempt, size=len(body), minted=f"{me}-{life}-{num}")
         except Fault as e:
-            known = key and (attempt.isdigit() and int(attempt) > 1 or e.code == 309 and attempt != "1")
-            return refuse(oid, e.code, "maybe" if known else "no", 1000 if e.code == 309 else None,
-                          e.detail)
+            return refuse(oid, e.code, blank(e, key, attempt), 1000 if e.code == 309 else None, e.detail)
         tale[oid].update(key=f["key"], tenant=f["tenant"])
         out.append(("result", oid, "key", f["key"], f["stream"]))
         maybe = "no" if sure(f) else "maybe"
         if drain:
             return refuse(oid, 308, maybe, 1000)
-        if f["attempt"] > 1 and not ctx.budget.visitor(now):
-            return refuse(oid, 305, maybe, 2000)
         if not ctx.fresh(now):
             return refuse(oid, 307, maybe, 1000)
         if zone in f["homes"]:
@@ -148,7 +170,7 @@
         """An order handed to us from outside its homes; we are its ingress now."""
         if oid in guests:
             return
-        guests[oid] = dict(to=frm, seq=0, at=now)
+        guests[oid] = dict(to=frm, seq=0, at=now, piece=0, taken=0, held=False)
         no = lambda code, ran: (settle(oid, ("result", oid, "fault", code, ran, 1000)),
                                 settle(oid, ("end", oid)))
         try:
@@ -217,6 +239,16 @@
                 ctx.heard = None
             case ("drain",):
                 drain = True
+            case ("call", cid, "head", spec):
+                out.append(("reply", cid, *head(*spec, now)))
+            case ("drained", oid, n) if oid in hands:
+                out.append(send(hands[oid]["to"], "more", oid, n))
+            case ("msg", frm, ("more", str(oid), int(n))) if oid in guests and guests[oid]["to"] == frm:
+                g = guests[oid]
+                g["taken"] = max(g["taken"], n)
+                if g["held"] and g["piece"] - g["taken"] <= WINDOW // 2:
+                    g["held"] = False
+                    out.append(("ease", oid, True))
             case ("order", oid, spec):
                 fresh_order(oid, spec, now)
             case ("gone", oid):
@@ -241,5 +273,4 @@
                 if frm == hands[oid]["to"]:
                     relay(oid, hands[oid], seq, r, now)
             case ("look",):
-                out.append(("post", "desk", ("orders", len(gens), len(hands), dict(ctx.budget.total),
-                                             ctx.spills)))
+                out.append(("post", "desk", ("orders", len(gens), len(hands), ctx.spills)))
--- a/silverglade/path/order.py
+++ b/silverglade/path/order.py
@@ -2,7 +2,7 @@
 
 A generator; sent (now, event) and yields effects. Its last yield has ("end", oid). Context
 `ctx` reads what the path part holds: duty(tenant), live(id), usable(rid, inc, homes, kind),
-fresh(now), budget.
+fresh(now).
 """
 from ..part import ZERO, log, ms, send, span
 from .admit import sure
@@ -13,7 +13,7 @@
 def order(*, oid, f, body, opt, ctx, me, now):
     due, born = now + f["left"], now
     n, ran, sent, piece = 0, "no", False, 0      # ran: worst over this order's dispatches
-    out = []
+    out, cause = [], None
 
     def result(kind, *r):
         out.append(("result", oid, kind, *r))
@@ -32,6 +32,12 @@
         result("fault", code, ran_, wait)
         out.append(("end", oid))
 
+    def repeated():
+        """Its owner knew the key: no arrival of the scaler's after all (9.3)."""
+        if f["counted"]:
+            f["counted"] = False
+            out.append(("repeat", f["kind"]))
+
     while True:
         n += 1
         holder = epoch = at = None
@@ -45,7 +51,7 @@
                     moved is None or now - moved > opt["beat"] / 2):
                 epoch, holder, at = d[0], d[1], now
                 out.append(send(holder, "ask", oid, n, f["tenant"], epoch,
-                                (f["cls"], f["key"], f["prefix"], max(1, ms(due - now)))))
+                                (f["cls"], f["key"], f["prefix"], max(1, ms(due - now)), f["attempt"])))
                 began = now
             if now >= due:
                 out += [send(holder, "quit", oid)] if holder else []
@@ -59,13 +65,19 @@
             now, ev = yield tuple(out)
             out = []
             match ev:
-                case ("grant", k, rid, inc, addr, _, spill) if k == n:
+                case ("grant", k, rid, inc, addr, _, spill, *more) if k == n:
                     grant = (rid, inc, addr)
+                    if more and more[0] is True:
+                        repeated()
                     ctx.spills += bool(spill)
                 case ("deny", k, code, r, wait) if k == n:
                     if code == 304 and now - began < opt["owner_wait"]:
                         epoch, moved = None, now
                         continue
+                    if n == 1 and code in (305, 401):
+                        repeated()
+                    if code == 305 and n > 1:    # no more tries: what befell the last one
+                        code, r = cause
                     fault(code, "blind" if r == "?" and code in (203, 307) else r, wait)
                     yield tuple(out)
                     return
@@ -117,7 +129,8 @@
                     how, r = "gone", "maybe"
         if sent and how in ("late", "gone", "fault"):
             out.append(("abort", did))
-        out.append(send(holder, "fin", oid, n, {"refused": "unrun", "done": "done"}.get(how, "ran")))
+        out.append(send(holder, "fin", oid, n, "barred" if why else
+                        {"refused": "unrun", "done": "done"}.get(how, "ran")))
         if how == "done":
             out += [("served", f, now - start, now - (due - f["left"]))]
             if f["stream"]:
@@ -127,12 +140,13 @@
             return
         ran = "no" if r == "no" and ran == "no" else "yes" if "yes" in (r, ran) or piece else "maybe"
         again = (how == "refused" or (how == "fault" and f["resumable"])) and not piece
-        if how == "gone" or not (again and due - now > span(50) and ctx.budget.dispatch(now)):
+        cause = (404 if piece else 403 if how == "late" else 402 if ran != "no" else 301,
+                 "blind" if f["resumable"] or ran != "no" else "no")
+        if how == "gone" or not (again and due - now > span(50)):
             if how != "gone":
                 if ran == "no":
                     out.append(send(holder, "quit", oid))
-                fault(404 if piece else 403 if how == "late" else 402 if ran != "no" else 301,
-                      "blind" if f["resumable"] or ran != "no" else "no", 1000)
+                fault(*cause, 1000)
             else:
                 out.append(("end", oid))
             yield tuple(out)
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -59,6 +59,13 @@
         q.add_argument("--secs", type=int, default=60)
         q.add_argument("--seed", type=int, default=1)
         q.add_argument("--folder", default="")
+    q = sub.add_parser("storm", help="every failure on a fleet of real processes, seeded")
+    q.add_argument("--town", choices=TOWNS, default="navrang")
+    q.add_argument("--seed", type=int, default=1)
+    q.add_argument("--folder", default="")
+    q = sub.add_parser("days", help="long days of the scaler with a platform that follows (simulated)")
+    q.add_argument("--count", type=int, default=2)
+    q.add_argument("--secs", type=int, default=600)
     q = sub.add_parser("measure", help="figures of recovery, isolation, prefixes, latency (simulated)")
     q.add_argument("--town", choices=TOWNS, default="navrang")
     q.add_argument("--count", type=int, default=6)
@@ -68,6 +75,9 @@
     a = p.parse_args(argv)
     if a.cmd == "seeds":
         return seeds(a)
+    if a.cmd == "days":
+        from .longday import main as long
+        return long(range(1, a.count + 1), a.secs)
     if a.cmd == "measure":
         from .measure import main as figures
         return figures(a.town, range(1, a.count + 1))
@@ -75,6 +85,9 @@
     if a.cmd == "up":
         from .minute import stay
         return stay(town=a.town, folder=folder)
+    if a.cmd == "storm":
+        from .pressure import storm
+        return storm(town=a.town, seed=a.seed, folder=folder)
     from .minute import rehearse
     return rehearse(town=a.cmd, secs=a.secs, seed=a.seed, folder=folder)
 
--- a/silverglade/rehearsal/fleet.py
+++ b/silverglade/rehearsal/fleet.py
@@ -41,13 +41,26 @@
                                             stdin=subprocess.DEVNULL)
         out.close()
 
+    def data(self, name):
+        return os.path.join(self.dir, "data", name)
+
+    def retune(self, name, **kw):
+        """Other tuning for one daemon that runs: settings rewritten, then SIGHUP."""
+        path = os.path.join(self.dir, name + ".json")
+        with open(path, encoding="utf-8") as f:
+            s = json.load(f)
+        s["tuning"].update(kw)
+        with open(path, "w", encoding="utf-8") as f:
+            json.dump(s, f, indent=1)
+        self.procs[name].send_signal(signal.SIGHUP)
+
     def start_daemon(self, name):
         d = self.daemons[name]
         s = dict(name=name, zone=d["zone"], region=d["region"], listen=d["real"] + ":7000",
                  advertise=d["told"] + ":7000", http=d["http"], cores=self.cores,
-                 seeds=[self.daemons[c]["told"] + ":7000" for c in self.cores], tuning=self.tuning)
+                 seeds=[self.daemons[c]["told"] + ":7000" for c in self.cores], tuning=dict(self.tuning))
         if d["core"]:
-            s["data"] = os.path.join(self.dir, "data", name)
+            s["data"] = self.data(name)
         path = os.path.join(self.dir, name + ".json")
         with open(path, "w", encoding="utf-8") as f:
             json.dump(s, f, indent=1)
--- a/silverglade/rehearsal/measure.py
+++ b/silverglade/rehearsal/measure.py
@@ -62,6 +62,26 @@
     return waits(s, t0, tenant=quiet), lost
 
 
+def apart(seed, loud, cls="chat", rate=60.0, opt=None, secs=15, slow=1):
+    """60 small tenants over few slots; `loud` of them fill the slots -> quiet waits, lost, all asked."""
+    s = Scene(town="parish", seed=seed, opt=opt)
+    for r in s.w.replicas.values():
+        r.step *= slow                           # long answers hold their slots
+    s.settle()
+    ts = sorted(s.t["config"]["tenants"])
+    noisy, quiet = ts[:loud], ts[loud:]
+    t0 = s.w.now + 2 * SEC
+    for i in range(int(2 * secs)):               # two quiet orders a second, each of another tenant
+        s.w.after(2 * SEC + i * SEC / 2, lambda t=quiet[i % len(quiet)]: s.order(tenant=t, cls="chat", retry=False))
+    for k, t in enumerate(noisy):
+        for i in range(int((2 + secs) * rate)):
+            s.w.after(i * SEC / rate + k * SEC / 1000, lambda t=t: s.order(tenant=t, cls=cls, retry=False))
+    s.w.run(secs + 16)
+    mine = [o for o in s.o.orders.values() if o["tenant"] in quiet and o["at"] >= t0]
+    ws = sorted((o["when"] - o["at"]) / SEC for o in mine if o["told"] == ("ok",))
+    return ws, len(mine) - len(ws), len(mine), s
+
+
 def day(town, seed, pace):
     """A plain day: waits by class, prefix hits, spills, retries, wanted against ready."""
     s = Scene(town=town, seed=seed, pace=pace)
@@ -94,6 +114,13 @@
             w, k = isolation(town, n, crowd)
             ws, lost = ws + w, lost + k
         print(f"{town}: a quiet tenant {'beside a crowd' if crowd else 'alone'}, s: {spread(ws)}; not served {lost}")
+    for loud in (0, 1, 6):
+        for cls in ("chat", "lookup"):
+            ws, lost, n = [], 0, 0
+            for seed in list(seeds)[:2]:
+                w, k, m, _ = apart(seed, loud, cls)
+                ws, lost, n = ws + w, lost + k, n + m
+            print(f"parish: quiet tenants beside {loud} loud with {cls}, s: {spread(ws)}; not served {lost} of {n}")
     for pace in (1.0, 4.0):
         w, hits, spills, again, want, told = day(town, seeds[0], pace)
         print(f"{town}: a day at {pace:g} times the traffic: prefix hits {hits[1]} of {sum(hits)}, spills {spills},"
--- a/silverglade/rehearsal/scene.py
+++ b/silverglade/rehearsal/scene.py
@@ -18,6 +18,7 @@
                        delay_ms=self.t["delay"], replicas=self.t["replicas"],
                        opt=opt or tuning(), loss=loss)
         self.o, self.rng, self.pace, self.n, self.tag, self.open = self.w.oracle, self.w.rng, pace, 0, 0, True
+        self.emptying = {}                       # zone -> is a call to empty it not settled yet?
         self.pairs = False                       # may two places fail at once here?
         self.changes = Changes(base=self.t["config"], rng=self.w.rng)
 
@@ -64,6 +65,9 @@
 
     def empty(self, zone, on=True):
         """An operator empties a zone or returns it, and asks by the change's id until that is settled."""
+        if not on and self.emptying.get(zone):       # first let the other call settle
+            return self.w.after(SEC / 2, self.empty, zone, on)
+        self.emptying[zone] = on
         asked, change = self.w.now, f"evac-{zone}-{on}-{self.rng.getrandbits(30)}"
         if not on:                                   # from here on the zone may be used again
             self.o.emptied = [(z, a, b or asked) if z == zone else (z, a, b)
@@ -73,8 +77,10 @@
             self.w.note("evac", zone, on, code)
             if on and code == 100:
                 self.o.emptied.append((zone, asked, None))
-            elif code in (503, 504, 705):
+            if code in (503, 504, 705):
                 self.w.after(SEC / 2, ask)
+            else:
+                self.emptying[zone] = False
 
         def ask():
             who = self.live()
@@ -82,7 +88,7 @@
                 self.w.call(self.rng.choice(who), "evac", (zone, on, change), got)
             else:
                 self.w.after(SEC / 2, ask)
-        ask()
+        return ask()
 
     def leave(self, rid):
         r = self.w.replicas[rid]
@@ -140,7 +146,7 @@
                      left=span(int(due) if due else c["due_ms"]))
         if retry:
             self.w.after(span(c["due_ms"] + 500), self.again, oid, tenant, cls, prefix, key, attempt)
-        self.w.nodes[who].feed(("order", oid, (bearer, cls, key, due, prefix, str(attempt), body)))
+        self.w.nodes[who].feed(("order", oid, (bearer, cls, key, due, prefix, str(attempt or ""), body)))
         return oid
 
     def again(self, oid, tenant, cls, prefix, key, attempt):
--- a/silverglade/rehearsal/standin.py
+++ b/silverglade/rehearsal/standin.py
@@ -15,6 +15,7 @@
         self.pace = (prefill_ms, piece_ms)
         self.inc, self.up, self.dark, self.state, self.addr = 0, False, False, "ready", ""
         self.runs, self.done, self.served, self.cache = {}, 0, 0, set()
+        self.no = world.numbered()               # an address of its own for each name
         self.sabotage = None                     # a fault to answer with, see take()
 
     def boot(self, warm=False):
@@ -39,8 +40,7 @@
         self.w.after(span(1000), self.renew, inc)
 
     def ip(self):
-        i = sorted(self.w.replicas).index(self.rid) if self.rid in self.w.replicas else 0
-        self.addr = f"10.{100 + i}.{self.inc // 250}.{self.inc % 250 + 1}:80"
+        self.addr = f"10.{100 + self.no}.{self.inc // 250}.{self.inc % 250 + 1}:80"
         return self.addr
 
     def bear(self):
--- a/silverglade/rehearsal/towns.py
+++ b/silverglade/rehearsal/towns.py
@@ -58,6 +58,15 @@
                 mix=[("lookup", 2.0, "rules"), ("chat", 2.0, ""), ("receipt", 2.0, "")])
 
 
+def parish(tenants=60):
+    """Many small tenants over few slots: for crowds (design 7.3). All live in the same two zones."""
+    z = {"north": "n", "middle": "m", "south": "s"}
+    cls = dict(lookup=LOOKUP, chat=CHAT)
+    ts = {f"t{i}": tenant(f"t{i}", ["middle", "south"], cls) for i in range(tenants)}
+    return town(zones=z, edges=1, replicas=dict.fromkeys(z, 2), accounts={}, tenants=ts, delay=10.0,
+                mix=[("lookup", 3.0, "rules"), ("chat", 3.0, "")])
+
+
 def borough():
     """Tens of daemons: 30 in three zones, 18 replicas, 60 tenants."""
     z = {"upper": "u", "inner": "i", "lower": "l"}
@@ -67,4 +76,4 @@
                 mix=[("lookup", 6.0, "rules"), ("chat", 6.0, "")])
 
 
-TOWNS = {"navrang": navrang, "banyan": banyan, "hamlet": hamlet, "borough": borough}
+TOWNS = {"navrang": navrang, "banyan": banyan, "hamlet": hamlet, "borough": borough, "parish": parish}
--- a/silverglade/rehearsal/visitors.py
+++ b/silverglade/rehearsal/visitors.py
@@ -17,7 +17,7 @@
     async def order(self, *, tenant, cls, prefix="", key=None, attempt=1, at=None):
         c = self.f.t["config"]["tenants"][tenant]
         up = at or self.rng.choice(self.f.up(self.rng.choice(c["homes"]) if self.rng.random() < 0.9
-                                             else None) or self.f.up())
+                                             else None) or self.f.up() or sorted(self.f.daemons))
         self.n += 1
         key = key or f"k{self.n}"
         body = json.dumps({"key": key}).encode()
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -4,7 +4,9 @@
 from datetime import timedelta
 
 from .. import wire
+from ..daemon.lanes import lane
 from ..hub import Hub
+from ..messages import SHAPES
 from ..options import tuning
 from ..part import ZERO, span
 from .oracle import Oracle
@@ -19,6 +21,7 @@
     def __init__(self, rng):
         self.id, self.data = f"d{rng.getrandbits(40):x}", {}
         self.slow, self.stall, self.full, self.queue, self.lost = ZERO, False, False, [], set()
+        self.busy = False
 
     def apply(self, ops):
         for op in ops:
@@ -31,6 +34,19 @@
                     self.data[t] = {}
 
 
+def later(e):
+    """What the next program sends: fields behind those known today, in messages and in records."""
+    if e[0] != "send":
+        return e
+    body = tuple(tuple((*r, "more") if isinstance(r, tuple) and len(r) in (10, 12) else r for r in x)
+                 if isinstance(x, tuple) and body_of_records(e[2][0]) else x for x in e[2])
+    return ("send", e[1], body if SHAPES[body[0]].endswith("...") else (*body, "later", 7))
+
+
+def body_of_records(kind):
+    return kind in ("ping", "pong", "reps")
+
+
 class Node:
     def __init__(self, *, world, name, zone, region, core, n):
         self.w, self.name, self.zone, self.region, self.core = world, name, zone, region, core
@@ -38,6 +54,7 @@
         self.hub, self.life, self.frozen, self.lives = None, "", None, 0
         self.disk = Disk(world.rng) if core else None
         self.pulses, self.held, self.skew = 0, [], ZERO
+        self.next = False                        # does it run the next program (10.5)?
 
     def boot(self):
         w = self.w
@@ -80,7 +97,10 @@
                 self.held.append(ev)
             return
         for e in self.hub.feed(self.w.now + self.skew, ev):
-            self.w.effect(self, e)
+            self.w.effect(self, later(e) if self.next else e)
+        if self.next and ev == ("pulse",):
+            for n in self.w.nodes:
+                self.w.effect(self, ("send", n, ("greeting", "a kind that is not known yet")))
 
     def freeze(self, on):
         self.w.note("freeze" if on else "wake", self.name)
@@ -97,7 +117,7 @@
     def __init__(self, *, seed, daemons, config, delay_ms, replicas, opt=None, loss=0.0):
         """daemons: (name, zone, region, core); replicas: keyword tables for Replica."""
         self.rng, self.seed, self.now, self.heap, self.num = random.Random(seed), seed, ZERO, [], 0
-        self.opt, self.loss = opt or tuning(), loss
+        self.opt, self.loss, self.rate = opt or tuning(), loss, 20e6      # bytes a second, for what is bulky
         self.cores = tuple(d[0] for d in daemons if d[3])
         self.nodes = {d[0]: Node(world=self, name=d[0], zone=d[1], region=d[2], core=d[3], n=i + 1)
                       for i, d in enumerate(daemons)}
@@ -106,7 +126,7 @@
         self.delay, self.cuts, self.links, self.trace = delay_ms, set(), {}, []
         self.region = {z: d["region"] for z, d in config["zones"].items()}
         self.config, self.calls, self.jobs = config, {}, {}
-        self.oracle = Oracle(world=self)
+        self.oracle, self.reps = Oracle(world=self), 0
         self.replicas = {r["rid"]: Replica(world=self, **r) for r in replicas}
         for n in self.nodes.values():
             n.boot()
@@ -114,6 +134,10 @@
             r.boot()
         self.oracle.watch.glance()
 
+    def numbered(self):
+        self.reps += 1
+        return self.reps
+
     # clock
     def after(self, t, fn, *a):
         self.num += 1
@@ -155,8 +179,12 @@
         self.oracle.watch.sent(frm, n, body)
         if not self.open(frm.name, n.name) or self.rng.random() < self.loss:
             return
-        at = max(self.now + self.hop(frm.zone, n.zone), self.links.get((frm.life, n.name), ZERO))
-        self.links[(frm.life, n.name)] = at
+        bulk = body[0] in wire.BULK               # a connection of its own, as in daemons (3.1)
+        way = (frm.life, n.name, "bulk" if bulk else lane(body[0]))
+        at = max(self.now + self.hop(frm.zone, n.zone), self.links.get(way, ZERO))
+        if bulk and self.rate:
+            at += timedelta(seconds=len(wire.pack(frm=frm.name, life=frm.life, body=body)) / self.rate)
+        self.links[way] = at
         self.after(at - self.now, self.arrive, frm.name, n, n.life, body)
 
     def arrive(self, frm, n, life, body):
@@ -176,7 +204,8 @@
                 self.deliver(n, to, body)
             case ("disk", token, ops):
                 n.disk.queue.append((n, n.life, token, ops))
-                if len(n.disk.queue) == 1:
+                if not n.disk.busy:
+                    n.disk.busy = True
                     self.spin(n.disk)
             case ("dispatch", did, rid, addr, meta, body):
                 r = next((r for r in self.replicas.values() if r.addr == addr), None)
@@ -203,25 +232,27 @@
                 self.oracle.log(n, ev, kw)
 
     def spin(self, d):
-        """One write after another, as one writer does."""
-        self.after(d.slow + timedelta(milliseconds=1 + 5 * self.rng.random()), self.turn, d)
+        """What waits is synced together, one transaction after another (design 5.1)."""
+        self.after(d.slow + timedelta(milliseconds=1 + 5 * self.rng.random()), self.turn, d, len(d.queue))
 
-    def turn(self, d):
+    def turn(self, d, n):
         if d.stall:
-            return self.after(span(50), self.turn, d)
-        self.synced(d, *d.queue[0])
-        d.queue.pop(0)
-        if d.queue:
+            return self.after(span(50), self.turn, d, n)
+        group, d.queue = d.queue[:n], d.queue[n:]
+        lost = self.rng.random() < 0.5            # power went before this sync, or after
+        for node, life, token, ops in group:
+            self.synced(d, node, life, token, ops, lost)
+        d.lost |= {life for n, life, *_ in group if n.life != life or n.hub is None}   # and what waited behind
+        d.busy = bool(d.queue)
+        if d.busy:
             self.spin(d)
         return None
 
-    def synced(self, d, n, life, token, ops):
+    def synced(self, d, n, life, token, ops, lost):
         ok = not d.full
         alive = n.life == life and n.hub is not None
-        if ok and n.disk is d and (alive or life not in d.lost and self.rng.random() < 0.5):
-            d.apply(ops)                          # power may go before or after the sync
-        if not alive:
-            d.lost.add(life)                      # and what waited behind it is lost
+        if ok and n.disk is d and (alive or life not in d.lost and not lost):
+            d.apply(ops)
         if alive and n.disk is d:
             n.feed(("disk", token, ok, None))
 
--- a/silverglade/replicas/registry.py
+++ b/silverglade/replicas/registry.py
@@ -5,6 +5,7 @@
 Both merge monotonically and travel along the roster's edges.
 """
 from .. import check as c
+from ..control import book as bk
 from ..part import ZERO, log, send
 
 RID, INC, BEAT, ADDR, ZONE, KIND, HOMES, PREFIXES, SLOTS, LEAVING = range(10)
@@ -24,7 +25,7 @@
 
 
 def sound(r, types):
-    return isinstance(r, tuple) and len(r) == len(types) and all(
+    return isinstance(r, tuple) and len(r) >= len(types) and all(
         type(v) is t for v, t in zip(r, types))
 
 
@@ -46,16 +47,26 @@
 def registry(*, me, opt):
     """Casts ("replicas", {id: (record, status or None, when heard)})."""
     recs, stats, heard, marks = {}, {}, {}, {}   # marks: id -> newest incarnation known to leave
-    edges, due, last, out, dirty, turn = (), ZERO, None, [], False, 0
+    fresh, gone = {}, {}                         # id -> when its record last went forward; who was forgotten
+    edges, due, last, out, dirty, turn, zones, clock = (), ZERO, None, [], False, 0, set(), ZERO
+    seen = ZERO
 
     def put(r):
         """Newer by incarnation, then beat; leaving is never taken back in a life."""
         old = recs.get(r[RID])
+        if r[RID] in gone:
+            if r[INC:ADDR] <= gone[r[RID]][0]:
+                return False                     # forgotten here; somebody else has not yet
+            if r[INC] == gone[r[RID]][0][0] and gone[r[RID]][2]:
+                marks[r[RID]] = r[INC]           # leaving is not taken back by being forgotten
+            del gone[r[RID]]
+        if old is None or r[INC:ADDR] > old[INC:ADDR]:
+            fresh[r[RID]] = clock
         if marks.get(r[RID], 0) >= r[INC]:
-            r = r[:LEAVING] + (True,)            # it was marked before it was known here
+            r = r[:LEAVING] + (True, *r[LEAVING + 1:])            # it was marked before it was known here
         if old and r[INC] == old[INC] and (r[LEAVING] or old[LEAVING]):
-            r = r[:LEAVING] + (True,)
-            old_ = old[:LEAVING] + (True,)
+            r = r[:LEAVING] + (True, *r[LEAVING + 1:])
+            old_ = old[:LEAVING] + (True, *old[LEAVING + 1:])
             if r[BEAT] <= old[BEAT] and old_ != old:
                 recs[r[RID]] = old_
                 return True
@@ -82,21 +93,43 @@
     def leave(rid, inc, why):
         if marks.get(rid, 0) >= inc:
             return False
+        if rid in gone and inc <= gone[rid][0][0]:
+            return False
         marks[rid], r = inc, recs.get(rid)
+        fresh.setdefault(rid, clock)
         if r and r[INC] <= inc and not r[LEAVING]:
-            recs[rid] = r[:LEAVING] + (True,)
+            recs[rid] = r[:LEAVING] + (True, *r[LEAVING + 1:])
         out.append(log("replica-leaving", replica=rid, incarnation=inc, why=why))
         return True
 
+    def forget(now):
+        """A name that was not renewed for long leaves no record; nor does its mark."""
+        nonlocal seen
+        if now - seen > opt["late"]:             # frozen, or the clock leapt: nothing was heard meanwhile
+            for i in fresh:
+                fresh[i] = now
+        seen = now
+        for rid in [i for i, t in fresh.items() if now - t > opt["forget"]]:
+            r = recs.pop(rid, None)
+            gone[rid] = ((r[INC], r[BEAT]) if r else (marks[rid], 1 << 62), now, r is None or r[LEAVING])
+            for d in (stats, heard, marks, fresh):
+                d.pop(rid, None)
+            out.append(log("replica-forgotten", replica=rid))
+        for rid in [i for i, (_, t, _) in gone.items() if now - t > opt["forget"]]:
+            del gone[rid]
+
     while True:
         now, ev = yield tuple(out)
-        out, dirty = [], False
+        out, dirty, clock = [], False, now
         match ev:
             case ("roll", roll):
                 edges = tuple(r[0] for r in roll if r[0] != me)
+            case ("book", b, _):
+                zones = set((bk.get(b, "config") or {"zones": ()})["zones"])
             case ("pulse",) if now >= due:
                 due = now + opt["beat"]
                 turn += 1
+                forget(now)
                 tell(partners(me, edges, turn))
                 show()
             case ("msg", _, ("reps", tuple(rs), tuple(ss), tuple(ms_))):
@@ -116,10 +149,16 @@
                 old = recs.get(rid)
                 if bad:
                     out.append(("reply", cid, 508, {"detail": "; ".join(f"{p}: {s}" for p, s in bad)}))
-                elif old and a["incarnation"] < old[INC]:
-                    out.append(("reply", cid, 509, {"held": old[INC]}))
+                elif zones and a["zone"] not in zones:
+                    out.append(("reply", cid, 508, {"detail": f"zone: unknown zone {a['zone']}"}))
+                elif old and a["incarnation"] == old[INC] and (a["address"], a["zone"], a["kind"]) != (
+                        old[ADDR], old[ZONE], old[KIND]):
+                    out.append(("reply", cid, 512, {"held": old[ADDR]}))
+                elif a["incarnation"] < (old or (rid, *gone.get(rid, ((0,),))[0]))[INC]:
+                    out.append(("reply", cid, 509, {"held": old[INC] if old else gone[rid][0][0]}))
                 else:
-                    dirty = put((rid, a["incarnation"], old[BEAT] + 1 if old else 1, a["address"],
+                    top = old or (rid, *gone[rid][0]) if old or rid in gone else None
+                    dirty = put((rid, a["incarnation"], top[BEAT] + 1 if top else 1, a["address"],
                                  a["zone"], a["kind"], a["homes"], a["prefixes"], a["slots"], False))
                     out.append(("reply", cid, 100, {"leaving": recs[rid][LEAVING]}))
                     if dirty:
--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -10,7 +10,7 @@
 
 
 def sound(r):
-    return (isinstance(r, tuple) and len(r) == len(TYPES)
+    return (isinstance(r, tuple) and len(r) >= len(TYPES)      # a later program may add fields: passed on
             and all(type(v) is t for v, t in zip(r, TYPES))
             and r[STATE] in STATES and r[INC] > 0 and r[BEAT] >= 0
             and all(isinstance(d, tuple) and len(d) == 2 and isinstance(d[0], str)
@@ -71,7 +71,7 @@
     def take(rs, now):
         fresh = False
         for r in rs if isinstance(rs, tuple) else ():
-            if type(r) is tuple and len(r) == len(TYPES) and type(r[ID]) is str and r[ID] != me:
+            if type(r) is tuple and len(r) >= len(TYPES) and type(r[ID]) is str and r[ID] != me:
                 old = recs.get(r[ID])            # most are known already: look no further
                 if old and r[INC] == old[INC] and type(r[BEAT]) is int and r[BEAT] <= old[BEAT]:
                     continue
--- a/silverglade/shards/follower.py
+++ b/silverglade/shards/follower.py
@@ -3,11 +3,21 @@
 Tables: "shard" shard -> epoch; "claim" "shard\\0key digest" -> (grant, state, number).
 States: "claimed" (may run), "ran" (a replica had it), "done".
 """
+from ..control import book as bk
 from ..part import send
 from .shard import aged
 
 
-def follower(*, saved, opt):
+def passed(book, me, sh, e):
+    """Is this shard followed elsewhere by now, under a later epoch, or dropped for good (6.3)?
+
+    Whoever follows it was given every claim before it was named.
+    """
+    d = bk.get(book, f"duty/shard/{sh}")
+    return d[0] > e and d[2] != me if d else e <= bk.get(book, "floor/shard", 0)
+
+
+def follower(*, me, saved, opt):
     epochs = dict(saved.get("shard", {}))
     claims = {sh: {} for sh in epochs}
     for k, v in saved.get("claim", {}).items():
@@ -66,6 +76,10 @@
                 write([("put", "shard", sh, e)] + [("del", "claim", f"{sh}\0{k}") for k in old]
                       + [("put", "claim", f"{sh}\0{k}", tuple(c)) for k, *c in cs],
                       frm, "copied", sh, e, n)
+            case ("book", b, _):
+                for sh in [sh for sh in epochs if passed(b, me, sh, epochs[sh])]:
+                    write([("del", "shard", sh)] + [("del", "claim", f"{sh}\0{k}") for k in claims[sh]])
+                    del epochs[sh], claims[sh]
             case ("disk", ("follower", n), ok, _):
                 ans = wait.pop(n, ())
                 if ok and ans:
--- a/silverglade/shards/owner.py
+++ b/silverglade/shards/owner.py
@@ -5,6 +5,7 @@
 from ..rank import ranked
 from ..replicas.elect import elect
 from ..replicas.registry import ADDR, INC, S_STATE, ZONE, evacuated
+from .budget import Budget
 from .shard import Shard
 
 
@@ -12,6 +13,7 @@
     shards, todo = {}, {}                  # tenant -> Shard; order id -> entry
     book, reps, roll, out = {}, {}, (), []
     fresh, want, burden, evac, lid_n, turn = None, {}, {}, set(), 0, ZERO
+    budget = Budget(me=me, opt=opt)
 
     def verdict(x):
         """May this owner promise that the key never ran? "?": it cannot tell (6.5)."""
@@ -20,6 +22,9 @@
             return "maybe"                       # its visitor asked twice at once
         if x["resumable"]:
             return "maybe" if sh and x["kd"] in sh.tried else "?"
+        c = (sh.claims or {}).get(x["kd"]) if sh else None
+        if c and c[0] != x["oid"]:
+            return "yes" if c[1] == "done" else "maybe"      # another ask of the key has come first
         return "no" if x["seen"] else "?"
 
     def deny(x, code, ran=None, wait=None):
@@ -105,6 +110,9 @@
         sh = shards.get(x["tenant"])
         if sh is None or not sh.open:
             return deny(x, 303, wait=500)
+        x["seen"] = False                        # its key may have been claimed while it waited
+        if look(sh, x):
+            return None
         x.update(step="claim", claim=True, till=now + opt["claim_wait"])
         out.extend(sh.claim(x["kd"], x["oid"]))
         return None
@@ -113,10 +121,10 @@
         r = reps[x["rid"]][0]
         x.update(step="granted", till=now + x["left"] + opt["grant"])
         out.append(send(x["frm"], "grant", x["oid"], x["n"], x["rid"], r[INC], r[ADDR],
-                        shards[x["tenant"]].epoch, bool(x.get("spill"))))
+                        shards[x["tenant"]].epoch, bool(x.get("spill")), x["again"]))
 
     def ask(now, frm, oid, n, tenant, e, facts):
-        cls, key, prefix, left = facts
+        cls, key, prefix, left, *more = facts
         cfg = bk.get(book, "config")
         sh = shards.get(tenant)
         no = lambda code: out.append(send(frm, "deny", oid, n, code, "?", 500))
@@ -135,19 +143,37 @@
         x = dict(oid=oid, n=n, frm=frm, tenant=tenant, cls=cls, kd=digest(f"{tenant}\0{key}"), prefix=prefix,
                  kind=c["kind"], resumable=c["resumable"], at=now, left=span(left), due=now + span(left),
                  step="wait", rid="", lid="", ask="", list=[], seen=False, till=None, next=now,
+                 free=False, again=oid in todo and todo[oid]["again"],
                  claim=oid in todo and todo[oid]["claim"],
                  avoid=todo[oid]["avoid"] if oid in todo else set())
-        todo[oid], ahead = x, any(w["kind"] == x["kind"] for w in line)
+        old, todo[oid], ahead = todo.get(oid), x, any(w["kind"] == x["kind"] for w in line)
         if look(sh, x):
             return None
+        if not allowed(sh, x, old, more[0] if more and type(more[0]) is int else 0, now):
+            return deny(x, 305, wait=2000)
         if len(line) >= opt["queue"]:
             return deny(x, 302, wait=1000)
         if not ahead or not sh.open and not c["resumable"]:
             step(x, now)
         return None
 
+    def allowed(sh, x, old, attempt, now):
+        """Within the budget of retries (7.5)? Owners see every order, so they know a repeated key."""
+        was = sh.asked.setdefault(x["kd"], x["oid"])
+        part = len(shards) / max(1, sum(1 for k in book if k.startswith("duty/shard/")))
+        if x["n"] > 1:                           # a redispatch; what was barred before it was sent is none
+            return bool(old and old["free"]) or budget.take(now, opt["retry_share"], part)
+        if old is None and (attempt > 1 or was != x["oid"]):
+            x["again"] = True
+            return budget.take(now, opt["retry_stop"], part)
+        if old is None:
+            budget.fresh(now)
+        return True
+
     def open_(now):
         """Shards wanted (duties that name me) against shards held."""
+        for t in [t for t in shards if f"duty/shard/{t}" not in book]:
+            del shards[t]                        # its tenant was taken out long ago
         for k, (_, v) in book.items():
             if k.startswith("duty/shard/"):
                 t, (e, holder, fol) = k[11:], v
@@ -197,6 +223,8 @@
         if now >= turn:
             turn = now + opt["beat"] / 2
             renew()
+            budget.trim(now)
+            out.append(post("roster", "extra", "pace", (budget.n["fresh"], budget.n["again"])))
             cs = spare()
             todo_ = [e for sh in shards.values() for e in sh.pulse(now, live, *cs, opt)]
             out.extend(e for e in todo_ if e[0] != "name")
@@ -247,6 +275,7 @@
                 for sh in shards.values():
                     sh.follow(lives.get(sh.follower))
                 roll = r
+                budget.hear(now, r)
             case ("fresh", f):
                 fresh = f
             case ("wanted", w):
@@ -257,8 +286,8 @@
                     sh.doubt()
             case ("pulse",):
                 pulse(now)
-            case ("msg", frm, ("ask", str(oid), int(n), str(tenant), int(e), (str(cls), str(key), str(prefix), int(left)))):
-                ask(now, frm, oid, n, tenant, e, (cls, key, prefix, left))
+            case ("msg", frm, ("ask", str(oid), int(n), str(tenant), int(e), (str(), str(), str(), int(), *_) as facts)):
+                ask(now, frm, oid, n, tenant, e, facts)
             case ("msg", frm, ("leased", str(lid), str(rid), int(e))):
                 x = todo.get(lid.rsplit("/", 1)[0])
                 if x and x["step"] == "lease" and x["ask"] == lid and rid in reps:
@@ -296,9 +325,9 @@
                 x = todo.get(oid)
                 if x and x["n"] == n and x["frm"] == frm:
                     drop_lease(x, how == "done")
-                    if how == "unrun" and x["rid"]:
+                    if how in ("unrun", "barred") and x["rid"]:
                         x["avoid"].add(x["rid"])     # the ingress may ask again under its claim
-                        x.update(step="idle", till=now + opt["grant"])
+                        x.update(step="idle", till=now + opt["grant"], free=how == "barred")
                     else:
                         todo.pop(oid)
                         if x["claim"] and x["tenant"] in shards:
@@ -310,6 +339,7 @@
                     if x["claim"] and x["tenant"] in shards:
                         out.extend(shards[x["tenant"]].mark(x["kd"], oid, "free"))
             case ("look",):
+                out.append(post("desk", "retries", dict(budget.total)))
                 out.append(post("desk", "shards", tuple(
                     (t, s.epoch, s.follower, s.open, len(s.claims or {}), len(waiting(t)))
                     for t, s in sorted(shards.items()))))
--- a/silverglade/shards/shard.py
+++ b/silverglade/shards/shard.py
@@ -25,6 +25,7 @@
         self.bad, self.since = {}, (None, None)   # cores that let me wait; (step, to) since when
         self.most, self.top = most, max((c[2] for c in (claims or {}).values()), default=0)
         self.tried = LRI(max_size=most)   # resumable keys granted here, the last of them
+        self.asked = LRI(max_size=most)   # key digest -> the order that first asked with it
         self.step = "adopt" if follower else "copy"
         if not follower:
             self.claims = {}          # no follower yet: nothing was ever claimed
--- a/silverglade/wire.py
+++ b/silverglade/wire.py
@@ -5,11 +5,14 @@
 
 from .faults import Fault
 
-VERSION = 1
-SPOKEN = (1,)          # wire versions this program reads
+VERSION = 2
+SPOKEN = (2,)          # wire versions this program reads; in 1 no field could be added to a message
 CAP = 8 * 1024 * 1024
 HEAD = struct.Struct(">I")
 
+# may be large; they take a connection of their own, and may so be overtaken by what is small (3.1)
+BULK = frozenset(("snap", "items", "news", "copy", "adopted"))
+
 DEEP = (list, dict)
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,7 +11,7 @@
 def test_a_follower_answers_as_the_model_does_and_comes_back_from_disk_the_same():
     for seed in range(40):
         rng, disk, epoch, held, top = random.Random(seed), {}, None, {}, 0
-        g = start(follower(saved={}, opt=OPT))
+        g = start(follower(me="f", saved={}, opt=OPT))
 
         def send(*body):
             """The answer, once its write is synced."""
@@ -32,7 +32,7 @@
             kd, gid = f"k{rng.randrange(40)}", f"g{rng.randrange(60)}"
             e = (epoch or 1) + rng.choice([0, 0, 0, 0, 0, 0, -1, 1])
             if k < 0.02:
-                g = start(follower(saved={t: dict(d) for t, d in disk.items()}, opt=OPT))   # power
+                g = start(follower(me="f", saved={t: dict(d) for t, d in disk.items()}, opt=OPT))   # power
             elif k < 0.06:
                 if send("adopt", "s", e):
                     pass
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,4 +1,5 @@
 """The HTTP surface (design 2) and the links (design 3), without sockets."""
+import contextlib
 import json
 
 import anyio
@@ -14,7 +15,7 @@
     """Stands for the daemon: scripted results and replies."""
 
     def __init__(self, results=(), reply=(100, {}), key=""):
-        self.s = {"operator_key": key, "name": "d"}
+        self.s = {"operator_key": key, "replica_key": "", "platform_key": "", "name": "d"}
         self.results, self.said, self.reply, self.left = results, [], reply, []
 
     def oid(self):
@@ -28,10 +29,19 @@
         w.close()
         return r
 
+    @contextlib.contextmanager
+    def hold(self, size):
+        yield
+
+    async def drained(self, oid, n):
+        self.left.append((oid, n))
+
     async def gone(self, oid):
         self.left.append(oid)
 
     async def call(self, op, args):
+        if op == "head":
+            return 100, dict(cap=2000000)
         self.said.append((op, args))
         return self.reply
 
@@ -152,15 +162,35 @@
 
 def test_a_bad_frame_closes_its_connection_is_logged_and_nothing_else():
     good = wire.pack(frm="a", life="l", body=("ping", 1, ()))
-    later = wire.HEAD.pack(len(good) + 9) + wire.ormsgpack.packb((1, "a", "l", ("ping", 2, ()), "more from a later version"))
+    later = wire.HEAD.pack(len(good) + 9) + wire.ormsgpack.packb((wire.VERSION, "a", "l", ("ping", 2, ()), "more from a later version"))
     for bad, code in ((wire.HEAD.pack(1 << 30), 602), (wire.HEAD.pack(1) + b"\xc1", 601),
                       (wire.pack(frm="a", life="l", body=("x",), version=7), 603)):
         put, got = anyio.create_memory_object_stream(8)
         ln, lg = Line([good[:5], good[5:], bad, good]), Log()
-        anyio.run(Links(me="b", life="l", addr="x", inbox=put, lg=lg).take, ln)
+        anyio.run(Links(me="b", life="l", addr="x", heard=lambda frm, body: put.send(("msg", frm, body)), lg=lg).take, ln)
         assert got.receive_nowait() == ("msg", "a", ("ping", 1, ())) and ln.shut
         assert got.statistics().current_buffer_used == 0 and f"code={code}" in lg.lines[0]
     raw = later[4:]
     put, got = anyio.create_memory_object_stream(8)
-    anyio.run(Links(me="b", life="l", addr="x", inbox=put, lg=Log()).take, Line([wire.HEAD.pack(len(raw)) + raw]))
+    anyio.run(Links(me="b", life="l", addr="x", heard=lambda frm, body: put.send(("msg", frm, body)), lg=Log()).take, Line([wire.HEAD.pack(len(raw)) + raw]))
     assert got.receive_nowait() == ("msg", "a", ("ping", 2, ()))
+
+
+def test_each_role_has_its_own_calls():
+    d = Daemon()
+    d.s.update(operator_key="op", replica_key="rep", platform_key="plat")
+    calls = [("GET", "/v1/config"), ("PUT", "/v1/zones/z/evacuation"), ("GET", "/metrics"), ("PUT", "/v1/replicas/r"),
+             ("DELETE", "/v1/replicas/r"), ("PUT", "/v1/platform/replicas"), ("GET", "/v1/regions/r/orders"),
+             ("GET", "/v1/fleet"), ("PUT", "/v1/shards/t/reopen")]
+    got = {}
+    for verb, path in calls:
+        if path == "/metrics":
+            continue
+        for key in ("op", "rep", "plat", "key-tenant", ""):
+            head = [("authorization", f"Bearer {key}")] if key else []
+            code = http(d, verb, path, b'{"replicas": []}', head)[0]
+            got.setdefault(key, []).append(code)
+    assert got["op"] == [200, 200, 403, 403, 403, 200, 200, 200]
+    assert got["rep"] == [403, 403, 200, 200, 403, 403, 403, 403]
+    assert got["plat"] == [403, 403, 403, 403, 200, 200, 403, 403]
+    assert set(got["key-tenant"]) == {401} and set(got[""]) == {401}      # a tenant's visitor: none of them
--- /dev/null
+++ b/tests/test_lanes.py
@@ -0,0 +1,166 @@
+"""Pressure on one daemon (design 1.3): lanes, bodies, the disk; its own tasks, no socket, no clock."""
+import anyio
+import pytest
+
+from silverglade import log
+from silverglade.daemon import lanes
+from silverglade.daemon.run import BODIES, DISK, Daemon
+from silverglade.faults import Fault
+from silverglade.front import app
+from silverglade.options import checked
+from silverglade.rehearsal.scene import Scene
+from silverglade.rehearsal.standin import SEC
+from silverglade.rehearsal import world
+
+from .test_front import http
+
+
+class Quiet:
+    def info(self, *a):
+        pass
+
+    warning = error = info
+
+
+def daemon(**kw):
+    return Daemon(lg=Quiet(), settings=checked({**dict(
+        name="e", zone="z", region="r", listen="127.0.0.1:1", http="127.0.0.1:2", seeds=["127.0.0.1:3"],
+        cores=["a", "b", "c"]), **kw}))
+
+
+def test_a_crowd_at_the_door_holds_up_no_pulse_and_no_heartbeat():
+    async def go():
+        q, refused = lanes.Lanes(), 0
+        for i in range(1000):
+            try:
+                q.knock(("order", i, ()))
+            except Fault as e:
+                refused += e.code == 310
+        for i in range(500):
+            await q.heard("x", ("ask", i))
+        await q.heard("x", ("hb", 1))
+        q.pulse()
+        q.pulse()
+        got = [await q.take() for _ in range(60)]
+        assert refused == 1000 - lanes.DOOR
+        assert got[:2] == [("pulse",), ("msg", "x", ("hb", 1))]
+        kinds = [e[0] for e in got[2:]]
+        assert 8 <= kinds.count("order") <= 15 and kinds.count("pulse") == 0     # each has its share
+        return [e[1] for e in got if e[0] == "order"] == list(range(kinds.count("order")))
+    assert anyio.run(go)
+
+
+def test_a_full_lane_holds_up_its_own_senders_alone():
+    async def go():
+        q, done = lanes.Lanes(), []
+
+        async def fill():
+            for i in range(lanes.WORK + 1):
+                await q.heard("x", ("res", i))
+            done.append("work")
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(fill)
+            await anyio.wait_all_tasks_blocked()
+            assert done == []
+            await q.heard("x", ("ping", 1))        # does not wait
+            assert await q.take() == ("msg", "x", ("ping", 1))
+            await q.take()
+            await anyio.wait_all_tasks_blocked()
+            assert done == ["work"]
+    anyio.run(go)
+
+
+def test_a_write_for_which_the_queue_has_no_room_is_told_as_failed():
+    async def go():
+        d = daemon()
+        async with anyio.create_task_group() as d.group:
+            for i in range(DISK + 1):
+                d.act(("disk", ("follower", i), ()))
+            await anyio.wait_all_tasks_blocked()
+        return d.lanes.next()
+    assert anyio.run(go) == ("disk", ("follower", DISK), False, None)
+
+
+def test_bodies_are_held_up_to_a_bound_and_refused_beyond_it():
+    async def go():
+        d = daemon()
+        with d.hold(BODIES - 10), pytest.raises(Fault) as e:
+            with d.hold(11):
+                pass
+        assert e.value.code == 310
+        with d.hold(11):
+            return d.bodies
+    assert anyio.run(go) == 11
+
+
+class Door:
+    """A daemon whose door refuses a head."""
+
+    def __init__(self, *answer):
+        self.s, self.answer, self.read = {"operator_key": "", "name": "d"}, answer, 0
+
+    async def call(self, op, args):
+        return self.answer
+
+
+def test_an_unknown_key_is_refused_before_its_body_is_read():
+    d = Door(202, {"ran": "no"})
+    got = http(d, "POST", "/v1/orders/chat", b"x" * 10, more=[{"type": "http.disconnect"}])
+    assert got[0] == 401                           # a body that was read would have ended in 205
+
+
+def test_a_body_half_sent_is_given_up_in_bounded_time(monkeypatch):
+    monkeypatch.setattr(app, "BODY_SECS", 0)
+    with pytest.raises(Fault) as e:
+        anyio.run(app.read, anyio.sleep_forever, {})
+    assert e.value.code == 311
+
+
+def slow_disk():
+    s = Scene(town="hamlet")
+    s.settle()
+    fol = s.w.nodes["edge-north-0"].peek("desk", "book")["duty/shard/pair"][1][2]
+    s.w.nodes[fol].disk.slow = 0.3 * SEC
+    for i in range(24):
+        s.w.after(i * SEC / 24, lambda: s.order(tenant="pair", cls="chat", retry=False, at="edge-middle-0"))
+    s.w.run(6)
+    assert s.o.faults == []
+    return s.told().get("ok", 0)
+
+
+def test_what_waits_for_a_slow_disk_is_synced_together(monkeypatch):
+    assert slow_disk() >= 20
+    turn = world.World.turn
+    monkeypatch.setattr(world.World, "turn", lambda w, d, n: turn(w, d, 1))
+    assert slow_disk() <= 10                       # one sync for each write
+
+
+def large(own_way, monkeypatch):
+    """A large configuration over links of 40 kB a second, with and without a connection for what is bulky."""
+    if not own_way:
+        monkeypatch.setattr(world, "lane", lambda kind: "bulk")
+    s = Scene(town="hamlet")
+    s.settle()
+    s.w.rate, n = 40e3, dict(s.o.events)
+    s.put(grow=300)
+    s.w.run(5)
+    return sum(s.o.events[k] - n.get(k, 0) for k in ("daemon-dead", "seek", "frozen")), s.o.acked[-1][2]
+
+
+def test_a_large_configuration_holds_up_no_heartbeat(monkeypatch):
+    assert large(True, monkeypatch) == (0, 100)
+    assert large(False, monkeypatch)[0] > 0
+
+
+def test_a_log_that_cannot_be_written_does_not_end_the_daemon():
+    class Full:
+        def write(self, s=""):
+            raise OSError(27, "File too large")
+
+        flush = write
+    h = log.Patient(Full())
+    h.write("x")
+    lg = log.setup(stream=Full())
+    for _ in range(3):
+        lg.info("event=x")
+    assert h.lost == 1
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -95,6 +95,26 @@
     return s
 
 
+def a_key_is_asked_twice_and_the_first_ask_is_held_up():
+    s = hamlet()
+    burst(s, 20, secs=4, tenant="pair", cls="lookup")
+    s.w.run(6)                                     # a budget for the retry
+    own, fol = holder(s, "shard/pair")[1:]
+    led = holder(s, "ledger/model-middle-0")[1]
+    assert own not in (led, fol)
+    at = next(n for n in s.live(zone="south") if n not in (own, led))
+    s.w.cut([own], [led], both=False)              # the first ask finds no slot for a while
+    s.order(tenant="pair", cls="chat", key="held", at=at, retry=False)
+    s.w.run(0.2)
+    s.w.heal()
+    s.order(tenant="pair", cls="chat", key="held", at="edge-middle-0", retry=False, attempt=2)
+    s.w.run(1.1)
+    s.w.cut([fol], [own], both=False)              # and does not hear that the key is claimed
+    s.w.run(8)
+    s.o.promises()
+    return s
+
+
 # 3, 4: bodies and streams
 def a_replica_skips_a_piece():
     s = hamlet()
@@ -303,6 +323,9 @@
        "silverglade.path.ingress.sure", "silverglade.path.order.sure")]),
     (a_visitor_moves_on_while_its_daemon_waits, "not-run-but-ran",
      [(ORDER, 'soon = f["minted"] or', "soon = True or", "silverglade.path.ingress.order")]),
+    (a_key_is_asked_twice_and_the_first_ask_is_held_up, "not-run-but-ran",
+     [(OWNER, ('        x["seen"] = False                        # its', "if c and c[0] != x[\"oid\"]:\n            return \"yes\""),
+       ("        # its", 'if False:\n            return "yes"'), "silverglade.hub.owner")]),
     (a_replica_skips_a_piece, "pieces",
      [(ORDER, "if k != piece + 1:", "if False:", "silverglade.path.ingress.order")]),
     (a_replica_fails_at_the_end, "success-unearned-or-told",
@@ -348,8 +371,8 @@
      [(LEDGER, 'self.cap, self.state, self.warm, self.run = 1,', 'self.cap, self.state, self.warm, self.run = 99,',
        "silverglade.hub.ledger")]),
     (every_replica_fails, "retries",
-     [("silverglade.path.budget", 'if self.n["again"] + 1 > share * self.n["fresh"]:', "if False:",
-       "silverglade.path.ingress.Budget")]),
+     [("silverglade.shards.budget", 'if self.n["again"] + 1 > mine or gone + 1 > share * fleet:', "if False:",
+       "silverglade.shards.owner.Budget")]),
     (the_primary_and_an_owner_are_lost, "not-back",
      [(CORE, 'if not up(o, now):', "if False:", "silverglade.hub.core")]),
 ]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -77,3 +77,25 @@
         d = kind.default
         d = f"{d.total_seconds():g} s" if hasattr(d, "total_seconds") else d
         assert f"| `{k}` | {d} |" in doc
+
+
+def settings(**kw):
+    return options.checked(dict(GOOD, **kw))
+
+
+def test_a_daemon_beyond_loopback_wants_a_key_for_each_role_or_to_be_told_outright(tmp_path):
+    for i, r in enumerate(options.ROLES):
+        (tmp_path / r).write_text(f"key{i}\n")
+    files = {f"{r}_key_file": str(tmp_path / r) for r in options.ROLES}
+    assert settings(http="10.1.2.3:80", **files)["platform_key"] == "key2"
+    assert settings(http="10.1.2.3:80", open=True)["operator_key"] == ""
+    (tmp_path / "none").write_text(" ")
+    for bad, why in [(dict(http="10.1.2.3:80"), "beyond loopback"),
+                     (dict({k: f for k, f in files.items() if "replica" not in k}, http="10.1.2.3:80"), "beyond loopback"),
+                     (dict(files, platform_key_file=str(tmp_path / "missing")), "cannot be read"),
+                     (dict(files, platform_key_file=str(tmp_path / "none")), "holds no key"),
+                     (dict(operator_key="x", replica_key="x"), "a key of its own"),
+                     (dict(files, operator_key="x"), "given twice")]:
+        with pytest.raises(Fault) as e:
+            settings(**bad)
+        assert e.value.code == 701 and why in e.value.detail
