--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -3,8 +3,7 @@
 from .config import digest
 from .control import book as bk
 from .part import ms, send
-from .replicas.registry import (ADDR, HOMES, INC, KIND, LEAVING, PREFIXES, S_CAP, S_RUNNING,
-                                S_STATE, S_USE, S_USED, SLOTS, ZONE)
+from .replicas.registry import ADDR, HOMES, INC, KIND, LEAVING, PREFIXES, S_CAP, S_RUNNING, S_STATE, S_USE, S_USED, SLOTS, ZONE
 from .roster import extra
 
 
--- a/silverglade/front/app.py
+++ b/silverglade/front/app.py
@@ -4,7 +4,8 @@
 
 import anyio
 
-from ..faults import Fault, body as fault_body, status
+from ..faults import Fault, status
+from ..faults import body as fault_body
 from .routes import route
 
 CAP = 4 * 1024 * 1024 + 1024
--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -9,7 +9,6 @@
 from .admit import admit, sure
 from .order import order
 
-
 WINDOW = 128         # pieces handed on that its visitor has not taken yet (6.6)
 KNOWN = 4096         # keys remembered, to tell a repeated one without its header
 TALES = 512          # orders whose steps are remembered for `silverglade trace`
--- a/silverglade/rehearsal/scene.py
+++ b/silverglade/rehearsal/scene.py
@@ -1,9 +1,9 @@
 """A seeded run (design 10.3): a town, its traffic, faults on the way, then peace and checks."""
 from datetime import timedelta
 
+from ..control import book as bk
 from ..options import tuning
 from ..part import span
-from ..control import book as bk
 from .changes import Changes
 from .towns import TOWNS
 from .world import World
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -5,10 +5,10 @@
 import anyio
 import pytest
 
+from silverglade import wire
 from silverglade.daemon import callout
 from silverglade.daemon.links import Links
 from silverglade.front.app import app
-from silverglade import wire
 
 
 class Daemon:
@@ -172,7 +172,8 @@
         assert got.statistics().current_buffer_used == 0 and f"code={code}" in lg.lines[0]
     raw = later[4:]
     put, got = anyio.create_memory_object_stream(8)
-    anyio.run(Links(me="b", life="l", addr="x", heard=lambda frm, body: put.send(("msg", frm, body)), lg=Log()).take, Line([wire.HEAD.pack(len(raw)) + raw]))
+    ln = Line([wire.HEAD.pack(len(raw)) + raw])
+    anyio.run(Links(me="b", life="l", addr="x", heard=lambda frm, body: put.send(("msg", frm, body)), lg=Log()).take, ln)
     assert got.receive_nowait() == ("msg", "a", ("ping", 2, ()))
 
 
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -8,9 +8,9 @@
 from silverglade.faults import Fault
 from silverglade.front import app
 from silverglade.options import checked
+from silverglade.rehearsal import world
 from silverglade.rehearsal.scene import Scene
 from silverglade.rehearsal.standin import SEC
-from silverglade.rehearsal import world
 
 from .test_front import http
 
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -134,3 +134,47 @@
     oid = s.order(tenant="pair", cls="chat", retry=False, at="edge-middle-0")
     s.w.run(2)
     assert s.o.orders[oid]["told"] == ("ok",)
+
+
+def chats(s, secs=3):
+    oids = [s.order(tenant="pair", cls="chat", retry=False, old=0, at=at) for at in ("edge-middle-0", "edge-south-0") if at in s.live()]
+    s.w.run(secs)
+    return {s.o.orders[o]["told"] and s.o.orders[o]["told"][:2] for o in oids}
+
+
+@pytest.mark.parametrize("how", ["kill", "freeze", "cut"])
+def test_two_cores_lost_stop_new_work_within_four_seconds_and_one_that_returns_brings_all_back(how):
+    s = hamlet()
+    s.traffic()
+    two = list(s.w.cores[:2])
+    rest = [x for x in list(s.w.nodes) + list(s.w.replicas) if x not in two]
+    do = dict(kill=lambda n: n.kill(), freeze=lambda n: n.freeze(True), cut=lambda n: s.w.cut([n.name], rest + two))
+    for n in two:
+        do[how](s.w.nodes[n])
+    s.w.run(4.5)
+    t, n = s.w.now, len(s.o.runs)
+    s.w.run(4)
+    assert all(at <= t + SEC / 10 for at, *_ in list(s.o.runs.values())[n:])      # what was on its way
+    assert chats(s) == {("fault", 307)}
+    back = dict(kill=lambda n: n.boot(), freeze=lambda n: n.freeze(False), cut=lambda n: s.w.heal())
+    back[how](s.w.nodes[two[0]])
+    s.w.run(12)
+    assert chats(s) == {("ok",)}
+    assert s.finish() == []
+
+
+def test_an_owner_and_its_follower_lost_shut_the_shard_for_unresumable_orders_until_one_returns():
+    s = hamlet()
+    e, own, fol = s.w.nodes["edge-north-0"].peek("desk", "book")["duty/shard/pair"][1]
+    s.order(tenant="pair", cls="chat", key="once", retry=False, at=own)
+    s.w.run(2)
+    for n in (own, fol):
+        s.w.nodes[n].kill()
+    s.w.run(6)
+    assert all(x and x[0] == "fault" for x in chats(s))
+    s.w.nodes[fol].boot()
+    s.w.run(12)
+    assert chats(s) == {("ok",)}
+    oid = s.order(tenant="pair", cls="chat", key="once", retry=False, attempt=2, at=s.live(zone="south")[0])
+    s.w.run(2)
+    assert s.o.orders[oid]["told"][1] in (305, 401) and s.o.faults == []      # it is remembered
