An owner's orders are typed records; the rehearsed fleet runs with a key for each role

Cause: entries of the owner were dictionaries whose fields stood nowhere; nothing showed that a deployment with keys works. Entry says each field; minute and storm run with keys in files, and a tenant's visitor must be refused an operator's, a replica's and the platform's calls; they also look for shared memory and child processes.

--- a/silverglade/rehearsal/fleet.py
+++ b/silverglade/rehearsal/fleet.py
@@ -1,6 +1,7 @@
 """A whole deployment as real processes on loopback (design 10.4). Only this runner starts any."""
 import json
 import os
+import secrets
 import signal
 import subprocess
 import sys
@@ -9,6 +10,7 @@
 import anyio
 import httpcore
 
+from ..options import ROLES
 from .relay import Relay
 from .towns import TOWNS
 
@@ -16,7 +18,8 @@
 
 
 class Fleet:
-    def __init__(self, *, town, folder, tuning=None):
+    def __init__(self, *, town, folder, tuning=None, keys=False):
+        """keys: does each role have a key, in a file, as in a deployment?"""
         self.t, self.dir, self.tuning = TOWNS[town](), folder, tuning or {}
         self.relay = Relay(delay=self.t["delay"])
         self.procs, self.daemons, self.reps, self.inc = {}, {}, {}, {}
@@ -32,9 +35,16 @@
             self.relay.region[f"127.3.{n}"] = self.t["config"]["zones"][r["zone"]]["region"]
         self.cores = [d["name"] for d in self.daemons.values() if d["core"]]
         os.makedirs(os.path.join(folder, "log"), exist_ok=True)
+        self.keys = {r: f"{r}-{secrets.token_hex(8)}" for r in ROLES} if keys else {}
+        for r, k in self.keys.items():
+            with open(self.key_file(r), "w", encoding="utf-8") as f:
+                f.write(k + "\n")
         self.runs = os.path.join(folder, "runs")
         open(self.runs, "a").close()
 
+    def key_file(self, role):
+        return os.path.join(self.dir, f"{role}.key")
+
     def spawn(self, name, args):
         out = open(os.path.join(self.dir, "log", name), "ab")
         self.procs[name] = subprocess.Popen([sys.executable, "-m", *args], stdout=out, stderr=out,
@@ -59,6 +69,7 @@
         s = dict(name=name, zone=d["zone"], region=d["region"], listen=d["real"] + ":7000",
                  advertise=d["told"] + ":7000", http=d["http"], cores=self.cores,
                  seeds=[self.daemons[c]["told"] + ":7000" for c in self.cores], tuning=dict(self.tuning))
+        s.update({f"{r}_key_file": self.key_file(r) for r in self.keys})
         if d["core"]:
             s["data"] = self.data(name)
         path = os.path.join(self.dir, name + ".json")
@@ -74,7 +85,8 @@
                          "--told", r["told"] + ":9000", "--zone", r["zone"], "--kind", r.get("kind", "model"),
                          "--homes", ",".join(r["homes"]), "--prefixes", ",".join(r.get("prefixes", [])),
                          "--slots", str(r["slots"]), "--incarnation", str(self.inc[rid]),
-                         "--daemons", ",".join(at), "--runs", self.runs])
+                         "--daemons", ",".join(at), "--runs", self.runs,
+                         *(["--key-file", self.key_file("replica")] if self.keys else [])])
 
     def kill(self, name, sig=signal.SIGKILL):
         p = self.procs[name]
@@ -100,8 +112,10 @@
         for r in self.reps:
             self.start_replica(r)
 
-    async def ask(self, name, verb, path, body=None, head=()):
-        """An operator's call -> (status, decoded body), or (0, {}) when nobody answers."""
+    async def ask(self, name, verb, path, body=None, head=(), key=None):
+        """A call of an operator or the platform -> (status, decoded body), or (0, {}) when nobody answers."""
+        role = "platform" if path.startswith("/v1/platform") else "operator"
+        head = [*head, ("Authorization", f"Bearer {self.keys.get(role, 'none') if key is None else key}")]
         b = json.dumps(body).encode() if body is not None else b""
         try:
             async with httpcore.AsyncConnectionPool(max_keepalive_connections=0) as pool:
@@ -112,6 +126,21 @@
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, ValueError):
             return 0, {}
 
+    def strange(self):
+        """Daemons that share memory or have started a process: there must be none."""
+        got = []
+        for n in self.up():
+            pid = self.procs[n].pid
+            try:
+                with open(f"/proc/{pid}/maps", encoding="utf-8") as f:
+                    got += [(n, x.strip()) for x in f if x.split()[1][1] == "w" and x.split()[1][3] == "s"]
+                for t in os.listdir(f"/proc/{pid}/task"):
+                    with open(f"/proc/{pid}/task/{t}/children", encoding="utf-8") as f:
+                        got += [(n, "child", c) for c in f.read().split()]
+            except FileNotFoundError:                # it ended, or this kernel does not tell
+                continue
+        return got
+
     def up(self, zone=None):
         return [n for n, d in self.daemons.items() if (zone is None or d["zone"] == zone)
                 and n in self.procs and self.procs[n].poll() is None]
--- a/silverglade/rehearsal/minute.py
+++ b/silverglade/rehearsal/minute.py
@@ -13,8 +13,8 @@
 
 
 class Minute:
-    def __init__(self, *, town, secs, seed, folder):
-        self.f = Fleet(town=town, folder=folder)
+    def __init__(self, *, town, secs, seed, folder, keys=True):
+        self.f = Fleet(town=town, folder=folder, keys=keys)
         self.v, self.secs, self.town = Visitors(fleet=self.f, seed=seed), secs, town
         self.bad, self.times, self.acked = [], {}, None
 
@@ -36,8 +36,17 @@
         self.times["first configuration"] = await f.until(put, 20)
         self.times["in force"] = await f.until(lambda: f.in_force(self.acked), 10)
         self.times["all owned"] = await f.until(self.owned, 20)
+        await self.strangers()
         self.rule(None not in self.times.values(), "did not come up", self.times)
 
+    async def strangers(self):
+        """A tenant's visitor, and nobody at all, can do nothing that is an operator's or a replica's."""
+        t = next(iter(self.f.t["config"]["tenants"]))
+        for verb, path in (("GET", "/v1/config"), ("PUT", "/v1/replicas/mine"), ("PUT", "/v1/platform/replicas")):
+            for key in (f"key-{t}", "") if self.f.keys else ():
+                code, _ = await self.f.ask(self.f.cores[0], verb, path, {}, key=key)
+                self.rule(code in (401, 403), "a stranger's call was taken", (verb, path, code))
+
     async def owned(self):
         rows = [(await self.f.ask(n, "GET", "/v1/status"))[1].get("shards", {}) for n in self.f.up()]
         opened = {t for r in rows for t, s in r.items() if s["open"]}
@@ -211,6 +220,7 @@
             await anyio.sleep(max(0.0, self.secs - (time.monotonic() - t0)))
             self.times["back in service"] = await f.until(self.served, BACK)
             self.rule(self.times["back in service"] is not None, "not back in service")
+            self.rule(not f.strange(), "shared memory or a child process", f.strange()[:3])
             self.v.open = False
         self.rule(await f.in_force(self.acked), "acknowledged configuration not in force")
         runs, fresh, again = self.judge()
@@ -253,7 +263,7 @@
 
 def stay(*, town, folder):
     """Start a town and stay up until interrupted."""
-    m = Minute(town=town, secs=0, seed=1, folder=folder)
+    m = Minute(town=town, secs=0, seed=1, folder=folder, keys=False)
 
     async def run():
         async with anyio.create_task_group() as tg:
--- a/silverglade/rehearsal/replica.py
+++ b/silverglade/rehearsal/replica.py
@@ -91,13 +91,17 @@
     b = json.dumps(dict(incarnation=a.incarnation, address=a.told or a.address, zone=a.zone, kind=a.kind,
                         homes=a.homes.split(","), prefixes=[p for p in a.prefixes.split(",") if p],
                         slots=a.slots)).encode()
-    n = 0
+    n, key = 0, "none"
+    if a.key_file:
+        with open(a.key_file, encoding="utf-8") as f:
+            key = f.read().strip()
     async with httpcore.AsyncConnectionPool(max_keepalive_connections=0) as pool:
         while True:
             at = a.daemons.split(",")
             with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
                 await pool.request("PUT", f"http://{at[n % len(at)]}/v1/replicas/{a.id}", content=b,
-                                   headers=[("Host", "x"), ("Content-Length", str(len(b)))],
+                                   headers=[("Host", "x"), ("Content-Length", str(len(b))),
+                                            ("Authorization", f"Bearer {key}")],
                                    extensions={"timeout": SLOW})
             n += 1
             await anyio.sleep(1)
@@ -108,6 +112,7 @@
     for k in ("id", "address", "zone", "kind", "homes", "daemons", "runs"):
         p.add_argument("--" + k, required=True)
     p.add_argument("--told", default="")
+    p.add_argument("--key-file", default="", help="holds the key with which it registers")
     p.add_argument("--prefixes", default="")
     for k, v in (("slots", 4), ("incarnation", 1), ("prefill", 60), ("step", 20)):
         p.add_argument("--" + k, type=int, default=v)
--- a/silverglade/shards/owner.py
+++ b/silverglade/shards/owner.py
@@ -1,4 +1,7 @@
 """Shard owners (design 6): one owner per tenant; queue, claim, elect, grant."""
+from dataclasses import dataclass, field
+from datetime import timedelta
+
 from ..config import digest
 from ..control import book as bk
 from ..part import ZERO, log, post, send, span
@@ -9,6 +12,44 @@
 from .shard import Shard
 
 
+@dataclass(slots=True, kw_only=True)
+class Entry:
+    """One order at its tenant's owner.
+
+    Steps: wait (for a slot), lease (a ledger was asked), claim (the follower was asked), granted,
+    idle (the replica did not have it; its ingress may ask again under its claim).
+    """
+    oid: str
+    n: int                        # the ask of its ingress: 1, and one more for each redispatch
+    frm: str                      # its ingress
+    tenant: str
+    cls: str
+    kd: str                       # digest of tenant and key
+    prefix: str
+    kind: str
+    resumable: bool
+    at: timedelta                 # when it was asked
+    left: timedelta
+    due: timedelta
+    next: timedelta               # when to look for a slot again
+    step: str = "wait"
+    rid: str = ""
+    lid: str = ""                 # the slot's lease, while it is held
+    ask: str = ""
+    list: list = field(default_factory=list)      # candidates not asked yet
+    seen: bool = False            # was its key looked up among the claims?
+    till: timedelta | None = None
+    free: bool = False            # was it barred before it was sent? Then a redispatch costs nothing
+    again: bool = False           # is it a retry?
+    claim: bool = False           # does it hold its key's claim?
+    spill: bool = False
+    avoid: set = field(default_factory=set)       # replicas that refused it
+
+    def set(self, **kw):
+        for k, v in kw.items():
+            setattr(self, k, v)
+
+
 def owner(*, me, zone, cores, opt, rng):
     shards, todo = {}, {}                  # tenant -> Shard; order id -> entry
     book, reps, roll, out = {}, {}, (), []
@@ -17,111 +58,111 @@
 
     def verdict(x):
         """May this owner promise that the key never ran? "?": it cannot tell (6.5)."""
-        sh = shards.get(x["tenant"])
-        if any(y["kd"] == x["kd"] and y is not x for y in todo.values()):
+        sh = shards.get(x.tenant)
+        if any(y.kd == x.kd and y is not x for y in todo.values()):
             return "maybe"                       # its visitor asked twice at once
-        if x["resumable"]:
-            return "maybe" if sh and x["kd"] in sh.tried else "?"
-        c = (sh.claims or {}).get(x["kd"]) if sh else None
-        if c and c[0] != x["oid"]:
+        if x.resumable:
+            return "maybe" if sh and x.kd in sh.tried else "?"
+        c = (sh.claims or {}).get(x.kd) if sh else None
+        if c and c[0] != x.oid:
             return "yes" if c[1] == "done" else "maybe"      # another ask of the key has come first
-        return "no" if x["seen"] else "?"
+        return "no" if x.seen else "?"
 
     def deny(x, code, ran=None, wait=None):
         ran = ran or verdict(x)
-        todo.pop(x["oid"], None)
+        todo.pop(x.oid, None)
         drop_lease(x, False)
-        sh = shards.get(x["tenant"])
-        if sh and x["claim"] and ran == "no":
-            out.extend(sh.mark(x["kd"], x["oid"], "free"))
-        out.append(send(x["frm"], "deny", x["oid"], x["n"], code, ran, wait))
+        sh = shards.get(x.tenant)
+        if sh and x.claim and ran == "no":
+            out.extend(sh.mark(x.kd, x.oid, "free"))
+        out.append(send(x.frm, "deny", x.oid, x.n, code, ran, wait))
 
     def drop_lease(x, good):
-        if x["lid"]:
-            burden[x["rid"]] = max(0, burden.get(x["rid"], 0) - 1)
-            e = book.get(f"duty/ledger/{x['rid']}", (0, (0, "", "")))[1]
-            out.append(send(e[1], "release", x["rid"], x["lid"], good))
-            x["lid"] = ""
+        if x.lid:
+            burden[x.rid] = max(0, burden.get(x.rid, 0) - 1)
+            e = book.get(f"duty/ledger/{x.rid}", (0, (0, "", "")))[1]
+            out.append(send(e[1], "release", x.rid, x.lid, good))
+            x.lid = ""
 
     def waiting(tenant):
-        return [x for x in todo.values() if x["tenant"] == tenant and x["step"] == "wait"]
+        return [x for x in todo.values() if x.tenant == tenant and x.step == "wait"]
 
     def cands(x, now):
         cfg = bk.get(book, "config")
-        home, rest = elect(reps=reps, cfg=cfg, tenant=x["tenant"], kind=x["kind"],
-                           prefix=x["prefix"], now=now, opt=opt, evac=evac, extra=burden)
+        home, rest = elect(reps=reps, cfg=cfg, tenant=x.tenant, kind=x.kind,
+                           prefix=x.prefix, now=now, opt=opt, evac=evac, extra=burden)
         if not home and not rest:
             return []
-        z0 = cfg["tenants"][x["tenant"]]["homes"][0]
+        z0 = cfg["tenants"][x.tenant]["homes"][0]
         g = cfg["zones"][z0]["region"]
         ready = sum(1 for r, s, _ in reps.values() if s and s[S_STATE] == "ready"
                     and r[ZONE] in cfg["zones"] and cfg["zones"][r[ZONE]]["region"] == g
-                    and r[5] == x["kind"])
+                    and r[5] == x.kind)
         # spill: home cannot take it, and the estimate says that it is short (design 7.4)
-        short = want.get((g, x["kind"]), 0) > ready
-        if not home or (short and now - x["at"] >= min(opt["spill_wait"], x["left"] / 4)):
-            x["spill"] = bool(rest)
+        short = want.get((g, x.kind), 0) > ready
+        if not home or (short and now - x.at >= min(opt["spill_wait"], x.left / 4)):
+            x.spill = bool(rest)
             home = home + rest
-        return [i for i in home if i not in x["avoid"]]
+        return [i for i in home if i not in x.avoid]
 
     def try_(x, now):
         """Ask the next candidate's ledger for a slot."""
         nonlocal lid_n
-        x["list"] = [i for i in x["list"] if i in reps]
-        if not x["list"]:
-            x["step"], x["next"] = "wait", now + opt["beat"]
+        x.list = [i for i in x.list if i in reps]
+        if not x.list:
+            x.step, x.next = "wait", now + opt["beat"]
             return
-        rid = x["list"].pop(0)
+        rid = x.list.pop(0)
         duty = bk.get(book, f"duty/ledger/{rid}")
         if not duty:
             return try_(x, now)
         lid_n += 1
-        x.update(step="lease", rid=rid, lid="", ask=f"{x['oid']}/{lid_n}", till=now + opt["owner_wait"])
-        out.append(send(duty[1], "lease", rid, duty[0], x["ask"], x["tenant"]))
+        x.set(step="lease", rid=rid, lid="", ask=f"{x.oid}/{lid_n}", till=now + opt["owner_wait"])
+        out.append(send(duty[1], "lease", rid, duty[0], x.ask, x.tenant))
 
     def step(x, now):
         """Move a waiting order on, if it is first in its tenant's line."""
-        sh = shards.get(x["tenant"])
+        sh = shards.get(x.tenant)
         if sh is None:
             return deny(x, 304, wait=500)
-        if not x["resumable"] and not sh.open:
+        if not x.resumable and not sh.open:
             return None                          # held briefly; the pulse gives up
         if look(sh, x):
             return None
-        x["list"] = cands(x, now)
+        x.list = cands(x, now)
         return try_(x, now)
 
     def look(sh, x):
         """The key's claim, once the claims are known; True: it was claimed before."""
-        if not x["resumable"] and not x["seen"] and sh.open:
-            x["seen"] = True
-            c = sh.claims.get(x["kd"])
-            if c and c[0] != x["oid"]:
+        if not x.resumable and not x.seen and sh.open:
+            x.seen = True
+            c = sh.claims.get(x.kd)
+            if c and c[0] != x.oid:
                 deny(x, 401, ran="yes" if c[1] == "done" else "maybe")
                 return True
         return False
 
     def leased(x, rid, lid, now):
-        x.update(rid=rid, lid=lid)
+        x.set(rid=rid, lid=lid)
         burden[rid] = burden.get(rid, 0) + 1
-        if x["resumable"]:
-            shards[x["tenant"]].tries(x["kd"])
+        if x.resumable:
+            shards[x.tenant].tries(x.kd)
             return grant(x, now)
-        sh = shards.get(x["tenant"])
+        sh = shards.get(x.tenant)
         if sh is None or not sh.open:
             return deny(x, 303, wait=500)
-        x["seen"] = False                        # its key may have been claimed while it waited
+        x.seen = False                        # its key may have been claimed while it waited
         if look(sh, x):
             return None
-        x.update(step="claim", claim=True, till=now + opt["claim_wait"])
-        out.extend(sh.claim(x["kd"], x["oid"]))
+        x.set(step="claim", claim=True, till=now + opt["claim_wait"])
+        out.extend(sh.claim(x.kd, x.oid))
         return None
 
     def grant(x, now):
-        r = reps[x["rid"]][0]
-        x.update(step="granted", till=now + x["left"] + opt["grant"])
-        out.append(send(x["frm"], "grant", x["oid"], x["n"], x["rid"], r[INC], r[ADDR],
-                        shards[x["tenant"]].epoch, bool(x.get("spill")), x["again"]))
+        r = reps[x.rid][0]
+        x.set(step="granted", till=now + x.left + opt["grant"])
+        out.append(send(x.frm, "grant", x.oid, x.n, x.rid, r[INC], r[ADDR],
+                        shards[x.tenant].epoch, bool(x.spill), x.again))
 
     def ask(now, frm, oid, n, tenant, e, facts):
         cls, key, prefix, left, *more = facts
@@ -134,19 +175,18 @@
             return out.append(send(frm, "moved", oid, n))
         if fresh is None or now - fresh > opt["alone"]:
             return no(307)
-        if oid in todo and todo[oid]["n"] >= n:
-            if todo[oid]["step"] == "granted" and todo[oid]["n"] == n and todo[oid]["rid"] in reps:
+        if oid in todo and todo[oid].n >= n:
+            if todo[oid].step == "granted" and todo[oid].n == n and todo[oid].rid in reps:
                 grant(todo[oid], now)
             return None
         line = waiting(tenant)
         c = cfg["tenants"][tenant]["classes"][cls]
-        x = dict(oid=oid, n=n, frm=frm, tenant=tenant, cls=cls, kd=digest(f"{tenant}\0{key}"), prefix=prefix,
-                 kind=c["kind"], resumable=c["resumable"], at=now, left=span(left), due=now + span(left),
-                 step="wait", rid="", lid="", ask="", list=[], seen=False, till=None, next=now,
-                 free=False, again=oid in todo and todo[oid]["again"],
-                 claim=oid in todo and todo[oid]["claim"],
-                 avoid=todo[oid]["avoid"] if oid in todo else set())
-        old, todo[oid], ahead = todo.get(oid), x, any(w["kind"] == x["kind"] for w in line)
+        old = todo.get(oid)
+        x = todo[oid] = Entry(
+            oid=oid, n=n, frm=frm, tenant=tenant, cls=cls, kd=digest(f"{tenant}\0{key}"), prefix=prefix, kind=c["kind"],
+            resumable=c["resumable"], at=now, left=span(left), due=now + span(left), next=now,
+            **({"claim": old.claim, "again": old.again, "avoid": old.avoid} if old else {}))
+        ahead = any(w.kind == x.kind for w in line)
         if look(sh, x):
             return None
         if not allowed(sh, x, old, more[0] if more and type(more[0]) is int else 0, now):
@@ -159,12 +199,12 @@
 
     def allowed(sh, x, old, attempt, now):
         """Within the budget of retries (7.5)? Owners see every order, so they know a repeated key."""
-        was = sh.asked.setdefault(x["kd"], x["oid"])
+        was = sh.asked.setdefault(x.kd, x.oid)
         part = len(shards) / max(1, sum(1 for k in book if k.startswith("duty/shard/")))
-        if x["n"] > 1:                           # a redispatch; what was barred before it was sent is none
-            return bool(old and old["free"]) or budget.take(now, opt["retry_share"], part)
-        if old is None and (attempt > 1 or was != x["oid"]):
-            x["again"] = True
+        if x.n > 1:                           # a redispatch; what was barred before it was sent is none
+            return bool(old and old.free) or budget.take(now, opt["retry_share"], part)
+        if old is None and (attempt > 1 or was != x.oid):
+            x.again = True
             return budget.take(now, opt["retry_stop"], part)
         if old is None:
             budget.fresh(now)
@@ -186,17 +226,17 @@
                 elif holder != me and t in shards:
                     del shards[t]
                     out.append(log("shard-passed", shard=t, epoch=e, owner=holder))
-                    for x in [x for x in todo.values() if x["tenant"] == t]:
-                        todo.pop(x["oid"])
-                        if x["step"] != "granted":
+                    for x in [x for x in todo.values() if x.tenant == t]:
+                        todo.pop(x.oid)
+                        if x.step != "granted":
                             drop_lease(x, False)
-                            out.append(send(x["frm"], "moved", x["oid"], x["n"]))
+                            out.append(send(x.frm, "moved", x.oid, x.n))
 
     def withdraw():
         """Orders that wait for a tenant or class which the configuration no longer has (6.7)."""
         ts = (bk.get(book, "config") or {"tenants": {}})["tenants"]
         for x in list(todo.values()):
-            if x["cls"] not in ts.get(x["tenant"], {"classes": ()})["classes"] and x["step"] not in ("granted", "idle"):
+            if x.cls not in ts.get(x.tenant, {"classes": ()})["classes"] and x.step not in ("granted", "idle"):
                 deny(x, 209)
 
     def spare():
@@ -210,8 +250,8 @@
         """Leases last only while their owner says that it holds them (design 7.3)."""
         held = {}
         for x in todo.values():
-            if x["lid"]:
-                held.setdefault(x["rid"], []).append((x["lid"], x["tenant"]))
+            if x.lid:
+                held.setdefault(x.rid, []).append((x.lid, x.tenant))
         for rid, ls in held.items():
             e = bk.get(book, f"duty/ledger/{rid}")
             if e:
@@ -232,32 +272,32 @@
             if names:                            # all in one change: hundreds of shards move at once
                 out.append(post("desk", "self", ("duties", names)))
         for x in list(todo.values()):
-            if x["frm"] not in live and x["step"] == "granted":
+            if x.frm not in live and x.step == "granted":
                 drop_lease(x, False)             # its claim stays: nobody knows what ran
-                todo.pop(x["oid"])
-            elif x["step"] in ("granted", "idle"):
-                if now > x["till"]:
+                todo.pop(x.oid)
+            elif x.step in ("granted", "idle"):
+                if now > x.till:
                     drop_lease(x, False)
-                    todo.pop(x["oid"])
-            elif x["frm"] not in live:
+                    todo.pop(x.oid)
+            elif x.frm not in live:
                 deny(x, 405, ran="maybe")
-            elif now >= x["due"]:
+            elif now >= x.due:
                 deny(x, 301, wait=1000)
-            elif x["step"] == "claim" and now > x["till"]:
-                if x["tenant"] in shards:        # it lives but does not sync: another follows
-                    sh = shards[x["tenant"]]
+            elif x.step == "claim" and now > x.till:
+                if x.tenant in shards:        # it lives but does not sync: another follows
+                    sh = shards[x.tenant]
                     sh.bad[sh.follower] = now
                 deny(x, 303, wait=1000)
-            elif x["step"] == "wait":
-                sh = shards.get(x["tenant"])
-                shut = not x["resumable"] and not (sh and sh.open)
-                if shut and (now - x["at"] > opt["claim_wait"] or sh and sh.step == "shut"):
+            elif x.step == "wait":
+                sh = shards.get(x.tenant)
+                shut = not x.resumable and not (sh and sh.open)
+                if shut and (now - x.at > opt["claim_wait"] or sh and sh.step == "shut"):
                     deny(x, 303, wait=1000)
-                elif now - x["at"] > opt["queue_wait"]:
+                elif now - x.at > opt["queue_wait"]:
                     deny(x, 301, wait=1000)
-                elif now >= x["next"]:
+                elif now >= x.next:
                     step(x, now)
-            elif x["step"] == "lease" and now > x["till"]:
+            elif x.step == "lease" and now > x.till:
                 try_(x, now)
 
     while True:
@@ -290,17 +330,17 @@
                 ask(now, frm, oid, n, tenant, e, facts)
             case ("msg", frm, ("leased", str(lid), str(rid), int(e))):
                 x = todo.get(lid.rsplit("/", 1)[0])
-                if x and x["step"] == "lease" and x["ask"] == lid and rid in reps:
+                if x and x.step == "lease" and x.ask == lid and rid in reps:
                     leased(x, rid, lid, now)
                 else:
                     out.append(send(frm, "release", rid, lid, False))
             case ("msg", frm, ("unleased", str(lid), str(rid), str(why))):
                 x = todo.get(lid.rsplit("/", 1)[0])
-                if x and x["step"] == "lease" and x["ask"] == lid:
+                if x and x.step == "lease" and x.ask == lid:
                     try_(x, now)
             case ("msg", frm, ("offer", str(rid), int(e), str(lid), str(tenant))):
-                x = next((x for x in sorted(waiting(tenant), key=lambda x: x["due"])
-                          if rid in reps and (x["resumable"] or shards[tenant].open)
+                x = next((x for x in sorted(waiting(tenant), key=lambda x: x.due)
+                          if rid in reps and (x.resumable or shards[tenant].open)
                           and rid in cands(x, now)), None) if tenant in shards else None
                 if x:
                     leased(x, rid, lid, now)
@@ -308,13 +348,13 @@
                     out.append(send(frm, "release", rid, lid, False))
             case ("msg", frm, ("claimed", str(t), int(e), str(oid))):
                 x = todo.get(oid)
-                if x and x["step"] == "claim" and t in shards and shards[t].epoch == e and x["rid"] in reps:
+                if x and x.step == "claim" and t in shards and shards[t].epoch == e and x.rid in reps:
                     grant(x, now)
             case ("msg", frm, ("unclaimed", str(t), int(e), str(oid), str(why))):
                 x = todo.get(oid)
-                if x and x["step"] == "claim":
+                if x and x.step == "claim":
                     if why == "seen":
-                        x["claim"] = False
+                        x.claim = False
                         deny(x, 401, ran="maybe")
                     else:
                         shards[t].lost(e, why)
@@ -323,21 +363,21 @@
                 out.extend(shards[t].hear(frm, k, e, r))
             case ("msg", frm, ("fin", str(oid), int(n), str(how))):
                 x = todo.get(oid)
-                if x and x["n"] == n and x["frm"] == frm:
+                if x and x.n == n and x.frm == frm:
                     drop_lease(x, how == "done")
-                    if how in ("unrun", "barred") and x["rid"]:
-                        x["avoid"].add(x["rid"])     # the ingress may ask again under its claim
-                        x.update(step="idle", till=now + opt["grant"], free=how == "barred")
+                    if how in ("unrun", "barred") and x.rid:
+                        x.avoid.add(x.rid)     # the ingress may ask again under its claim
+                        x.set(step="idle", till=now + opt["grant"], free=how == "barred")
                     else:
                         todo.pop(oid)
-                        if x["claim"] and x["tenant"] in shards:
-                            out.extend(shards[x["tenant"]].mark(x["kd"], oid, how))
+                        if x.claim and x.tenant in shards:
+                            out.extend(shards[x.tenant].mark(x.kd, oid, how))
             case ("msg", frm, ("quit", str(oid))):   # the ingress will never send it
                 x = todo.pop(oid, None)
-                if x and x["frm"] == frm:
+                if x and x.frm == frm:
                     drop_lease(x, False)
-                    if x["claim"] and x["tenant"] in shards:
-                        out.extend(shards[x["tenant"]].mark(x["kd"], oid, "free"))
+                    if x.claim and x.tenant in shards:
+                        out.extend(shards[x.tenant].mark(x.kd, oid, "free"))
             case ("look",):
                 out.append(post("desk", "retries", dict(budget.total)))
                 out.append(post("desk", "shards", tuple(
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -1,9 +1,10 @@
 """Pressure on one daemon (design 1.3): lanes, bodies, the disk; its own tasks, no socket, no clock."""
 import anyio
+import anyio.lowlevel
 import pytest
 
 from silverglade import log
-from silverglade.daemon import lanes
+from silverglade.daemon import lanes, tree
 from silverglade.daemon.run import BODIES, DISK, Daemon
 from silverglade.faults import Fault
 from silverglade.front import app
@@ -164,3 +165,21 @@
     for _ in range(3):
         lg.info("event=x")
     assert h.lost == 1
+
+
+def test_a_fallen_child_is_started_again_and_one_that_keeps_falling_goes_up(monkeypatch):
+    async def at_once(t):
+        await anyio.lowlevel.checkpoint()
+    monkeypatch.setattr(tree.anyio, "sleep", at_once)
+    runs = []
+
+    async def child(falls):
+        runs.append(1)
+        if len(runs) <= falls:
+            raise OSError("fell")
+    anyio.run(lambda: tree.keep(name="x", run=lambda: child(3), lg=Quiet()))
+    assert len(runs) == 4
+    runs.clear()
+    with pytest.raises(OSError):
+        anyio.run(lambda: tree.keep(name="x", run=lambda: child(99), lg=Quiet()))
+    assert len(runs) == tree.FEW
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -324,7 +324,7 @@
     (a_visitor_moves_on_while_its_daemon_waits, "not-run-but-ran",
      [(ORDER, 'soon = f["minted"] or', "soon = True or", "silverglade.path.ingress.order")]),
     (a_key_is_asked_twice_and_the_first_ask_is_held_up, "not-run-but-ran",
-     [(OWNER, ('        x["seen"] = False                        # its', "if c and c[0] != x[\"oid\"]:\n            return \"yes\""),
+     [(OWNER, ("        x.seen = False                        # its", 'if c and c[0] != x.oid:\n            return "yes"'),
        ("        # its", 'if False:\n            return "yes"'), "silverglade.hub.owner")]),
     (a_replica_skips_a_piece, "pieces",
      [(ORDER, "if k != piece + 1:", "if False:", "silverglade.path.ingress.order")]),
