Sides that were started apart find each other again by their seeds

Both sides started apart, joined among themselves, and asked no seed once they had joined; after the cut was mended the rolls stayed at 3 and 6, and the region's orders found no owner (207, 304) for good. A daemon greets every seed that its roll does not show once a second now.

--- a/silverglade/rehearsal/scene.py
+++ b/silverglade/rehearsal/scene.py
@@ -42,7 +42,7 @@
         def got(code, kw):
             self.o.put(code, kw, tag)
             self.w.note("put", tag, code, tuple(kw.get("version", ())))
-            if code in (503, 504):                   # asks by the change's id until that is settled
+            if code in (503, 504, 705) and ask:      # asks by the change's id until that is settled
                 self.w.after(SEC / 2, again)
 
         def go(code, kw):
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -125,7 +125,7 @@
         self.by_addr = {n.addr: n for n in self.nodes.values()}
         self.delay, self.cuts, self.links, self.trace = delay_ms, set(), {}, []
         self.region = {z: d["region"] for z, d in config["zones"].items()}
-        self.config, self.calls, self.jobs = config, {}, {}
+        self.config, self.calls, self.asked, self.jobs = config, {}, {}, {}
         self.oracle, self.reps = Oracle(world=self), 0
         self.replicas = {r["rid"]: Replica(world=self, **r) for r in replicas}
         for n in self.nodes.values():
@@ -192,6 +192,9 @@
             n.feed(("msg", frm, body))
 
     def died(self, n):
+        for cid in [c for c, name in self.asked.items() if name == n.name]:
+            del self.asked[cid]                   # its caller sees the connection break
+            self.after(ZERO, self.calls.pop(cid), 705, {})
         for did, (owner, r) in list(self.jobs.items()):
             if owner is n:
                 self.jobs.pop(did)
@@ -225,7 +228,7 @@
             case ("result", oid, *r):
                 self.oracle.result(oid, r)
             case ("reply", cid, code, kw):
-                fn = self.calls.pop(cid, None)
+                fn, _ = self.calls.pop(cid, None), self.asked.pop(cid, None)
                 if fn:
                     fn(code, kw)
             case ("log", ev, kw):
@@ -266,8 +269,10 @@
         self.num += 1
         cid = f"c{self.num}"
         self.calls[cid] = then
+        self.asked[cid] = name
         n = self.nodes[name]
         if n.hub is None:
+            self.asked.pop(cid)
             return self.calls.pop(cid)(705, {})
         return n.feed(("call", cid, op, args))
 
--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -145,6 +145,9 @@
                         if now - born > opt["takeover"]:
                             joined = True        # alone from the start: its own roll
                     publish(now)
+                    here = {r[ADDR] for r in roll}
+                    if recs[me][BEAT] % 4 == 0:  # sides that began apart find each other by their seeds
+                        out += [send("@" + s, "ping", ms(now), all_) for s in seeds if s != addr and s not in here]
             case ("msg", frm, ("ping", t, rs)):
                 if take(rs, now):
                     publish(now)
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -178,3 +178,20 @@
     oid = s.order(tenant="pair", cls="chat", key="once", retry=False, attempt=2, at=s.live(zone="south")[0])
     s.w.run(2)
     assert s.o.orders[oid]["told"][1] in (305, 401) and s.o.faults == []      # it is remembered
+
+
+def test_sides_that_are_started_apart_find_each_other_by_their_seeds_once_the_links_are_back():
+    s = hamlet()
+    mine = [n.name for n in s.w.nodes.values() if n.zone == "north"]
+    s.w.cut(mine, [n for n in s.w.nodes if n not in mine])
+    for n in s.w.nodes.values():
+        n.kill()
+    s.w.run(1)
+    for n in s.w.nodes.values():
+        n.boot()
+    s.w.run(8)
+    assert {len(n.peek("desk", "roll")) for n in s.w.nodes.values()} == {2, 4}
+    s.w.heal()
+    s.w.run(2)
+    assert {len(n.peek("desk", "roll")) for n in s.w.nodes.values()} == {6}
+    assert s.finish() == []
