A link ends with its peer: no answer is swallowed by an idle connection

Answers to it went over links that had stood idle since its earlier life: the first write to such a connection succeeds and is lost, one for each core, and a silent core is left alone for 4 s. With one link a pair heartbeats had found the broken connection at once; three links, of which two may be idle, had not. Each link is read now and made anew when its peer goes away. Ruled out: the proof that a starting daemon waits for (its cores had it at 02.9 s); the simulator, whose links have no state.

--- a/silverglade/daemon/links.py
+++ b/silverglade/daemon/links.py
@@ -3,6 +3,8 @@
 Three connections to each peer, so that a heartbeat waits neither behind a body nor behind a
 copy of the whole book: what keeps the system together, what concerns orders, what is bulky.
 """
+import contextlib
+
 import anyio
 
 from .. import wire
@@ -11,6 +13,7 @@
 from .lanes import lane
 
 QUEUE = 4096
+DOWN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError, TimeoutError)
 
 
 def split(addr):
@@ -56,14 +59,22 @@
                 wait = min(0.5, wait * 2)
                 continue
             wait = 0.05
-            async with s:
-                try:
+            async with s, anyio.create_task_group() as tg:
+                tg.start_soon(self.ended, s, tg.cancel_scope)
+                with contextlib.suppress(*DOWN):
                     while True:
                         with anyio.fail_after(5):
                             await s.send(data)
                         data = await queue.receive()
-                except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError, TimeoutError):
-                    self.lg.info(line("link-down", [("to", addr)]))
+                tg.cancel_scope.cancel()
+            self.lg.info(line("link-down", [("to", addr)]))
+
+    async def ended(self, s, scope):
+        """Nobody speaks on this side of a link: it ends when its peer does, and is made anew for the next
+        message. An idle link to a daemon that was started again would swallow one or two otherwise."""
+        with contextlib.suppress(anyio.EndOfStream, *DOWN):
+            await s.receive(1)
+        scope.cancel()
 
     async def take(self, s):
         """One inbound connection; a bad frame closes it and nothing else."""
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -58,6 +58,7 @@
         q = sub.add_parser(t, help=f"start the fleet of {t} as real processes and rehearse a minute")
         q.add_argument("--secs", type=int, default=60)
         q.add_argument("--seed", type=int, default=1)
+        q.add_argument("--other", default="", help="a second checkout; every second daemon runs the program there")
         q.add_argument("--folder", default="")
     q = sub.add_parser("storm", help="every failure on a fleet of real processes, seeded")
     q.add_argument("--town", choices=TOWNS, default="navrang")
@@ -89,7 +90,7 @@
         from .pressure import storm
         return storm(town=a.town, seed=a.seed, folder=folder)
     from .minute import rehearse
-    return rehearse(town=a.cmd, secs=a.secs, seed=a.seed, folder=folder)
+    return rehearse(town=a.cmd, secs=a.secs, seed=a.seed, folder=folder, other=a.other)
 
 
 if __name__ == "__main__":
--- a/silverglade/rehearsal/fleet.py
+++ b/silverglade/rehearsal/fleet.py
@@ -18,8 +18,12 @@
 
 
 class Fleet:
-    def __init__(self, *, town, folder, tuning=None, keys=False):
-        """keys: does each role have a key, in a file, as in a deployment?"""
+    def __init__(self, *, town, folder, tuning=None, keys=False, other=""):
+        """keys: does each role have a key, in a file, as in a deployment?
+
+        other: the folder of a second checkout; every second daemon runs the program there.
+        """
+        self.other = os.path.abspath(other) if other else ""
         self.t, self.dir, self.tuning = TOWNS[town](), folder, tuning or {}
         self.relay = Relay(delay=self.t["delay"])
         self.procs, self.daemons, self.reps, self.inc = {}, {}, {}, {}
@@ -47,8 +51,9 @@
 
     def spawn(self, name, args):
         out = open(os.path.join(self.dir, "log", name), "ab")
+        strange = self.other and name in self.daemons and list(self.daemons).index(name) % 2
         self.procs[name] = subprocess.Popen([sys.executable, "-m", *args], stdout=out, stderr=out,
-                                            stdin=subprocess.DEVNULL)
+                                            stdin=subprocess.DEVNULL, cwd=self.other if strange else None)
         out.close()
 
     def data(self, name):
--- a/silverglade/rehearsal/minute.py
+++ b/silverglade/rehearsal/minute.py
@@ -13,8 +13,8 @@
 
 
 class Minute:
-    def __init__(self, *, town, secs, seed, folder, keys=True):
-        self.f = Fleet(town=town, folder=folder, keys=keys)
+    def __init__(self, *, town, secs, seed, folder, keys=True, other=""):
+        self.f = Fleet(town=town, folder=folder, keys=keys, other=other)
         self.v, self.secs, self.town = Visitors(fleet=self.f, seed=seed), secs, town
         self.bad, self.times, self.acked = [], {}, None
 
@@ -252,8 +252,8 @@
         print("sound" if not self.bad else f"{len(self.bad)} broken")
 
 
-def rehearse(*, town, secs, seed, folder):
-    m = Minute(town=town, secs=secs, seed=seed, folder=folder)
+def rehearse(*, town, secs, seed, folder, other=""):
+    m = Minute(town=town, secs=secs, seed=seed, folder=folder, other=other)
     print(f"logs and data: {folder}")
     anyio.run(m.run)
     for b in m.bad[:20]:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -195,3 +195,47 @@
     assert got["rep"] == [403, 403, 200, 200, 403, 403, 403, 403]
     assert got["plat"] == [403, 403, 403, 403, 200, 200, 403, 403]
     assert set(got["key-tenant"]) == {401} and set(got[""]) == {401}      # a tenant's visitor: none of them
+
+
+class Pipe:
+    """One outgoing connection; its peer may end it while it is idle."""
+
+    def __init__(self):
+        self.sent, self.over = [], anyio.Event()
+
+    async def send(self, data):
+        self.sent.append(data)                     # as a socket does, even when nobody is there any more
+
+    async def receive(self, n):
+        await self.over.wait()
+        raise anyio.EndOfStream
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *a):
+        pass
+
+
+def test_a_link_whose_peer_went_away_while_it_was_idle_swallows_nothing(monkeypatch):
+    async def go():
+        made = []
+
+        async def connect(*a, **kw):
+            made.append(Pipe())
+            return made[-1]
+        monkeypatch.setattr("silverglade.daemon.links.anyio.connect_tcp", connect)
+        lg = Log()
+        lg.info = lg.warning
+        links = Links(me="a", life="l", addr="127.0.0.1:1", heard=None, lg=lg)
+        links.peer("b", "127.0.0.1:2")
+        async with anyio.create_task_group() as links.group:
+            links.send("b", ("get", 1, (0, 0)))
+            await anyio.wait_all_tasks_blocked()
+            made[0].over.set()                     # the peer is killed, and started again
+            await anyio.wait_all_tasks_blocked()
+            links.send("b", ("get", 2, (0, 0)))
+            await anyio.wait_all_tasks_blocked()
+            links.group.cancel_scope.cancel()
+        return [len(p.sent) for p in made]
+    assert anyio.run(go) == [1, 1]
