One place for a tenant's homes and for a leaving record; the owner's part of the shards counted once

Cause: a read of the whole change. The homes of a tenant were looked up in three wordings, a record was marked leaving in four, and each ask counted every shard duty of the book (hundreds with many tenants) where only a new book changes that. Two figures that nothing read are gone. Behaviour is as it was.

--- a/silverglade/config.py
+++ b/silverglade/config.py
@@ -46,6 +46,11 @@
     return (None, tuple(bad)) if bad else (out, ())
 
 
+def homes(cfg, tenant, /):
+    """A tenant's homes; none without a configuration, or when it was taken out."""
+    return cfg["tenants"].get(tenant, {"homes": ()})["homes"] if cfg else ()
+
+
 def by_key(cfg, key, /):
     d = digest(key)
     for t, x in cfg["tenants"].items():
--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -1,6 +1,7 @@
 """The path part (design 6.5, 6.6): orders at their ingress, and orders handed towards home."""
 from boltons.cacheutils import LRI
 
+from ..config import homes
 from ..control import book as bk
 from ..faults import Fault
 from ..part import ms, send
@@ -29,8 +30,7 @@
 
     def at_home(self, i, tenant):
         """Does this daemon live, in a zone of the tenant's homes as they are now? An owner may not yet be moved."""
-        return self.ids.get(i) in (bk.get(self.book, "config") or {"tenants": {}})["tenants"].get(
-            tenant, {"homes": ()})["homes"]
+        return self.ids.get(i) in homes(bk.get(self.book, "config"), tenant)
 
     def fresh(self, now):
         return self.heard is not None and now - self.heard <= self.opt["alone"]
@@ -42,11 +42,10 @@
             return "stale"
         if e is None or e[0][INC] != inc:
             return "incarnation"
-        cfg = bk.get(self.book, "config")
-        homes = cfg["tenants"].get(f["tenant"], {"homes": ()})["homes"]
         if e[2] is None or now - e[2] > self.opt["stale"]:
             return "unheard"
-        return "" if usable(e, now=now, opt=self.opt, evac=self.evac, homes=homes,
+        return "" if usable(e, now=now, opt=self.opt, evac=self.evac,
+                            homes=homes(bk.get(self.book, "config"), f["tenant"]),
                             kind=f["kind"]) else "unusable"
 
 
--- a/silverglade/rehearsal/longday.py
+++ b/silverglade/rehearsal/longday.py
@@ -93,17 +93,15 @@
     falls = {}
     for t, z, m in p.wanted:
         falls.setdefault(z, []).append((t, m))
-    quick = sum(b[1] < a[1] and any(x[1] > b[1] and b[0] - x[0] < 0 * SEC for x in rows)
-                for rows in falls.values() for a, b in zip(rows, rows[1:]))
     return dict(orders=len(os), served=len(ok), in_aim=met, replica_hours=round(p.seconds / 3600, 2),
                 up=p.up, down=p.down, under_least=p.under, most=max(m for _, _, m in p.wanted),
                 spills=sum(n.peek("path", "ctx").spills for n in s.w.nodes.values() if n.hub), faults=s.o.faults,
-                wanted=falls, quick=quick)
+                wanted=falls)
 
 
 def main(seeds, secs):
     for flow in ("printed", "served"):
         for seed in seeds:
             d = day(seed=seed, flow=flow, secs=secs)
-            print(f"W by {flow}, seed {seed}:", {k: v for k, v in d.items() if k not in ("wanted", "quick")})
+            print(f"W by {flow}, seed {seed}:", {k: v for k, v in d.items() if k != "wanted"})
     return 0
--- a/silverglade/rehearsal/oracle.py
+++ b/silverglade/rehearsal/oracle.py
@@ -25,7 +25,7 @@
         # "given up is answered at once": by its due the order is given up; the answer crosses two hops,
         # and a daemon looks at its clock on each pulse.
         self.slack = self.flight + world.opt["settle"] + 2 * world.opt["pulse"]
-        self.fresh = self.again = 0
+        self.again = 0
 
     def bad(self, rule, *what):
         self.faults.append((round(self.w.now / SEC, 3), rule, *what))
@@ -34,8 +34,6 @@
     def asked(self, oid, **facts):
         self.orders[oid] = dict(facts, oid=oid, at=self.w.now, pieces=[], told=None, when=None)
         self.retries.asked(self.w.now, (facts["tenant"], facts["key"]), oid)
-        if facts["attempt"] < 2:
-            self.fresh += 1
 
     def result(self, oid, r):
         o = self.orders.get(oid)
--- a/silverglade/replicas/elect.py
+++ b/silverglade/replicas/elect.py
@@ -1,4 +1,5 @@
 """Which replicas an order may go to, in order of preference (design 7.2)."""
+from .. import config
 from ..rank import score
 from .registry import PREFIXES, S_CAP, S_USED, ZONE, usable
 
@@ -8,7 +9,7 @@
 
     extra: leases of our own that no status shows yet, by replica.
     """
-    homes = [z for z in cfg["tenants"].get(tenant, {"homes": ()})["homes"] if z in cfg["zones"]]
+    homes = [z for z in config.homes(cfg, tenant) if z in cfg["zones"]]
     if not homes:
         return [], []
     region = {z: d["region"] for z, d in cfg["zones"].items()}
--- a/silverglade/replicas/registry.py
+++ b/silverglade/replicas/registry.py
@@ -29,6 +29,11 @@
         type(v) is t for v, t in zip(r, types))
 
 
+def left(r):
+    """The record of a replica that leaves; what a later program added stays."""
+    return r[:LEAVING] + (True, *r[LEAVING + 1:])
+
+
 def partners(me, others, turn):
     """Whom to tell on this turn (design 7.1): on a ring of the live, 1, 2, 4, ... places on.
 
@@ -63,10 +68,10 @@
         if old is None or r[INC:ADDR] > old[INC:ADDR]:
             fresh[r[RID]] = clock
         if marks.get(r[RID], 0) >= r[INC]:
-            r = r[:LEAVING] + (True, *r[LEAVING + 1:])            # it was marked before it was known here
+            r = left(r)                          # it was marked before it was known here
         if old and r[INC] == old[INC] and (r[LEAVING] or old[LEAVING]):
-            r = r[:LEAVING] + (True, *r[LEAVING + 1:])
-            old_ = old[:LEAVING] + (True, *old[LEAVING + 1:])
+            r = left(r)
+            old_ = left(old)
             if r[BEAT] <= old[BEAT] and old_ != old:
                 recs[r[RID]] = old_
                 return True
@@ -98,7 +103,7 @@
         marks[rid], r = inc, recs.get(rid)
         fresh.setdefault(rid, clock)
         if r and r[INC] <= inc and not r[LEAVING]:
-            recs[rid] = r[:LEAVING] + (True, *r[LEAVING + 1:])
+            recs[rid] = left(r)
         out.append(log("replica-leaving", replica=rid, incarnation=inc, why=why))
         return True
 
--- a/silverglade/shards/owner.py
+++ b/silverglade/shards/owner.py
@@ -54,7 +54,7 @@
     shards, todo = {}, {}                  # tenant -> Shard; order id -> entry
     book, reps, roll, out = {}, {}, (), []
     fresh, want, burden, evac, lid_n, turn = None, {}, {}, set(), 0, ZERO
-    budget = Budget(me=me, opt=opt)
+    budget, part = Budget(me=me, opt=opt), 0.0       # part: of all shards, those that are mine
 
     def verdict(x):
         """May this owner promise that the key never ran? "?": it cannot tell (6.5)."""
@@ -200,7 +200,6 @@
     def allowed(sh, x, old, attempt, now):
         """Within the budget of retries (7.5)? Owners see every order, so they know a repeated key."""
         was = sh.asked.setdefault(x.kd, x.oid)
-        part = len(shards) / max(1, sum(1 for k in book if k.startswith("duty/shard/")))
         if x.n > 1:                           # a redispatch; what was barred before it was sent is none
             return bool(old and old.free) or budget.take(now, opt["retry_share"], part)
         if old is None and (attempt > 1 or was != x.oid):
@@ -212,6 +211,7 @@
 
     def open_(now):
         """Shards wanted (duties that name me) against shards held."""
+        nonlocal part
         for t in [t for t in shards if f"duty/shard/{t}" not in book]:
             del shards[t]                        # its tenant was taken out long ago
         for k, (_, v) in book.items():
@@ -232,6 +232,8 @@
                             drop_lease(x, False)
                             out.append(send(x.frm, "moved", x.oid, x.n))
 
+        part = len(shards) / max(1, sum(1 for k in book if k.startswith("duty/shard/")))
+
     def withdraw():
         """Orders that wait for a tenant or class which the configuration no longer has (6.7)."""
         ts = (bk.get(book, "config") or {"tenants": {}})["tenants"]
