--- a/silverglade/config.py
+++ b/silverglade/config.py
@@ -2,6 +2,7 @@
 from hashlib import blake2b
 
 from . import check as c
+from .check import Kind
 
 CLASS = c.table({
     "kind": c.text(default="model"),
@@ -10,7 +11,41 @@
     "aim_ms": c.whole(least=1),
     "due_ms": c.whole(default=30000, least=1, most=600000),
 })
+SERVICE = c.table({                     # what routes lead to (design 15.2)
+    "health": c.text(default="", least=0),
+    "conns": c.whole(default=256, least=1, most=100000),     # connections that one replica takes from all daemons
+    "cold_ms": c.whole(default=0, most=3600000),             # a replica that was started is slow so long
+    "cold_per_s": c.number(default=0.0, most=1e6),           # requests that it bears meanwhile; 0: no bound
+    "slots": c.whole(default=0, most=100000),                # requests at once; 0: as each replica declares
+    "keeps": c.whole(default=0),                             # tokens of prompts and runs that it holds
+    "stride": c.whole(default=1, least=1, most=100000),      # tokens in one event of a stream
+})
+ROUTE = c.table({
+    "name": c.text(),
+    "host": c.text(most=255),
+    "prefix": c.text(most=2000),
+    "kind": c.oneof("pure", "effectful", "streaming"),
+    "due_ms": c.whole(least=1, most=86400000),
+    "aim_ms": c.number(default=1000.0, least=0.001),
+    "gap_ms": c.number(default=0.0),                         # longest pause between events that is in time; 0: none set
+    "rank": c.whole(default=0, most=1000),
+    "tries": c.whole(default=1, least=1, most=100),          # replicas to which one try may be sent
+    "homes": c.each(c.text(), default=(), unique=True),      # regions; none: any
+    "affine": c.flag(default=False),
+    "resumable": c.flag(default=False),
+    "shares": c.each(c.table({"service": c.text(), "weight": c.number()}), least=1),
+})
+LIMITS = c.table({
+    "header_bytes": c.whole(default=16384, least=256, most=1 << 20),
+    "body_bytes": c.whole(default=4 * 1024 * 1024, most=64 * 1024 * 1024),
+    "header_ms": c.whole(default=5000, least=1),
+    "idle_ms": c.whole(default=30000, least=1),
+})
 SPEC = c.table({
+    "number": c.whole(default=0),           # the operator's own version; 0: told apart by control's alone
+    "routes": c.each(ROUTE, default=()),
+    "services": c.named(SERVICE, default=None),
+    "limits": Kind(LIMITS.fn, default=None),
     "zones": c.named(c.table({
         "region": c.text(),
         "least": c.whole(default=1, least=0, most=10000),
@@ -34,7 +69,7 @@
     out, bad = c.run(SPEC, raw)
     if bad:
         return None, bad
-    bad, keys = [], {}
+    bad, keys = routed(out), {}
     for t, d in out["tenants"].items():
         for i, z in enumerate(d["homes"]):
             if z not in out["zones"]:
@@ -46,6 +81,27 @@
     return (None, tuple(bad)) if bad else (out, ())
 
 
+def routed(cfg):
+    """Faults between routes, services and regions (design 15.2)."""
+    bad, seen, regions = [], {}, {z["region"] for z in cfg["zones"].values()}
+    for i, r in enumerate(cfg["routes"]):
+        p, place = f"routes[{i}]", (r["host"].lower(), r["prefix"])
+        if not (r["prefix"].startswith("/") and r["prefix"].endswith("/")):
+            bad.append((f"{p}.prefix", "wants to begin and end with /"))
+        if place in seen:
+            bad.append((f"{p}.prefix", f"stands at the same place as {seen[place]}"))
+        seen[place] = r["name"]
+        for j, s in enumerate(r["shares"]):
+            if s["service"] not in (cfg["services"] or {}):
+                bad.append((f"{p}.shares[{j}].service", f"unknown service {s['service']}"))
+        if not sum(s["weight"] for s in r["shares"]) > 0:
+            bad.append((f"{p}.shares", "the weights sum to 0"))
+        for j, h in enumerate(r["homes"]):
+            if h not in regions:
+                bad.append((f"{p}.homes[{j}]", f"unknown region {h}"))
+    return bad
+
+
 def homes(cfg, tenant, /):
     """A tenant's homes; none without a configuration, or when it was taken out."""
     return cfg["tenants"].get(tenant, {"homes": ()})["homes"] if cfg else ()
--- a/silverglade/control/book.py
+++ b/silverglade/control/book.py
@@ -1,6 +1,7 @@
 """The book (design 5.3): what control holds, key to (version, value).
 
-Keys: "config"; "evac/ZONE"; "duty/KIND/NAME"; "floor/KIND"; "change/ID" (not delivered as news).
+Keys: "config"; "evac/ZONE"; "duty/KIND/NAME"; "floor/KIND"; "change/ID" and "source", the text in which an
+operator sent the configuration (neither is delivered as news).
 A duty that nobody needs any more has the value None for a while (so that daemons drop it); its
 epoch is kept in the kind's floor, above which every new duty begins (5.6).
 A version is (epoch, number); (0, 0) is before everything.
@@ -18,7 +19,7 @@
 def since(book, v):
     """The items that news brings to someone who holds version v."""
     return tuple(sorted((k, iv, x) for k, (iv, x) in book.items()
-                        if iv > v and not k.startswith("change/")))
+                        if iv > v and not k.startswith("change/") and k != "source"))
 
 
 def get(book, key, d=None):
@@ -46,6 +47,18 @@
             if bad:
                 return ("refuse", 502, "; ".join(f"{p}: {s}" for p, s in bad))
             return ("take", (("config", cfg),))
+        case ("table", base, number, raw, source):   # told apart by the operator's own numbers (15.2)
+            held = (get(book, "config") or {}).get("number", 0)
+            if base != held:
+                return ("refuse", 501, f"in force is {held}")
+            cfg, bad = config.checked(raw)
+            if not bad and not number == cfg["number"] > held:
+                bad = (("number", f"wants to be above {held}"),)
+            if bad:
+                return ("refuse", 502, "; ".join(f"{p}: {s}" for p, s in bad)[:2000])
+            return ("take", (("config", cfg), ("source", source)))
+        case ("read",):
+            return ("say", get(book, "source", ""))
         case ("evac", zone, bool(on)):
             cfg = get(book, "config")
             if not cfg or zone not in cfg["zones"]:
--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -109,6 +109,8 @@
             else:
                 got = bk.decide(store, op, at)
             items = ()
+            if got[0] == "say":                  # told once the backup has confirmed it
+                got = ("ok", prev, got[1])
             if got[0] == "take":
                 items = tuple((k, at, x) for k, x in got[1])
                 if change:
--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -37,7 +37,8 @@
         if p["cid"] is None:
             return
         if res[0] == "ok":
-            out.append(reply(p["cid"], 100, version=list(res[1]), change=p["change"]))
+            out.append(reply(p["cid"], 100, version=list(res[1]), change=p["change"],
+                             **({"source": res[2]} if len(res) > 2 else {})))
         elif res[0] == "refuse":
             out.append(reply(p["cid"], res[1], detail=res[2], change=p["change"]))
         else:
@@ -112,6 +113,10 @@
                 out.append(reply(cid, 100, version=list(at), config=raw))
             case ("call", cid, "config-put", (base, change, raw)):
                 begin(cid, change, ("config", base, raw), now)
+            case ("call", cid, "table-put", (base, number, change, raw, source)):
+                begin(cid, change, ("table", base, number, raw, source), now)
+            case ("call", cid, "table-read", _):
+                begin(cid, "", ("read",), now)
             case ("call", cid, "evac", (zone, on, change)):
                 begin(cid, change, ("evac", zone, on), now)
             case ("call", cid, "reopen", (name, change)):
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -68,7 +68,7 @@
     "ask": lambda b: rows((b[5][:4],), "sssi"),
     "opr": lambda b: len(b[2]) >= 1 and type(b[2][0]) is str and (
         b[2][0] not in ("ok", "refuse", "elsewhere") or rows(
-            (b[2],), {"ok": "sv", "refuse": "sis", "elsewhere": "ss"}[b[2][0]])),
+            (b[2],), {"ok": "svs" if len(b[2]) == 3 else "sv", "refuse": "sis", "elsewhere": "ss"}[b[2][0]])),
     "news": lambda b: rows(b[3], "sv?"),
     "snap": lambda b: rows(b[5], "sv?"),
     "repl": lambda b: rows(b[5], "sv?"),
@@ -76,7 +76,7 @@
     "op": lambda b: sound_op(b[3]),
 }
 
-OPS = {"config": "v?", "evac": "sb", "reopen": "s", "duty": "ssiss", "drop": "st"}
+OPS = {"config": "v?", "table": "ii?s", "read": "", "evac": "sb", "reopen": "s", "duty": "ssiss", "drop": "st"}
 
 
 def sound_op(op):
