--- a/silverglade/daemon/callout.py
+++ b/silverglade/daemon/callout.py
@@ -106,6 +106,16 @@
         return False
 
 
+async def get(*, pool, addr, path, wait=1.0):
+    """-> (status, body); (0, b"") where no whole answer came in time."""
+    try:
+        with anyio.fail_after(wait):
+            r = await pool.request("GET", f"http://{addr}{path}", headers=[("Host", addr)], extensions={"timeout": SLOW})
+        return r.status, r.content
+    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError):
+        return 0, b""
+
+
 async def probe(*, pool, addr):
     """-> (incarnation, state, use, served, running, warm) or None."""
     try:
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -30,8 +30,9 @@
 
 
 class Daemon:
-    def __init__(self, *, settings, lg, reread=None):
+    def __init__(self, *, settings, lg, reread=None, outer=None):
         s = self.s = settings
+        self.outer, self.draining, self.closing = outer, False, anyio.Event()
         self.lg, self.reread, self.opt = lg, reread, s["tuning"]
         self.store = Store(folder=s["data"], name=s["name"]) if s["data"] else None
         self.life = secrets.token_hex(6)
@@ -42,11 +43,24 @@
                        addr=s["advertise"] or s["listen"], http=s["http"], seeds=s["seeds"], cores=tuple(s["cores"]),
                        opt=self.opt, rng=random.Random(secrets.randbits(64)),
                        disk=self.store.id if self.store else "",
-                       saved=self.store.load() if self.store else None)
+                       saved=self.store.load() if self.store else None, front=outer.front if outer else "")
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
         self.stopping, self.ready = anyio.Event(), anyio.Event()
 
+    def faces(self):
+        """Addresses beside the product's own, each with its app (design 15.7)."""
+        o = self.outer
+        if o is None:
+            return {}
+        apps = {a: o.app(self) for a in o.others}
+        if o.front:
+            apps[o.front] = forward_app(self)
+        return apps
+
+    def change(self):
+        return secrets.token_hex(8)
+
     # for the front: orders and calls
     def oid(self):
         self.n += 1
@@ -213,6 +227,19 @@
                 if not ok:
                     self.lg.warning(line("platform-silent", [("to", at)]))
 
+    async def get(self, addr, path):
+        """One plain GET of what lists the replicas -> (status, body); no answer is (0, b"")."""
+        return await callout.get(pool=self.pool, addr=addr, path=path)
+
+    async def lister(self):
+        """Reads the list of replicas that somebody else keeps (design 15.4)."""
+        gap = self.opt["list_every"] / timedelta(seconds=1)
+        while self.outer and self.outer.list_at:
+            rs = await self.outer.replicas(self.get)
+            if rs is not None:
+                await self.lanes.send(("listed", rs))
+            await anyio.sleep(gap)
+
     async def drain(self):
         """SIGTERM: no new orders, the others learn it, those under way end (design 1.4)."""
         self.lg.info(line("drain", []))
@@ -263,7 +290,7 @@
             if self.store:
                 tg.start_soon(self.write)
             for name, run in (("links", self.links.run), ("pulse", self.pulse),
-                              ("platform", self.platform),
+                              ("platform", self.platform), ("lister", self.lister),
                               ("front", lambda: serve(self)), ("signals", self.signals)):
                 tg.start_soon(lambda n=name, r=run: keep(name=n, run=r, lg=self.lg))
             await self.stopping.wait()
@@ -273,8 +300,8 @@
             self.store.close()
 
 
-def start(*, settings, lg, reread):
-    d = Daemon(settings=settings, lg=lg, reread=reread)
+def start(*, settings, lg, reread, outer=None):
+    d = Daemon(settings=settings, lg=lg, reread=reread, outer=outer)
     anyio.run(d.run)
 
 
--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -68,6 +68,14 @@
                         age_ms=ms(now - at) if at is not None else None)
                 for i, (r, s, at) in sorted(reps.items())}
 
+    def fronts(region, zone):
+        """Where clients may go: those of the zone; where it has fewer than two, of the region; else all (15.7)."""
+        up = [(r, f) for r in roll if r[9] == "ready" and extra(r, "serves") and (f := extra(r, "front", ""))]
+        near = [f for r, f in up if r[4] == zone]
+        if len(near) < 2:
+            near = [f for r, f in up if r[5] == region] or [f for _, f in up]
+        return sorted(near, key=lambda f: rng.random())
+
     def orders(region):
         cfg = bk.get(book, "config") or {"zones": {}}
         zs = {z for z, d in cfg["zones"].items() if d["region"] == region}
@@ -126,6 +134,8 @@
                     k[5:]: list(v) for k, (_, v) in sorted(book.items()) if k.startswith("duty/")}))
             case ("call", cid, "replicas", _):
                 out.append(reply(cid, 100, replicas=replicas(now)))
+            case ("call", cid, "fronts", (region, zone)):
+                out.append(reply(cid, 100, fronts=fronts(region, zone)))
             case ("call", cid, "orders", (region,)):
                 out.append(reply(cid, 100, **orders(region)))
             case ("call", cid, "status", _):
--- a/silverglade/faults.py
+++ b/silverglade/faults.py
@@ -48,6 +48,16 @@
     703: ("bad-constraints", 0, "The constraints file has faults."),
     704: ("no-placement", 0, "The constraints cannot all be met."),
     705: ("unreachable", 0, "No daemon answers at this address."),
+    801: ("not-serving", 503, "This daemon has no configuration or no list of replicas yet."),
+    802: ("no-route", 404, "No route of this host begins the path."),
+    803: ("no-attempt", 400, "The request names no attempt."),
+    804: ("late", 504, "The deadline passed before an answer."),
+    805: ("tries-used", 503, "Every replica that may be tried was tried; none ran it."),
+    806: ("no-replica", 503, "No replica that may take it is there."),
+    807: ("repeat-budget", 503, "Arrivals beyond the first are held to a share of requests."),
+    808: ("lost-answer", 502, "A replica may have run it; its answer was lost."),
+    809: ("full", 503, "The replica said that it did not run it."),
+    810: ("header-size", 431, "The head of the request is larger than the configuration allows."),
 }
 
 
--- /dev/null
+++ b/silverglade/forward/choose.py
@@ -0,0 +1,54 @@
+"""Choice of a replica (design 15.5): a pure function over one snapshot.
+
+Home region first; within it the replica on which the longest run of the prompt's parts is kept. All daemons
+agree on that one without talking, by rendezvous on the parts that are shared; what is hot overflows to the
+next, by the work that stands at each. Another region only where the own one cannot take the request.
+"""
+from ..rank import ranked
+
+HOT = 1.35            # of the mean work, before a prompt goes to the next in order (bounded load)
+FULL = 0.85           # of the slots, before another region is asked
+
+
+def shared(prefix, /):
+    """The key of the longest run of parts that other requests share: all but the last."""
+    return ",".join(p for p, _ in prefix[:-1])
+
+
+def usable(reps, *, now, service, homes, evac, tried=()):
+    """Who may get it at all: rules before preference."""
+    return [r for r in reps if r.service == service and not r.leaving and r.zone not in evac
+            and (not homes or r.region in homes) and r.id not in tried and r.gone is None]
+
+
+def busy(r, peers, /):
+    """Part of the slots that is taken, as far as this daemon can tell: what was probed, else its own times its peers."""
+    mine = len(r.tries)
+    return max(r.active + r.queued if r.active else 0, mine * min(peers, 4) if mine > 1 else mine) / max(1, r.slots)
+
+
+def regions(reps, *, region, short, peers):
+    """The regions in the order in which they are asked: the own one first unless it is short of ready replicas."""
+    by = {}
+    for r in reps:
+        by.setdefault(r.region, []).append(r)
+    load = {g: sum(busy(r, peers) for r in rs) / len(rs) for g, rs in by.items()}
+    full = {g: load[g] > FULL or (g in short and load[g] > FULL / 2) for g in by}
+    return [by[g] for g in sorted(by, key=lambda g: (full[g], g != region, load[g], g))]
+
+
+def pick(reps, *, now, region, prefix=(), affine=False, short=frozenset(), peers=1, cold=lambda r: True):
+    """The replica that gets it, or None; a cold one only if `cold` lets it (which counts it)."""
+    out = []
+    for rs in regions([r for r in reps if now >= r.shy] or reps, region=region, short=short, peers=peers):
+        key = shared(prefix) if affine else ""
+        if key:
+            by = {r.id: r for r in rs}
+            rs = [by[i] for i in ranked(key, by)]
+            mean = sum(r.work for r in rs) / len(rs)
+            hot = [r for r in rs if r.work > HOT * mean + r.slots * 16 or busy(r, peers) > FULL]
+            rs = [r for r in rs if r not in hot] + sorted(hot, key=lambda r: r.work)
+        else:
+            rs = sorted(rs, key=lambda r: (busy(r, peers), r.work, r.asked))
+        out += [r for r in rs if now >= r.cold] + [r for r in rs if now < r.cold]
+    return next((r for r in out if now >= r.cold or cold(r)), None)
--- /dev/null
+++ b/silverglade/forward/part.py
@@ -0,0 +1,244 @@
+"""The part that decides over requests (design 15.3): it holds the snapshot, the shell delivers.
+
+At most once: each try of a client has an id of its own, so this daemon decides alone. A request that may not
+be repeated goes to a second replica only if the first said that it did not run it, or was sent not one byte.
+"""
+from datetime import timedelta
+
+from ..control import book as bk
+from ..part import ZERO, log, ms, span
+from ..replicas.registry import evacuated
+from . import choose, routes
+from . import replicas as rp
+from .budget import Budget
+from .cold import Cold
+
+MEMBER = timedelta(seconds=60)           # a daemon that was known lately counts, also dead or cut off
+UNSENT = 4                               # replicas that could not be reached, for one try of a client
+EARLY = span(15)                         # what is left of a deadline for the way back
+
+
+class Request:
+    """One try of a client, from its head to its end."""
+
+    __slots__ = ("rid", "f", "route", "service", "born", "due", "tried", "n", "sent", "at", "begun", "last", "live", "why", "weight")
+
+    def __init__(self, rid, f, now):
+        self.rid, self.f, self.born = rid, f, now
+        self.route = self.service = self.at = None          # at: when the last replica got it
+        self.due, self.tried, self.n, self.sent = now, set(), 0, 0
+        self.begun, self.last = False, f["last_event"]     # has a stream's head been passed on; its last event
+        self.live, self.why, self.weight = {}, "", 0.0
+
+    @property
+    def again(self):
+        """May it run more than once?"""
+        return self.route["kind"] == "pure" or self.route["kind"] == "streaming" and self.route["resumable"]
+
+
+def forward(*, me, region, opt):
+    """Events and effects: design 15.3. Generator; see part.py."""
+    tab, cfg, evac, reqs, reps = {}, None, frozenset(), {}, {}
+    peers, members, edges, out, short = 1, {}, 1, [], frozenset()
+    budget, cold, listed, told = Budget(opt=opt), Cold(opt=opt), False, False
+
+    def answer(q, status, wait, code):
+        end(q)
+        out.append(("answer", q.rid, status, wait, code))
+
+    def end(q):
+        reqs.pop(q.rid, None)
+        for n in list(q.live):
+            leave(q, n)
+
+    def leave(q, n):
+        r = reps.get(q.live.pop(n, None))
+        if r and r.tries.pop((q.rid, n), None) is not None:
+            r.work = max(0.0, r.work - q.weight) if r.tries else 0.0
+
+    def weigh(f):
+        """Work in tokens: reading a prompt costs less a token than making an answer (design 15.5)."""
+        i, o = f["tokens"] or (0, 0)
+        return i / 8 + o or 1.0
+
+    def settle(q, now):
+        """Route, service and deadline, once."""
+        f = q.f
+        q.route = routes.find(tab, f["host"], f["path"])
+        if cfg is None or not listed:
+            return answer(q, 503, 0.5, 801)
+        if q.route is None:
+            return answer(q, 404, None, 802)
+        if not f["attempt"]:
+            return answer(q, 400, None, 803)
+        q.service = routes.service(q.route, f["attempt"])
+        q.weight = weigh(f)
+        q.due = q.born + span(min(q.route["due_ms"], f["deadline_ms"] or q.route["due_ms"]))
+        out.append(("post", "need", ("arrived", q.service, False)))
+        budget.came(now, q.service)
+        return go(q, now)
+
+    def go(q, now):
+        """Send it to the next replica, or give it up at once."""
+        left = q.due - now - EARLY
+        if left <= ZERO:
+            return stop(q, 504, None, 804)
+        if q.sent >= q.route["tries"] or len(q.tried) - q.sent >= UNSENT:
+            return stop(q, 503, 0.25, 805)
+        s = cfg["services"].get(q.service)
+        fit = choose.usable(reps.values(), now=now, service=q.service, homes=q.route["homes"], evac=evac, tried=q.tried)
+
+        def may(r):
+            bears = s["cold_per_s"]
+            return not bears or cold.may(now, r.id, per_s=bears, me=me, members=tuple(members))
+        r = choose.pick(fit, now=now, region=region, prefix=q.f["prefix"], affine=q.route["affine"],
+                        short={g for g, v in short if v == q.service}, peers=peers, cold=may)
+        if r is None:
+            return stop(q, 503, 0.5 if fit else 1.0, 806)
+        if q.sent and not budget.spend(now, q.service, daemons=edges):
+            return stop(q, 503, 0.5, 807)
+        q.n += 1
+        q.sent += 1
+        q.tried.add(r.id)
+        q.live[q.n], q.at = r.id, now
+        r.tries[q.rid, q.n], r.asked = now, now
+        r.work += q.weight
+        out.append(("try", q.rid, q.n, dict(
+            replica=r.id, addr=r.addr, service=q.service, expect=True, urgency=min(9, 4 + q.route["rank"]),
+            deadline_ms=ms(left), last_event=q.last, resume=q.begun,
+            connect=opt["connect_wait"], cap=max(1, s["conns"] // max(1, edges)),
+            stream=q.route["kind"] == "streaming")))
+
+    def stop(q, status, wait, code):
+        """Nothing more can be done for it: the answer is given now, and promises no more than is known."""
+        if q.begun:
+            end(q)
+            return out.append(("break", q.rid))
+        if q.why in ("lost", "cut") and not q.again:
+            return answer(q, 502, None, 808)
+        if q.why in ("lost", "cut") and status == 503:
+            return answer(q, 502, None, 808)
+        return answer(q, status, wait, code)
+
+    def on_tried(q, n, what, more, now):
+        r = reps.get(q.live.get(n))
+        if what not in ("began", "first"):
+            leave(q, n)
+        match what:
+            case "began" | "first":
+                q.begun = q.begun or q.route["kind"] == "streaming"
+                if r:
+                    r.worked(now)
+            case "done":
+                if r:
+                    r.worked(now)
+                out.append(("post", "need", ("served", q.service, (now - q.at).total_seconds())))
+                end(q)
+            case "unsent":
+                q.sent -= 1                      # nothing of it arrived
+                if r:
+                    r.failed(now)
+                go(q, now)
+            case "not-run":
+                if r and more[0] == 421:
+                    r.gone = now                 # another life has the address
+                elif r:
+                    r.active = max(r.active, r.slots)    # full: until the next probe or answer
+                    r.shy = max(r.shy, now + span(200))
+                wait = more[1] if len(more) > 1 and more[1] else 0.25
+                if q.why not in ("lost", "cut"):
+                    q.why = "not-run"
+                if q.sent >= q.route["tries"]:
+                    return stop(q, 503, wait, 809)
+                go(q, now)
+            case "failed":
+                if q.again and more[0] >= 500 and q.sent < q.route["tries"] and not q.begun:
+                    q.why = "lost"
+                    return go(q, now)
+                if q.begun:                      # a stream's other half was refused: it ends as broken
+                    return stop(q, 502, None, 808)
+                out.append(("pass", q.rid, n))
+                end(q)
+            case "lost" | "cut":
+                if r:
+                    r.failed(now)
+                if what == "cut" and more and more[0] is not None:
+                    q.last = more[0]
+                q.why = what
+                if not q.again:
+                    return stop(q, 502, None, 808)
+                go(q, now)
+            case "gone":
+                end(q)
+
+    def on_listed(rs, now):
+        nonlocal listed
+        listed, seen = True, set()
+        for rec in rs:
+            if not rp.sound(rec):
+                out.append(log("replica-record", why="unsound", record=str(rec)[:80]))
+                continue
+            seen.add(rec[rp.RID])
+            r = reps.get(rec[rp.RID])
+            if r is None:
+                reps[rec[rp.RID]] = rp.Replica(rec, now)
+                out.append(log("replica", id=rec[rp.RID], service=rec[rp.SERVICE], zone=rec[rp.ZONE], cold_ms=rec[rp.COLD_MS]))
+            else:
+                if rec[rp.LEAVING] and not r.leaving:
+                    out.append(log("replica-leaving", id=r.id))
+                r.told(rec, now)
+        for i, r in list(reps.items()):
+            if i not in seen:
+                if r.gone is None:
+                    r.gone = now
+                    out.append(("forget", i))
+                if not r.tries:
+                    del reps[i]
+
+    def on_book(b, now):
+        nonlocal cfg, tab, evac
+        new = bk.get(b, "config")
+        if new is not cfg and new is not None and new.get("services"):
+            cfg, tab = new, routes.table(new)
+            for s, d in cfg["services"].items():
+                for r in reps.values():
+                    if r.service == s and d["slots"]:
+                        r.slots = d["slots"]
+        held = frozenset(evacuated(b))
+        for z in evac - held:                    # taken back: its replicas may be cold (15.6)
+            for r in reps.values():
+                if r.zone == z and cfg:
+                    r.cold = max(r.cold, now + span(cfg["services"].get(r.service, {"cold_ms": 0})["cold_ms"]))
+        evac = held
+
+    while True:
+        now, ev = yield tuple(out)
+        out = []
+        match ev:
+            case ("request", rid, f):
+                q = reqs[rid] = Request(rid, f, now)
+                settle(q, now)
+            case ("tried", rid, n, what, *more) if rid in reqs:
+                on_tried(reqs[rid], n, what, more, now)
+            case ("listed", rs):
+                on_listed(rs, now)
+            case ("book", b, _):
+                on_book(b, now)
+            case ("roll", roll):
+                here = [r for r in roll if not r[8]]
+                for r in here:
+                    members[r[0]] = now
+                peers = max(1, sum(1 for r in here if r[5] == region))
+            case ("short", s):
+                short = frozenset(k for k, (_, _, low) in s.items() if low)
+            case ("call", cid, "serving", _):
+                out.append(("reply", cid, 100, dict(ready=cfg is not None and listed and bool(members))))
+            case ("pulse",):
+                if not told and cfg is not None and listed:
+                    told = True
+                    out.append(("post", "roster", ("extra", "serves", True)))
+                for i in [i for i, t in members.items() if now - t > MEMBER]:
+                    del members[i]
+                edges = max(len(members), 1)
+                for q in [q for q in reqs.values() if now >= q.due and not q.live]:
+                    stop(q, 504, None, 804)
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -8,6 +8,7 @@
 from . import __version__
 from .control.core import core
 from .desk import desk
+from .forward.part import forward
 from .messages import checked, known
 from .news import keeper, news
 from .part import log, start
@@ -34,12 +35,12 @@
     "follower": ("claim", "mark", "adopt", "copy"),
 }
 CALLS = {"replica-put": "registry", "replica-leave": "registry", "platform": "registry",
-         "trace": "path", "head": "path"}
+         "trace": "path", "head": "path", "serving": "forward"}
 
 
 class Hub:
     def __init__(self, *, me, life, zone, region, addr, http, seeds, cores, opt, rng,
-                 disk="", saved=None):
+                 disk="", saved=None, front=""):
         self.me = me
         p = self.parts = {
             "roster": roster(me=me, life=life, place=(zone, region, addr, http, bool(disk)),
@@ -49,6 +50,7 @@
             "ledger": ledger(me=me, opt=opt),
             "owner": owner(me=me, zone=zone, cores=cores, opt=opt, rng=rng),
             "path": ingress(me=me, life=life, zone=zone, opt=opt),
+            "forward": forward(me=me, region=region, opt=opt),
             "scaler": scaler(me=me, region=region, opt=opt),
             "desk": desk(me=me, cores=cores, opt=opt, rng=rng),
         }
@@ -61,6 +63,8 @@
             start(g)
         self.hear = {k: n for n, ks in HEARS.items() for k in ks if n in p}
         self.queue = deque([("roster", ("extra", "version", __version__))])
+        if front:
+            self.queue.append(("roster", ("extra", "front", front)))
 
     def aim(self, ev):
         """-> the parts an outside event goes to."""
@@ -73,6 +77,8 @@
                 return (part,)
             case ("order" | "gone" | "ran" | "drain" | "drained", *_):
                 return ("path",)
+            case ("request" | "tried" | "listed", *_):
+                return ("forward",)
             case ("probed", *_):
                 return ("ledger",)
             case ("call", _, op, _):
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -46,6 +46,10 @@
     "scale_fan": c.whole(default=50, least=1),
     "scale_flow": c.oneof("printed", "served", default="printed"),
     "scale_idle": c.number(default=0.5, most=1.0),
+    # the forwarding path (15)
+    "connect_wait": c.span(default=td(milliseconds=400)),  # a replica that takes no connection
+    "list_every": c.span(default=td(milliseconds=1000)),   # the list of replicas is read
+    "probe_every": c.span(default=td(seconds=2)),
 }
 
 SETTINGS = {
