--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -50,6 +50,17 @@
     "connect_wait": c.span(default=td(milliseconds=400)),  # a replica that takes no connection
     "list_every": c.span(default=td(milliseconds=1000)),   # the list of replicas is read
     "probe_every": c.span(default=td(seconds=2)),
+    "budget_window": c.span(default=td(seconds=10)),     # further tries of a service's requests (16.1)
+    "budget_ratio": c.number(default=0.2, most=1.0),
+    "budget_slack": c.number(default=50.0),
+    "budget_ratio_part": c.number(default=0.9, most=1.0),
+    "budget_slack_part": c.number(default=0.6, most=1.0),
+    "budget_recall": c.span(default=td(seconds=300)),
+    "cold_excess": c.number(default=1.5, least=1.0),     # what a cold replica bears at most (16.2)
+    "cold_slack": c.number(default=5.0),
+    "cold_settle": c.span(default=td(seconds=5)),
+    "cold_recall": c.span(default=td(seconds=300)),
+    "cold_ramp": c.span(default=td(seconds=3)),
 }
 
 SETTINGS = {
