--- /dev/null
+++ b/silverglade/daemon/forwarding.py
@@ -0,0 +1,412 @@
+"""The I/O shell of the forwarding path (design 15): the part decides, this delivers.
+
+An `Ask` is one client's request under way. Its task takes the part's effects from the ask's box and
+runs one try at a time; a new try, or an end, that comes meanwhile ends the one that runs.
+"""
+import asyncio
+import json
+import time
+from collections import deque
+from datetime import timedelta
+from typing import NamedTuple
+
+import anyio
+import httpcore
+
+from ..faults import CODES, Fault
+from ..log import line
+from .events import Splitter, beyond, last_id
+from .upstream import SECOND, Pool, Stale, Unsent
+
+HOLD = 1024 * 1024                 # bytes of an answer held until it is whole
+SKIP = 4                           # surplus answers read past in the place of ours
+SLACK = timedelta(seconds=2)       # behind the deadline the shell ends a request that the part forgot
+LONGEST = timedelta(seconds=60)    # until the part has named a deadline
+HOP = frozenset((b"connection", b"keep-alive", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+                 b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"proxy-authentication-info"))
+BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, OSError)
+
+
+class Limits(NamedTuple):
+    """What a client may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout: timedelta = timedelta(seconds=5)
+    idle_timeout: timedelta = timedelta(seconds=30)
+
+    @classmethod
+    def of(cls, d):
+        """From a configuration's table, or none."""
+        return cls(d["header_bytes"], d["body_bytes"], timedelta(milliseconds=d["header_ms"]),
+                   timedelta(milliseconds=d["idle_ms"])) if d else cls()
+
+
+class Try(NamedTuple):
+    """One try as the part wants it (design 15.3)."""
+
+    replica: str
+    addr: str
+    service: str
+    expect: bool                   # only this replica may run it
+    urgency: int | None
+    deadline_ms: int
+    last_event: str | None
+    connect: timedelta
+    cap: int                       # most connections of this daemon to this replica
+    stream: bool                   # events are passed on as they come; else the answer is held until it is whole
+    resume: bool                   # goes on with a stream whose head was passed on
+
+
+def kept(headers, fields):
+    """Headers without those of one connection only, and what that connection's own header names."""
+    named = fields.get(b"connection")
+    drop = HOP | {w.strip().lower() for w in named.split(b",")} if named else HOP
+    return [(k, v) for k, v in headers if k.lower() not in drop]
+
+
+class Ask:
+    """One request of a client, and the way back to it."""
+
+    def __init__(self, *, rid, method, target, headers, attempt, body, send, cut, closing):
+        self.rid, self.method, self.target, self.headers = rid, method, target, headers
+        self.attempt, self.body, self.send, self.cut, self.closing = attempt, body, send, cut, closing
+        self.box, self.waits, self.scope, self.n = deque(), None, None, 0
+        self.head, self.started, self.last, self.held, self.tried = None, False, None, None, False
+        self.until, self.guard = 0.0, None
+
+    # from the daemon
+    def put(self, e):
+        match e:
+            case ("drop", _, n):
+                self.box = deque(x for x in self.box if x[0] != "try" or x[2] != n)
+                if n == self.n:
+                    self.held = None
+                    if self.scope:
+                        self.scope.cancel()
+                return
+            case ("pass", *_):
+                pass
+            case _ if self.scope:
+                self.scope.cancel()
+        self.box.append(e)
+        if self.waits and not self.waits.done():
+            self.waits.set_result(None)
+
+    async def take(self):
+        while not self.box:
+            self.waits = asyncio.get_running_loop().create_future()
+            try:
+                await self.waits
+            finally:
+                self.waits = None
+        return self.box.popleft()
+
+    # to the client
+    async def start(self, status, headers):
+        self.started = True
+        if self.closing():
+            headers = [*headers, (b"connection", b"close")]
+        await self.send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def data(self, b):
+        await self.send({"type": "http.response.body", "body": b, "more_body": True})
+
+    async def end(self, b=b""):
+        await self.send({"type": "http.response.body", "body": b})
+
+    async def whole(self, status, headers, body):
+        await self.start(status, headers)
+        await self.end(body)
+
+
+async def small(send, status, code, *, wait=None, close=False):
+    """An answer of the daemon's own."""
+    b = json.dumps({"code": code, "name": CODES[code][0]} if code in CODES else {"code": code}).encode()
+    headers = [(b"content-type", b"application/json"), (b"content-length", b"%d" % len(b))]
+    if wait is not None:
+        headers.append((b"retry-after", b"%.2f" % max(0.0, wait)))
+    if close:
+        headers.append((b"connection", b"close"))
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": b})
+
+
+def seconds(b):
+    try:
+        v = float(b)
+    except ValueError:
+        return None
+    return v if 0 <= v < 1e6 else None
+
+
+class Shell:
+    def __init__(self, *, daemon, dialect, local=None, pool=None):
+        self.d, self.dialect = daemon, dialect
+        self.pool = pool or Pool(local=local)
+        self.limits, self.asks, self.n = Limits(), {}, 0
+
+    def act(self, e):
+        """Effects of the part; one for a request that is gone changes nothing."""
+        match e:
+            case ("forget", replica):
+                self.pool.forget(replica)
+            case ("limits", limits):
+                self.limits = Limits.of(limits)
+            case (_, rid, *_):
+                a = self.asks.get(rid)
+                if a:
+                    a.put(e)
+
+    def closing(self):
+        return getattr(self.d, "draining", False)
+
+    def rid(self):
+        self.n += 1
+        return f"r{self.n}"
+
+    async def tell(self, a, n, *what):
+        await self.d.lanes.send(("tried", a.rid, n, *what), "work")
+
+    async def run(self, a, facts):
+        """One request from its door to its end."""
+        self.asks[a.rid] = a
+        due = facts["deadline_ms"]
+        self.watch(a, LONGEST if due is None else timedelta(milliseconds=due))
+        told = False
+        try:
+            try:
+                self.d.lanes.knock(("request", a.rid, facts))
+            except Fault as e:
+                told = True
+                return await small(a.send, 503, e.code, wait=1.0, close=self.closing())
+            told = await self.serve(a)
+        except Exception as e:                        # noqa: BLE001  a fault in here ends this request alone
+            self.d.lg.error(line("forward-fell", [("why", repr(e))]))
+            a.cut()
+        finally:
+            a.guard.cancel()
+            del self.asks[a.rid]
+            if not told:
+                with anyio.CancelScope(shield=True):
+                    await self.tell(a, a.n, "gone")
+
+    def watch(self, a, left):
+        """A request that the part does not know any more still ends."""
+        until = time.monotonic() + (left + SLACK) / SECOND
+        if until > a.until:
+            if a.guard:
+                a.guard.cancel()
+            a.until = until
+            a.guard = asyncio.get_running_loop().call_at(
+                asyncio.get_running_loop().time() + (left + SLACK) / SECOND, a.put, ("forgotten", a.rid))
+
+    async def serve(self, a):
+        """-> whether the part knows that the request is over."""
+        while True:
+            match await a.take():
+                case ("try", _, n, t):
+                    t = Try(**t)
+                    a.n, a.held = n, None
+                    self.watch(a, timedelta(milliseconds=t.deadline_ms))
+                    with anyio.CancelScope() as a.scope:
+                        what = await self.attempt(a, n, t)
+                    dropped, a.scope = a.scope.cancelled_caught, None
+                    if dropped:
+                        continue
+                    await self.tell(a, n, *what)
+                    if what[0] == "done":
+                        return True
+                case ("pass", _, n):
+                    if a.held and n == a.n and not a.started:
+                        await a.whole(*a.held)
+                        return True
+                case ("answer", _, status, wait, code):
+                    if a.started:
+                        a.cut()
+                    else:
+                        await small(a.send, status, code, wait=wait, close=self.closing())
+                    return True
+                case ("forgotten", _):
+                    if a.started:
+                        a.cut()
+                    elif a.tried:
+                        await small(a.send, 502, 403)
+                    else:
+                        await small(a.send, 503, 310, wait=1.0)
+                    return False
+                case ("break", *_):
+                    a.cut()
+                    return True
+                case ("gone",):
+                    return False
+
+    async def attempt(self, a, n, t):
+        """Run one try; -> the last word on it."""
+        while True:
+            try:
+                c = await self.pool.take(addr=t.addr, replica=t.replica, cap=t.cap, timeout=t.connect,
+                                         attempt=a.attempt)
+            except Unsent as e:
+                return ("unsent", e.why)
+            keep = None
+            c.tcp.begin()
+            try:
+                what, keep = await self.exchange(a, n, t, c)
+                return what
+            except Stale as e:                        # ended between `take` and the first byte
+                if not c.until:                       # a new one: this replica has no place for it
+                    return ("unsent", e.why)
+            finally:
+                self.pool.release(c, keep=keep, last=a.attempt)
+
+    def request(self, a, t, c):
+        """The request as this try sends it."""
+        d = self.dialect
+        ours = [(d.deadline, b"%d" % max(1, t.deadline_ms))]
+        if t.expect:
+            ours.append((d.expect, t.replica.encode()))
+        if t.urgency is not None:
+            ours.append((d.urgency, b"%d" % t.urgency))
+        if t.last_event is not None:
+            ours.append((d.last_event, t.last_event.encode()))
+        names = {k for k, _ in ours}
+        ip, port = c.key[0].rsplit(":", 1)
+        return httpcore.Request(
+            a.method, httpcore.URL(scheme=b"http", host=ip.encode(), port=int(port), target=a.target),
+            headers=[h for h in a.headers if h[0] not in names] + ours, content=a.body or None)
+
+    async def exchange(self, a, n, t, c):
+        """-> (the last word, seconds that the connection may be kept or None)."""
+        d, req = self.dialect, self.request(a, t, c)
+        for _ in range(SKIP):
+            try:
+                r = await c.http.handle_async_request(req)
+            except BROKEN as e:
+                return (("lost" if c.tcp.wrote else "unsent", type(e).__name__), None)
+            finally:
+                a.tried = a.tried or c.tcp.wrote
+            h = {k.lower(): v for k, v in reversed(r.headers)}
+            if h.get(d.attempt, b"") == a.attempt and r.status != 101:
+                break
+            if not h.get(d.attempt) or await self.whole(r) is None or not c.http.is_idle():
+                return (("lost", "not-ours"), None)
+            c.tcp.mute = True                         # a surplus answer; ours comes behind it
+        else:
+            return (("lost", "not-ours"), None)
+        if r.status > 599:
+            return (("lost", "status"), None)
+        ok, not_run = 200 <= r.status < 300, d.not_run in h or r.status == 421
+        if ok:
+            if not_run or not h.get(d.seal) or a.method == "CONNECT":
+                return (("lost", "no-seal"), None)
+            if not self.framed(a, r, h):
+                return (("lost", "no-length"), None)
+            return await self.success(a, n, t, c, r, h)
+        body = await self.whole(r) if self.framed(a, r, h) else None
+        if body is not None:
+            a.held = (r.status, self.back(a, r, h, body), body)
+        if not_run:
+            what = ("not-run", r.status, seconds(h.get(b"retry-after", b"")))
+        else:
+            what = ("lost", "cut") if body is None else ("failed", r.status)
+        return (what, self.settle(c, h))
+
+    async def success(self, a, n, t, c, r, h):
+        events = t.stream and h.get(b"content-type", b"").lower().startswith(b"text/event-stream")
+        if t.resume and not events:
+            return (("lost", "no-stream"), None)
+        await self.tell(a, n, "began", r.status)
+        if not t.resume or not a.head:
+            a.head = (r.status, kept(r.headers, h))
+        try:
+            if events:
+                what = await self.stream(a, n, t, r)
+            else:
+                what = await self.plain(a, n, r, h)
+        except (*BROKEN, ValueError):
+            what = ("cut", a.last)
+        return (what, self.settle(c, h) if what[0] == "done" else None)
+
+    async def plain(self, a, n, r, h):
+        """Held until it is whole, or passed on once it is too long to hold."""
+        got, size = [], 0
+        async for b in r.stream:
+            if a.started:
+                await a.data(b)
+                continue
+            got.append(b)
+            size += len(b)
+            if size > HOLD:
+                await a.start(*a.head)
+                await self.tell(a, n, "first")
+                await a.data(b"".join(got))
+                got.clear()
+        await r.stream.aclose()
+        if a.started:
+            await a.end()
+        else:
+            body = b"".join(got)
+            await a.whole(r.status, self.back(a, r, h, body), body)
+        return ("done",)
+
+    async def stream(self, a, n, t, r):
+        """Whole events as they come; the client's own pace is the replica's."""
+        cut, first = Splitter(), True
+        skip = a.last if t.resume else None
+        async for b in r.stream:
+            block = cut.feed(b)
+            if skip is not None and block:
+                block, found = beyond(block, skip)
+                skip = None if found else skip
+            if not block:
+                continue
+            if not a.started:
+                await a.start(a.head[0], self.unsized(a.head[1]))
+            await a.data(block)
+            a.last = last_id(block) or a.last
+            if first:
+                first = False
+                await self.tell(a, n, "first")
+        await r.stream.aclose()
+        if cut.rest:
+            return ("cut", a.last)
+        if not a.started:
+            await a.start(a.head[0], self.unsized(a.head[1]))
+        await a.end()
+        return ("done",)
+
+    async def whole(self, r):
+        """The body of an answer that is held, or None."""
+        got, size = [], 0
+        try:
+            async for b in r.stream:
+                got.append(b)
+                size += len(b)
+                if size > HOLD:
+                    return None
+        except BROKEN:
+            return None
+        finally:
+            await r.stream.aclose()
+        return b"".join(got)
+
+    def framed(self, a, r, h):
+        """Does the answer tell where it ends?"""
+        return (b"content-length" in h or b"transfer-encoding" in h or a.method == "HEAD"
+                or r.status in (204, 304))
+
+    def back(self, a, r, h, body):
+        """Headers of a whole answer for the client."""
+        out = kept(r.headers, h)
+        if b"content-length" not in h and a.method != "HEAD" and r.status not in (204, 304):
+            out.append((b"content-length", b"%d" % len(body)))
+        return out
+
+    def unsized(self, headers):
+        """A stream may go on at another replica: its length is not known."""
+        return [h for h in headers if h[0].lower() != b"content-length"]
+
+    def settle(self, c, h):
+        """May the connection be used again, and for how long? Bytes behind a whole answer end it."""
+        return self.pool.patience(h) if c.http.is_idle() and not c.surplus() and not c.tcp.ended else None
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -10,12 +10,14 @@
 import anyio.lowlevel
 import anyio.to_thread
 
+from ..dialect import OWN
 from ..faults import Fault
 from ..hub import Hub
 from ..log import line
 from ..rank import first
 from . import callout
 from .disk import Store
+from .forwarding import Shell
 from .lanes import Lanes
 from .links import Links
 from .tree import keep
@@ -47,16 +49,11 @@
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
         self.stopping, self.ready = anyio.Event(), anyio.Event()
+        self.shell = Shell(daemon=self, dialect=outer.dialect if outer else OWN, local=s["http"].rsplit(":", 1)[0])
 
     def faces(self):
-        """Addresses beside the product's own, each with its app (design 15.7)."""
-        o = self.outer
-        if o is None:
-            return {}
-        apps = {a: o.app(self) for a in o.others}
-        if o.front:
-            apps[o.front] = forward_app(self)
-        return apps
+        """Addresses beside the product's own and the clients', each with its app (design 15.7)."""
+        return {a: self.outer.app(self) for a in self.outer.others} if self.outer else {}
 
     def change(self):
         return secrets.token_hex(8)
@@ -122,6 +119,8 @@
             case ("abort", did):
                 if did in self.jobs:
                     self.jobs.pop(did).cancel()
+            case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "limits", *_):
+                self.shell.act(e)
             case ("probe", rid, inc, addr):
                 self.group.start_soon(self.probe, rid, inc, addr)
             case ("result", oid, kind, *r):
@@ -243,10 +242,11 @@
     async def drain(self):
         """SIGTERM: no new orders, the others learn it, those under way end (design 1.4)."""
         self.lg.info(line("drain", []))
+        self.draining = True
         await self.lanes.send(("drain",))
         await self.lanes.send(("state", "leaving"))
         end = clock() + DRAIN
-        while clock() < end and (self.relays or self.jobs):
+        while clock() < end and (self.relays or self.jobs or self.shell.asks):
             await anyio.sleep(0.1)
         await anyio.sleep(0.3)
         await self.lanes.send(("state", "left"))
