--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -46,6 +46,17 @@
     "scale_fan": c.whole(default=50, least=1),
     "scale_flow": c.oneof("printed", "served", default="printed"),
     "scale_idle": c.number(default=0.5, most=1.0),
+    "budget_window": c.span(default=td(seconds=10)),     # further tries of a service's requests (16.1)
+    "budget_ratio": c.number(default=0.2, most=1.0),
+    "budget_slack": c.number(default=50.0),
+    "budget_ratio_part": c.number(default=0.9, most=1.0),
+    "budget_slack_part": c.number(default=0.6, most=1.0),
+    "budget_recall": c.span(default=td(seconds=300)),
+    "cold_excess": c.number(default=1.5, least=1.0),     # what a cold replica bears at most (16.2)
+    "cold_slack": c.number(default=5.0),
+    "cold_settle": c.span(default=td(seconds=5)),
+    "cold_recall": c.span(default=td(seconds=300)),
+    "cold_ramp": c.span(default=td(seconds=3)),
 }
 
 SETTINGS = {
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,228 @@
+"""Further tries of a fleet without messages (design 16.1), against a sliding window."""
+import random
+from datetime import timedelta
+
+import pytest
+
+from silverglade.forward import budget as module
+from silverglade.forward.budget import Budget
+from silverglade.options import tuning
+
+SEC = timedelta(seconds=1)
+OPT = tuning()
+WIN, RATIO, SLACK = OPT["budget_window"], OPT["budget_ratio"], OPT["budget_slack"]
+
+
+def broken(asks, extras, win=WIN, ratio=RATIO, slack=SLACK):
+    """The oracle: -> the worst of all windows by which the rule is broken (0: none). Times sorted."""
+    from bisect import bisect_left as lo
+    from bisect import bisect_right as hi
+    worst, half = 0.0, win / 2
+    starts = {x for x in extras} | {x - win for x in extras}
+    for q in asks:                               # windows that just lose or gain a request
+        starts |= {q, q + timedelta(microseconds=1), q + win, q + win + timedelta(microseconds=1),
+                   q + half + timedelta(microseconds=1), q - half}
+    count = lambda d, a, b: hi(d, b) - lo(d, a)
+    for s in starts:
+        x = count(extras, s, s + win)
+        if x > slack:
+            most = max(count(asks, s, s + win), count(asks, s - win, s), count(asks, s - half, s + half))
+            worst = max(worst, x - ratio * most - slack)
+    return worst
+
+
+class Fleet:
+    """Daemons that share nothing; each knows some of the others."""
+
+    def __init__(self, *, n, rng, make=Budget):
+        self.rng, self.make, self.n = rng, make, n
+        self.all = [make(opt=OPT, born=0 * SEC) for _ in range(n)]
+        self.side = [0] * n                       # who is cut from whom
+        self.knows = [n] * n
+        self.asks, self.extras = [], []
+
+    def restart(self, i, now):
+        self.all[i] = self.make(opt=OPT, born=now)
+        self.knows[i] = sum(s == self.side[i] for s in self.side)   # only those it can reach
+
+    def cut(self, a, b):
+        for i in range(a, b):
+            self.side[i] = 1
+
+    def heal(self):
+        self.side = [0] * self.n
+        self.knows = [max(k, self.n) for k in self.knows]
+
+    def ask(self, i, now):
+        """The client sent a moment before."""
+        self.all[i].came(now, "s")
+        self.asks.append(now - self.rng.random() * 0.2 * SEC)
+
+    def again(self, i, now):
+        if self.all[i].spend(now, "s", daemons=self.knows[i]):
+            self.extras.append(now + self.rng.random() * 0.2 * SEC)
+            return True
+        return False
+
+    def worst(self):
+        return broken(sorted(self.asks), sorted(self.extras))
+
+
+def play(seed, make=Budget, secs=45):
+    """Waves of requests, bursts of failures, restarts, one side cut (and perhaps started anew)."""
+    rng = random.Random(seed)
+    n = rng.choice((1, 3, 6, 9, 9, 30))
+    f = Fleet(n=n, rng=rng, make=make)
+    base = rng.choice((2.0, 10.0, 30.0, 80.0)) / n
+    period, depth = rng.uniform(3, 25), rng.random()
+    bad = [(rng.uniform(0, secs), rng.uniform(0.1, 8)) for _ in range(4)]
+    cut = rng.uniform(5, secs)
+    heal = cut + rng.uniform(1, 30)
+    third = range(0, max(1, n // 3))
+    plan = [(rng.uniform(5, secs), rng.randrange(n)) for _ in range(rng.randrange(4))]
+    plan += [(rng.uniform(cut, heal), i) for i in third] if rng.random() < 0.5 and n > 1 else []
+    plan.sort()
+    state, step = 0, SEC / 20
+    for tick in range(secs * 20):
+        now, t = tick * step, tick / 20
+        if n > 1 and state == 0 and t >= cut:
+            f.cut(third.start, third.stop)
+            state = 1
+        if state == 1 and t >= heal:
+            f.heal()
+            state = 2
+        while plan and plan[0][0] <= t:
+            f.restart(plan.pop(0)[1], now)
+        level = 1 - depth if (t % period) > period / 2 else 1 + depth
+        failing = any(a <= t < a + d for a, d in bad)
+        for i in range(n):
+            lam = base * level / 20
+            while rng.random() < lam / (1 + lam):
+                at = now + rng.random() * step
+                f.ask(i, at)
+                if failing:
+                    for _ in range(3):
+                        f.again(i, at)
+            if failing:
+                f.again(i, now + step)            # streams that go on elsewhere
+    return f
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_sliding_window_has_more_extras_than_the_rule_gives(seed):
+    assert play(seed).worst() == 0
+
+
+def planted(**kw):
+    """A class with one rule left out."""
+    class Without(Budget):
+        pass
+    for k, v in kw.items():
+        setattr(Without, k, v)
+    return Without
+
+
+def whole_slack(self, now, daemons):
+    return OPT["budget_slack"] * OPT["budget_slack_part"]
+
+
+def no_first_window(self, now, daemons):
+    return OPT["budget_slack"] * OPT["budget_slack_part"] / max(1, self.known(now, daemons))
+
+
+def test_the_oracle_finds_a_fleet_in_which_each_takes_the_whole_slack():
+    assert any(play(s, make=planted(share=whole_slack)).worst() > 0 for s in range(6))
+
+
+def test_the_oracle_finds_daemons_that_spend_slack_again_after_each_restart():
+    f = Fleet(n=9, rng=random.Random(1), make=planted(share=no_first_window))
+    g = Fleet(n=9, rng=random.Random(1))
+    for h in (f, g):
+        for tick in range(400):
+            now = 20 * SEC + tick * SEC / 50
+            for i in range(9):
+                if tick % 100 == 50:
+                    h.restart(i, now)
+                h.again(i, now)
+    assert f.worst() > 0 and g.worst() == 0
+
+
+def test_the_oracle_finds_daemons_that_pick_the_best_of_the_three_counts_each_for_itself(monkeypatch):
+    """Half of the fleet asked in one window, half in the next: the largest counts sum to more."""
+    def run():
+        f = Fleet(n=20, rng=random.Random(3))
+        for i in range(20):
+            for j in range(400):
+                at = (16 * SEC if i % 2 else 22.5 * SEC) + j * SEC / 1000
+                f.ask(i, at)
+        for j in range(200):
+            for i in range(20):
+                f.again(i, 25 * SEC + j * SEC / 1000)
+        return f.worst()
+    assert run() == 0
+    monkeypatch.setattr(module, "MIX", (1.0, 1.0, 1.0))
+    assert run() > 0
+
+
+def test_the_oracle_finds_a_window_that_loses_its_requests():
+    """Extras bounded by the last window's requests alone: a later window has the extras and not the requests."""
+    class Plain(Budget):
+        def spend(self, now, service, *, daemons):
+            k = self.at(now)
+            mine = sum(n for i, n in self.extras.get(service, ()) if i > k - 40) + 1
+            asks = sum(n for i, n in self.asks.get(service, ()) if i > k - 40)
+            if mine > 0.2 * asks + self.share(now, daemons):
+                return False
+            module.put(self.extras, service, k)
+            return True
+
+    def run(make):
+        f = Fleet(n=3, rng=random.Random(4), make=make)
+        for i in range(3):
+            for j in range(400):
+                f.ask(i, 20.5 * SEC + j * SEC / 1000)
+            for j in range(400):
+                f.ask(i, 28.5 * SEC + j * SEC / 1000)
+        for j in range(600):
+            for i in range(3):
+                f.again(i, 30 * SEC + j * SEC / 1000)
+        return f.worst()
+    assert run(Plain) > 0
+    assert run(Budget) == 0
+
+
+def test_a_steady_service_gets_nearly_the_whole_ratio():
+    b, got, asked = Budget(opt=OPT, born=0 * SEC), 0, 0
+    for tick in range(60 * 50):
+        now = tick * SEC / 50
+        b.came(now, "s")
+        if now >= 30 * SEC:
+            asked += 1
+            got += b.spend(now, "s", daemons=10**9)
+    assert 0.8 * RATIO * asked < got <= RATIO * OPT["budget_ratio_part"] * asked
+
+
+def test_a_start_without_a_known_fleet_has_no_slack_and_a_young_daemon_none_either():
+    b = Budget(opt=OPT, born=0 * SEC)
+    assert not b.spend(30 * SEC, "s", daemons=0)
+    assert b.spend(30 * SEC, "s", daemons=3)
+    b = Budget(opt=OPT, born=29 * SEC)
+    assert not b.spend(30 * SEC, "s", daemons=3)
+    assert not b.spend(39 * SEC, "s", daemons=3)
+    assert b.spend(40 * SEC, "s", daemons=3)
+
+
+def test_the_largest_fleet_known_lately_divides_the_slack():
+    b = Budget(opt=OPT, born=0 * SEC)
+    b.known(20 * SEC, 9)
+    part = OPT["budget_slack"] * OPT["budget_slack_part"]
+    assert b.share(21 * SEC, 3) == part / 9
+    assert b.share(22 * SEC + OPT["budget_recall"], 3) == part / 3
+
+
+def test_services_do_not_spend_each_others_requests():
+    b = Budget(opt=OPT, born=0 * SEC)
+    for j in range(1000):
+        b.came(20 * SEC + j * SEC / 1000, "a")
+    assert not b.spend(22 * SEC, "b", daemons=0)
+    assert b.spend(22 * SEC, "a", daemons=0)
