--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -10,12 +10,14 @@
 import anyio.lowlevel
 import anyio.to_thread
 
+from ..dialect import OWN
 from ..faults import Fault
 from ..hub import Hub
 from ..log import line
 from ..rank import first
 from . import callout
 from .disk import Store
+from .forwarding import Shell
 from .lanes import Lanes
 from .links import Links
 from .tree import keep
@@ -30,8 +32,9 @@
 
 
 class Daemon:
-    def __init__(self, *, settings, lg, reread=None):
+    def __init__(self, *, settings, lg, reread=None, outer=None):
         s = self.s = settings
+        self.outer, self.draining, self.closing = outer, False, anyio.Event()
         self.lg, self.reread, self.opt = lg, reread, s["tuning"]
         self.store = Store(folder=s["data"], name=s["name"]) if s["data"] else None
         self.life = secrets.token_hex(6)
@@ -42,10 +45,18 @@
                        addr=s["advertise"] or s["listen"], http=s["http"], seeds=s["seeds"], cores=tuple(s["cores"]),
                        opt=self.opt, rng=random.Random(secrets.randbits(64)),
                        disk=self.store.id if self.store else "",
-                       saved=self.store.load() if self.store else None)
+                       saved=self.store.load() if self.store else None, front=outer.front if outer else "")
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
         self.stopping, self.ready = anyio.Event(), anyio.Event()
+        self.shell = Shell(daemon=self, dialect=outer.dialect if outer else OWN, local=s["http"].rsplit(":", 1)[0])
+
+    def faces(self):
+        """Addresses beside the product's own and the clients', each with its app (design 15.7)."""
+        return {a: self.outer.app(self) for a in self.outer.others} if self.outer else {}
+
+    def change(self):
+        return secrets.token_hex(8)
 
     # for the front: orders and calls
     def oid(self):
@@ -108,6 +119,8 @@
             case ("abort", did):
                 if did in self.jobs:
                     self.jobs.pop(did).cancel()
+            case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "limits", *_):
+                self.shell.act(e)
             case ("probe", rid, inc, addr):
                 self.group.start_soon(self.probe, rid, inc, addr)
             case ("result", oid, kind, *r):
@@ -213,13 +226,27 @@
                 if not ok:
                     self.lg.warning(line("platform-silent", [("to", at)]))
 
+    async def get(self, addr, path):
+        """One plain GET of what lists the replicas -> (status, body); no answer is (0, b"")."""
+        return await callout.get(pool=self.pool, addr=addr, path=path)
+
+    async def lister(self):
+        """Reads the list of replicas that somebody else keeps (design 15.4)."""
+        gap = self.opt["list_every"] / timedelta(seconds=1)
+        while self.outer and self.outer.list_at:
+            rs = await self.outer.replicas(self.get)
+            if rs is not None:
+                await self.lanes.send(("listed", rs))
+            await anyio.sleep(gap)
+
     async def drain(self):
         """SIGTERM: no new orders, the others learn it, those under way end (design 1.4)."""
         self.lg.info(line("drain", []))
+        self.draining = True
         await self.lanes.send(("drain",))
         await self.lanes.send(("state", "leaving"))
         end = clock() + DRAIN
-        while clock() < end and (self.relays or self.jobs):
+        while clock() < end and (self.relays or self.jobs or self.shell.asks):
             await anyio.sleep(0.1)
         await anyio.sleep(0.3)
         await self.lanes.send(("state", "left"))
@@ -263,7 +290,7 @@
             if self.store:
                 tg.start_soon(self.write)
             for name, run in (("links", self.links.run), ("pulse", self.pulse),
-                              ("platform", self.platform),
+                              ("platform", self.platform), ("lister", self.lister),
                               ("front", lambda: serve(self)), ("signals", self.signals)):
                 tg.start_soon(lambda n=name, r=run: keep(name=n, run=r, lg=self.lg))
             await self.stopping.wait()
@@ -273,8 +300,8 @@
             self.store.close()
 
 
-def start(*, settings, lg, reread):
-    d = Daemon(settings=settings, lg=lg, reread=reread)
+def start(*, settings, lg, reread, outer=None):
+    d = Daemon(settings=settings, lg=lg, reread=reread, outer=outer)
     anyio.run(d.run)
 
 
--- a/silverglade/forward/cold.py
+++ b/silverglade/forward/cold.py
@@ -34,12 +34,14 @@
         self.held = {}                    # replica -> (per_s, members, share), worked out once
 
     def knew(self, now, members):
-        """The edge daemons known now; also to be called when the roll changes."""
+        """The edge daemons known now, none given: as before. Also to be called when the roll changes."""
         if self.born is None:
             self.born = now
-        if self.last and now - self.last[0] < SEC and members == self.last[1]:
+        old = self.last
+        members = frozenset(members) or (old[1] if old else frozenset())
+        if old and now - old[0] < SEC and members == old[1]:
             return
-        self.last = (now, frozenset(members))
+        self.last = (now, members)
         self.names.update(dict.fromkeys(members, now))
         self.names = {i: t for i, t in self.names.items() if now - t <= self.opt["cold_recall"]}
         self.all = frozenset(self.names)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -188,6 +188,16 @@
     assert count(12 + OPT["cold_recall"] / SEC, {"d0", "d1"}) == 4
 
 
+def test_names_that_are_not_given_again_stay():
+    c = Cold(opt=OPT, born=0 * SEC)
+    c.knew(1 * SEC, ["a", "b"])
+    for t in range(10, 2000, 10):
+        assert sum(c.may(t * SEC, "r", per_s=8.0, me="a", members=()) for _ in range(20)) == 4
+    c.knew(2000 * SEC, ["a"])
+    assert sum(c.may(2001 * SEC, "r", per_s=8.0, me="a", members=()) for _ in range(20)) == 4
+    assert sum(c.may(2400 * SEC, "r", per_s=8.0, me="a", members=()) for _ in range(20)) == 1
+
+
 def test_a_replica_that_turns_warm_is_not_flooded():
     c, names, got = Cold(opt=OPT, born=0 * SEC), {"a", "b"}, {}
     assert c.may(10 * SEC, "r", per_s=4.0, me="a", members=names)
