--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -50,6 +50,9 @@
     "connect_wait": c.span(default=td(milliseconds=400)),  # a replica that takes no connection
     "list_every": c.span(default=td(milliseconds=1000)),   # the list of replicas is read
     "probe_every": c.span(default=td(seconds=2)),
+    "need_window": c.span(default=td(seconds=4)),       # ends and use of services' replicas are looked at over it (16.3)
+    "need_latency": c.oneof("place", "whole", default="place"),
+    "need_room": c.whole(default=0),                     # K of a replica; 0: worked out from its capacity
     "budget_window": c.span(default=td(seconds=10)),     # further tries of a service's requests (16.1)
     "budget_ratio": c.number(default=0.2, most=1.0),
     "budget_slack": c.number(default=50.0),
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -67,6 +67,9 @@
     q = sub.add_parser("days", help="long days of the scaler with a platform that follows (simulated)")
     q.add_argument("--count", type=int, default=2)
     q.add_argument("--secs", type=int, default=600)
+    q = sub.add_parser("need", help="a long day of replicas that nobody orders: what daemons say of it (simulated)")
+    q.add_argument("--secs", type=int, default=1200)
+    q.add_argument("--seed", type=int, default=1)
     q = sub.add_parser("measure", help="figures of recovery, isolation, prefixes, latency (simulated)")
     q.add_argument("--town", choices=TOWNS, default="navrang")
     q.add_argument("--count", type=int, default=6)
@@ -79,6 +82,9 @@
     if a.cmd == "days":
         from .longday import main as long
         return long(range(1, a.count + 1), a.secs)
+    if a.cmd == "need":
+        from .needday import main as unordered
+        return unordered(a.seed, a.secs)
     if a.cmd == "measure":
         from .measure import main as figures
         return figures(a.town, range(1, a.count + 1))
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from silverglade.scaler.chain import measures, smallest, states
+from silverglade.scaler import chain
+from silverglade.scaler.chain import measures, room_of, smallest, states
 
 CASES = [(m, k, lam) for m in (1, 2, 3, 5) for k in (1, 2, 3, 6, 9) for lam in (F(1, 3), F(2), F(7, 2))]
 
@@ -127,3 +128,49 @@
 def test_long_chains_neither_overflow_nor_vanish():
     w, g, loss, use = measures(lam=5000.0, mu=1.0, r=1e6, m=3, room=2000, flow="served")
     assert 0.99 < use <= 1.0 and loss > 0.99 and 600 < w < 700
+
+
+def whole(*, lam, mu, replicas, aim, room, fan, top, fall, flow="printed"):
+    """The smallest m by the printed rule alone, every m tried, every state held."""
+    from math import ceil
+    cap, big = fan * replicas, room * replicas
+    for m in range(max(1, ceil(lam / (top * mu) - 1e-9)), min(cap, big) + 1):
+        q = [(1.0, 0.0)]
+        for k in range(1, big + 1):
+            p0, p1 = q[-1]
+            a = lam * (p0 + p1) / (min(k, m) * mu)
+            q.append((a, lam * ((a if k < big else 0.0) + (p1 if k > 1 else p0)) / (cap * mu)))
+        busy = (lambda k: min(k, m)) if flow == "served" else (lambda k: min(k, 1))
+        if sum(k * (a + b) for k, (a, b) in enumerate(q)) / (sum(busy(k) * a for k, (a, _) in enumerate(q)) * mu) <= aim:
+            return m, True
+    return min(cap, max(1, ceil(lam / (fall * mu) - 1e-9))), False
+
+
+def differ(seed):
+    """-> cases in which the search and the printed rule part."""
+    rng, bad = random.Random(seed), []
+    for _ in range(150):
+        mu = rng.choice((0.5, 1.0, 30.0))
+        kw = dict(lam=rng.uniform(0.01, 12) * mu, mu=mu, replicas=rng.randrange(1, 5), aim=rng.uniform(0.3, 8) / mu,
+                  room=rng.choice((1, 3, 7, 20, 60)), fan=rng.choice((3, 12)), top=0.8, fall=0.65,
+                  flow=rng.choice(("printed", "served")))
+        if smallest(**kw) != whole(**kw):
+            bad.append(kw)
+    return bad
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_what_is_left_out_of_the_search_changes_no_m(seed):
+    assert differ(seed) == []
+
+
+@pytest.mark.parametrize("name,value", [("TINY", 0.05), ("SAME", 0.05)])
+def test_a_search_that_leaves_out_too_much_is_found(monkeypatch, name, value):
+    monkeypatch.setattr(chain, name, value)
+    assert differ(0)
+
+
+def test_the_room_is_what_runs_and_what_can_still_begin_within_the_aim():
+    assert room_of(capacity=64, mu=100.0, aim=0.6) == 124
+    assert room_of(capacity=6, mu=2.0, aim=0.4) == 6          # nobody who waits would be in time
+    assert room_of(capacity=1, mu=2.5, aim=2.0) == 6
