--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -50,6 +50,8 @@
     "connect_wait": c.span(default=td(milliseconds=400)),  # a replica that takes no connection
     "list_every": c.span(default=td(milliseconds=1000)),   # the list of replicas is read
     "probe_every": c.span(default=td(seconds=2)),
+    "probe_wait": c.span(default=td(seconds=1)),         # a probe without an answer (16.4)
+    "probe_extra": c.whole(default=4),                   # probes out of turn a second
     "need_window": c.span(default=td(seconds=4)),       # ends and use of services' replicas are looked at over it (16.3)
     "need_latency": c.oneof("place", "whole", default="place"),
     "need_room": c.whole(default=0),                     # K of a replica; 0: worked out from its capacity
--- /dev/null
+++ b/tests/test_probe.py
@@ -0,0 +1,215 @@
+"""One prober a replica, as seldom as serves (design 16.4)."""
+import random
+from collections import Counter
+from datetime import timedelta
+
+import pytest
+
+from silverglade.forward.probe import Prober, prober
+from silverglade.options import tuning
+
+SEC = timedelta(seconds=1)
+OPT = tuning()
+EVERY = OPT["probe_every"]
+
+
+class Fleet:
+    """Daemons over three regions, each with a view of who lives that may be late."""
+
+    def __init__(self, *, n, replicas, rng, make=Prober):
+        self.rng, self.make = rng, make
+        self.region = {f"d{i}": "abc"[i % 3] for i in range(n)}
+        self.places = {f"r{i}": "abc"[rng.randrange(3)] for i in range(replicas)}
+        self.d, self.dead, self.asks, self.wait = {}, set(), [], []
+        for i in self.region:
+            self.start(i)
+        self.view()
+
+    def start(self, i):
+        self.dead.discard(i)
+        self.d[i] = self.make(me=i, opt=OPT)
+
+    def view(self, of=None):
+        live = tuple((i, r) for i, r in self.region.items() if i not in self.dead)
+        for i, r in live:
+            if of is None or r == of:
+                self.d[i].known(live)
+                self.d[i].listed(self.places)
+
+    def step(self, now, silent=()):
+        """Answers come a tenth of a second later, none from the silent."""
+        for at, i, x in [w for w in self.wait if w[0] <= now]:
+            self.wait.remove((at, i, x))
+            if i not in self.dead:
+                self.d[i].answered(x)
+        for i in self.region:
+            if i in self.dead:
+                continue
+            for x in self.d[i].due(now):
+                self.asks.append((now, i, x))
+                if x not in silent:
+                    self.wait.append((now + SEC / 10, i, x))
+
+
+def faults(f, calm):
+    """The oracle, for spans (from, until, live) in which views were right: -> sentences."""
+    bad = []
+    for a, b, live in calm:
+        here = [x for x in f.asks if a <= x[0] < b]
+        for r, place in f.places.items():
+            mine = [x for x in here if x[2] == r]
+            who = {x[1] for x in mine}
+            some = any(f.region[i] == place for i in live)
+            if len(who) > 1:
+                bad.append(f"{r} probed by {who}")
+            if any(f.region[i] != place for i in who):
+                bad.append(f"{r} probed from another region")
+            if some and b - a > 2 * EVERY and len(mine) < (b - a) // EVERY - 1:
+                bad.append(f"{r} probed {len(mine)} times in {b - a}")
+            if len(mine) > (b - a) // EVERY + 1:
+                bad.append(f"{r} probed {len(mine)} times in {b - a}, too often")
+    return bad
+
+
+def play(seed, make=Prober):
+    rng = random.Random(seed)
+    f = Fleet(n=rng.choice((3, 6, 9, 30)), replicas=rng.choice((1, 5, 20, 60)), rng=rng, make=make)
+    calm, since = [], 0 * SEC
+    at = sorted(rng.uniform(5, 60) for _ in range(4))
+    for tick in range(1400):
+        now = tick * SEC / 20
+        while at and at[0] <= tick / 20:
+            at.pop(0)
+            calm.append((since, now, [i for i in f.region if i not in f.dead]))
+            for i in rng.sample(sorted(f.region), max(1, len(f.region) // 3)):
+                if i in f.dead:
+                    f.start(i)
+                else:
+                    f.dead.add(i)
+            f.view()
+            since = now
+        f.step(now)
+    calm.append((since, 70 * SEC, [i for i in f.region if i not in f.dead]))
+    return f, calm
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_each_replica_is_asked_by_one_daemon_of_its_region_once_a_turn(seed):
+    assert faults(*play(seed)) == []
+
+
+def planted(**kw):
+    class Without(Prober):
+        pass
+    for k, v in kw.items():
+        setattr(Without, k, v)
+    return Without
+
+
+def everyone(self):
+    self.mine = frozenset(self.places)
+
+
+def local(self):
+    here = dict(self.live).get(self.me)
+    self.mine = frozenset(i for i, r in self.places.items() if r == here)
+
+
+def anywhere(self):
+    from silverglade.rank import first
+    self.mine = frozenset(i for i in self.places if first(i, [j for j, _ in self.live]) == self.me)
+
+
+def nobody_new(self):
+    if not self.mine:
+        Prober.share(self)
+
+
+@pytest.mark.parametrize("rule", [everyone, local, anywhere, nobody_new])
+def test_the_oracle_finds_each_rule_left_out(rule):
+    assert any(faults(*play(s, make=planted(share=rule))) for s in range(6))
+
+
+def test_the_oracle_finds_a_daemon_that_asks_at_every_pulse():
+    assert faults(*play(1, make=planted(due=lambda self, now: tuple(self.mine))))
+
+
+def test_nobody_probes_where_nobody_lives():
+    assert prober("r", "a", (("d", "b"),)) is None
+    p = Prober(me="d", opt=OPT)
+    p.known((("d", "b"),))
+    p.listed({"r": "a"})
+    assert p.due(10 * SEC) == ()
+
+
+def test_the_work_is_spread_over_the_daemons_of_a_region():
+    live = tuple((f"d{i}", "a") for i in range(6))
+    n = Counter(prober(f"r{i}", "a", live) for i in range(600))
+    assert len(n) == 6 and max(n.values()) < 160
+
+
+def lone(**opts):
+    p = Prober(me="d", opt=tuning(**opts))
+    p.known((("d", "a"),))
+    p.listed({f"r{i}": "a" for i in range(10)})
+    got = []
+    for t in range(40):
+        for x in p.due(t * SEC / 20):
+            got.append((t, x))
+            p.answered(x)
+    return p, got
+
+
+def test_first_turns_are_spread_over_a_turn():
+    _, got = lone()
+    assert len(got) == 10 and max(Counter(t for t, _ in got).values()) <= 2
+
+
+def test_a_suspicion_is_asked_about_once_until_there_is_an_answer():
+    p, _ = lone()
+    now = 2.01 * SEC
+    p.due(now)
+    p.answered("r0")
+    p.suspect("r0")
+    assert p.due(now + SEC / 20) == ("r0",)
+    p.failed("r0")
+    p.suspect("r0")
+    asked = []
+    for t in range(2, 38):
+        asked += [x for x in p.due(now + t * SEC / 20) if x == "r0"]
+        for x in p.mine - {"r0"}:
+            p.answered(x)
+    assert asked == []                                   # its turn is two seconds after the extra one
+    assert "r0" in p.due(now + 2.1 * SEC)
+    p.answered("r0")
+    p.suspect("r0")
+    assert "r0" in p.due(now + 2.2 * SEC)                # it answered, so it may be doubted again
+
+
+def test_suspicions_of_many_do_not_make_a_flood():
+    p, _ = lone(probe_extra=3, probe_every=60)
+    p.next = {i: 100 * SEC for i in p.next}
+    for i in range(10):
+        p.suspect(f"r{i}")
+    assert [len(p.due((50 + t) * SEC)) for t in range(5)] == [3, 3, 3, 1, 0]
+
+
+def test_a_probe_without_an_answer_holds_back_the_next_only_so_long():
+    p = Prober(me="d", opt=tuning(probe_wait=5))
+    p.known((("d", "a"),))
+    p.listed({"r": "a"})
+    assert [t for t in range(0, 20) if p.due(t * SEC)] == [0, 5, 10, 15]
+    p.suspect("other")                                   # not its replica: nothing
+    assert p.doubted == {}
+
+
+def test_what_is_handed_on_leaves_nothing_here_and_a_thawed_daemon_begins_anew():
+    p = Prober(me="d", opt=OPT)
+    p.known((("d", "a"),))
+    p.listed({"r": "a"})
+    assert p.due(0 * SEC) == ("r",)
+    p.suspect("r")
+    p.froze()
+    assert p.due(0.1 * SEC) == ("r",)
+    p.listed({})
+    assert (p.next, p.asked, p.doubted, p.mine) == ({}, {}, {}, frozenset())
