--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -66,11 +66,11 @@
 
 
 class Ask:
-    """One request of a client, and the way back to it."""
+    """One request of a client, and the way back to it: `send` as in ASGI, and the client's connection."""
 
-    def __init__(self, *, rid, method, target, headers, attempt, body, send, cut, closing):
+    def __init__(self, *, rid, method, target, headers, attempt, body, send, client, closing):
         self.rid, self.method, self.target, self.headers = rid, method, target, headers
-        self.attempt, self.body, self.send, self.cut, self.closing = attempt, body, send, cut, closing
+        self.attempt, self.body, self.send, self.client, self.closing = attempt, body, send, client, closing
         self.box, self.waits, self.scope, self.n = deque(), None, None, 0
         self.head, self.started, self.last, self.held, self.tried = None, False, None, None, False
         self.until, self.guard = 0.0, None
@@ -115,9 +115,11 @@
     async def end(self, b=b""):
         await self.send({"type": "http.response.body", "body": b})
 
-    async def whole(self, status, headers, body):
-        await self.start(status, headers)
-        await self.end(body)
+    async def whole(self, status, headers, body, *, more=False):
+        """A head and what comes with it, in one piece."""
+        with self.client.together():
+            await self.start(status, headers)
+            await self.send({"type": "http.response.body", "body": body, "more_body": more})
 
 
 async def small(send, status, code, *, wait=None, close=False):
@@ -183,7 +185,7 @@
             told = await self.serve(a)
         except Exception as e:                        # noqa: BLE001  a fault in here ends this request alone
             self.d.lg.error(line("forward-fell", [("why", repr(e))]))
-            a.cut()
+            a.client.cut()
         finally:
             a.guard.cancel()
             del self.asks[a.rid]
@@ -223,20 +225,20 @@
                         return True
                 case ("answer", _, status, wait, code):
                     if a.started:
-                        a.cut()
+                        a.client.cut()
                     else:
                         await small(a.send, status, code, wait=wait, close=self.closing())
                     return True
                 case ("forgotten", _):
                     if a.started:
-                        a.cut()
+                        a.client.cut()
                     elif a.tried:
                         await small(a.send, 502, 403)
                     else:
                         await small(a.send, 503, 310, wait=1.0)
                     return False
                 case ("break", *_):
-                    a.cut()
+                    a.client.cut()
                     return True
                 case ("gone",):
                     return False
@@ -338,9 +340,8 @@
             got.append(b)
             size += len(b)
             if size > HOLD:
-                await a.start(*a.head)
+                await a.whole(*a.head, b"".join(got), more=True)
                 await self.tell(a, n, "first")
-                await a.data(b"".join(got))
                 got.clear()
         await r.stream.aclose()
         if a.started:
@@ -361,9 +362,10 @@
                 skip = None if found else skip
             if not block:
                 continue
-            if not a.started:
-                await a.start(a.head[0], self.unsized(a.head[1]))
-            await a.data(block)
+            if a.started:
+                await a.data(block)
+            else:
+                await a.whole(a.head[0], self.unsized(a.head[1]), block, more=True)
             a.last = last_id(block) or a.last
             if first:
                 first = False
@@ -371,9 +373,10 @@
         await r.stream.aclose()
         if cut.rest:
             return ("cut", a.last)
-        if not a.started:
-            await a.start(a.head[0], self.unsized(a.head[1]))
-        await a.end()
+        if a.started:
+            await a.end()
+        else:
+            await a.whole(a.head[0], self.unsized(a.head[1]), b"")
         return ("done",)
 
     async def whole(self, r):
--- a/silverglade/front/forward.py
+++ b/silverglade/front/forward.py
@@ -3,6 +3,9 @@
 A connection's protocol is itself the app, so that it sees at once when its client goes, and can end an
 answer without an end.
 """
+import socket
+import struct
+
 import anyio
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol
@@ -10,6 +13,7 @@
 from ..daemon.forwarding import SECOND, Ask, kept, small
 from ..daemon.run import BODIES
 
+RESET = struct.pack("ii", 1, 0)
 OWN = frozenset((b"expect", b"content-length"))
 
 
@@ -23,6 +27,35 @@
         return e
 
 
+class Joined:
+    """A transport that can join what is written: a head and its body cost one call and one packet."""
+
+    def __init__(self, t):
+        self.t, self.out, self.depth = t, [], 0
+
+    def __getattr__(self, name):
+        return getattr(self.t, name)
+
+    def write(self, b):
+        self.out.append(b) if self.depth else self.t.write(b)
+
+    def __enter__(self):
+        self.depth += 1
+
+    def __exit__(self, *e):
+        self.depth -= 1
+        self.flush()
+
+    def flush(self):
+        if self.out:
+            out, self.out = b"".join(self.out), []
+            self.t.write(out)
+
+    def close(self):
+        self.flush()
+        self.t.close()
+
+
 def whole(b, most=2 ** 53):
     return int(b) if b is not None and b.isdigit() and len(b) < 17 and int(b) < most else None
 
@@ -75,6 +108,7 @@
         self.mine = self.port in (None, self.server[1])
         if not self.mine:
             return
+        self.transport = Joined(transport)
         self.app, self.conn = self.forward, Conn(h11.SERVER, self.shell.limits.header_bytes)
         li = self.shell.limits
         self.timeout_keep_alive = li.idle_timeout / SECOND
@@ -110,9 +144,15 @@
             self.timeout_keep_alive = self.shell.limits.idle_timeout / SECOND
         super().on_response_complete()
 
+    def together(self):
+        return self.transport
+
     def cut(self):
         """The answer must not look complete: no last chunk, or too few bytes; nothing at all before its head."""
-        if self.cycle.response_started and not self.flow.write_paused:
+        if self.conn.their_http_version == b"1.0":          # there the end of the connection ends an answer
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self.transport.abort()
+        elif self.cycle.response_started and not self.flow.write_paused:
             self.transport.close()
         else:
             self.transport.abort()
@@ -129,33 +169,39 @@
             return await small(send, 413, 204, close=True)
         d, size, body = shell.d, 0, b""
         try:
-            if n is not None and n != b"0" or chunked:
+            if not self.cycle.more_body:              # all of it came with the head
+                body = bytes(self.cycle.body)
+                size = len(body)
+                d.bodies += size
+            elif n is not None and n != b"0" or chunked:
                 got = []
-                with anyio.CancelScope() as scope_:
+                with anyio.CancelScope() as wait:
                     while True:
-                        scope_.deadline = anyio.current_time() + li.idle_timeout / SECOND
+                        wait.deadline = anyio.current_time() + li.idle_timeout / SECOND
                         m = await receive()
                         if m["type"] == "http.disconnect":
                             return
                         got.append(m["body"])
                         size += len(got[-1])
                         d.bodies += len(got[-1])
-                        if size > li.body_bytes:
-                            return await small(send, 413, 204, close=True)
-                        if d.bodies > BODIES:
-                            return await small(send, 503, 310, wait=1.0, close=True)
+                        if size > li.body_bytes or d.bodies > BODIES:
+                            break
                         if not m["more_body"]:
                             break
-                if scope_.cancelled_caught:
+                if wait.cancelled_caught:
                     return await small(send, 408, 311, close=True)
                 body = got[0] if len(got) == 1 else b"".join(got)
                 got = None
+            if size > li.body_bytes:
+                return await small(send, 413, 204, close=True)
+            if d.bodies > BODIES:
+                return await small(send, 503, 310, wait=1.0, close=True)
             self.flow.resume_reading()
             out = [h for h in kept(headers, fields) if h[0] not in OWN]
             if body or n is not None:
                 out.append((b"content-length", b"%d" % size))
             a = Ask(rid=shell.rid(), method=scope["method"], target=target, headers=out,
-                    attempt=fields.get(shell.dialect.attempt, b""), body=body, send=send, cut=self.cut,
+                    attempt=fields.get(shell.dialect.attempt, b""), body=body, send=send, client=self,
                     closing=shell.closing)
             self.ask = a
             if self.cycle.disconnected:
