--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -1,20 +1,19 @@
-"""The I/O shell of the forwarding path (design 15): the part decides, this delivers.
+"""The I/O shell of the forwarding path (design 15.3): the part decides, this delivers.
 
-An `Ask` is one client's request under way. Its task takes the part's effects from the ask's box and
-runs one try at a time; a new try, or an end, that comes meanwhile ends the one that runs.
+A request's task takes the part's effects from the box of its `Ask` and runs one try at a time; a new
+try, or an end, that comes meanwhile ends the one that runs.
 """
 import asyncio
-import json
 import time
-from collections import deque
 from datetime import timedelta
 from typing import NamedTuple
 
 import anyio
 import httpcore
 
-from ..faults import CODES, Fault
+from ..faults import Fault
 from ..log import line
+from .ask import Limits, kept, seconds, small
 from .events import Splitter, beyond, last_id
 from .upstream import SECOND, Pool, Stale, Unsent
 
@@ -22,26 +21,9 @@
 SKIP = 4                           # surplus answers read past in the place of ours
 SLACK = timedelta(seconds=2)       # behind the deadline the shell ends a request that the part forgot
 LONGEST = timedelta(seconds=60)    # until the part has named a deadline
-HOP = frozenset((b"connection", b"keep-alive", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-                 b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"proxy-authentication-info"))
 BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, OSError)
 
 
-class Limits(NamedTuple):
-    """What a client may send, and how long it may take or stay idle."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 4 * 1024 * 1024
-    header_timeout: timedelta = timedelta(seconds=5)
-    idle_timeout: timedelta = timedelta(seconds=30)
-
-    @classmethod
-    def of(cls, d):
-        """From a configuration's table, or none."""
-        return cls(d["header_bytes"], d["body_bytes"], timedelta(milliseconds=d["header_ms"]),
-                   timedelta(milliseconds=d["idle_ms"])) if d else cls()
-
-
 class Try(NamedTuple):
     """One try as the part wants it (design 15.3)."""
 
@@ -58,90 +40,6 @@
     resume: bool                   # goes on with a stream whose head was passed on
 
 
-def kept(headers, fields):
-    """Headers without those of one connection only, and what that connection's own header names."""
-    named = fields.get(b"connection")
-    drop = HOP | {w.strip().lower() for w in named.split(b",")} if named else HOP
-    return [(k, v) for k, v in headers if k.lower() not in drop]
-
-
-class Ask:
-    """One request of a client, and the way back to it: `send` as in ASGI, and the client's connection."""
-
-    def __init__(self, *, rid, method, target, headers, attempt, body, send, client, closing):
-        self.rid, self.method, self.target, self.headers = rid, method, target, headers
-        self.attempt, self.body, self.send, self.client, self.closing = attempt, body, send, client, closing
-        self.box, self.waits, self.scope, self.n = deque(), None, None, 0
-        self.head, self.started, self.last, self.held, self.tried = None, False, None, None, False
-        self.until, self.guard = 0.0, None
-
-    # from the daemon
-    def put(self, e):
-        match e:
-            case ("drop", _, n):
-                self.box = deque(x for x in self.box if x[0] != "try" or x[2] != n)
-                if n == self.n:
-                    self.held = None
-                    if self.scope:
-                        self.scope.cancel()
-                return
-            case ("pass", *_):
-                pass
-            case _ if self.scope:
-                self.scope.cancel()
-        self.box.append(e)
-        if self.waits and not self.waits.done():
-            self.waits.set_result(None)
-
-    async def take(self):
-        while not self.box:
-            self.waits = asyncio.get_running_loop().create_future()
-            try:
-                await self.waits
-            finally:
-                self.waits = None
-        return self.box.popleft()
-
-    # to the client
-    async def start(self, status, headers):
-        self.started = True
-        if self.closing():
-            headers = [*headers, (b"connection", b"close")]
-        await self.send({"type": "http.response.start", "status": status, "headers": headers})
-
-    async def data(self, b):
-        await self.send({"type": "http.response.body", "body": b, "more_body": True})
-
-    async def end(self, b=b""):
-        await self.send({"type": "http.response.body", "body": b})
-
-    async def whole(self, status, headers, body, *, more=False):
-        """A head and what comes with it, in one piece."""
-        with self.client.together():
-            await self.start(status, headers)
-            await self.send({"type": "http.response.body", "body": body, "more_body": more})
-
-
-async def small(send, status, code, *, wait=None, close=False):
-    """An answer of the daemon's own."""
-    b = json.dumps({"code": code, "name": CODES[code][0]} if code in CODES else {"code": code}).encode()
-    headers = [(b"content-type", b"application/json"), (b"content-length", b"%d" % len(b))]
-    if wait is not None:
-        headers.append((b"retry-after", b"%.2f" % max(0.0, wait)))
-    if close:
-        headers.append((b"connection", b"close"))
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": b})
-
-
-def seconds(b):
-    try:
-        v = float(b)
-    except ValueError:
-        return None
-    return v if 0 <= v < 1e6 else None
-
-
 class Shell:
     def __init__(self, *, daemon, dialect, local=None, pool=None):
         self.d, self.dialect = daemon, dialect
@@ -210,6 +108,9 @@
                 case ("try", _, n, t):
                     t = Try(**t)
                     a.n, a.held = n, None
+                    if not self.may(a, t):
+                        a.client.cut()
+                        return False
                     self.watch(a, timedelta(milliseconds=t.deadline_ms))
                     with anyio.CancelScope() as a.scope:
                         what = await self.attempt(a, n, t)
@@ -220,9 +121,13 @@
                     if what[0] == "done":
                         return True
                 case ("pass", _, n):
-                    if a.held and n == a.n and not a.started:
+                    if a.started:
+                        a.client.cut()
+                    elif a.held and n == a.n:
                         await a.whole(*a.held)
-                        return True
+                    else:
+                        await small(a.send, 502, 808, close=self.closing())
+                    return True
                 case ("answer", _, status, wait, code):
                     if a.started:
                         a.client.cut()
@@ -243,8 +148,13 @@
                 case ("gone",):
                     return False
 
+    def may(self, a, t):
+        """Nothing can go on behind a part of an answer but the rest of a stream."""
+        return t.resume or not a.started
+
     async def attempt(self, a, n, t):
         """Run one try; -> the last word on it."""
+        due = time.monotonic() + t.deadline_ms / 1000
         while True:
             try:
                 c = await self.pool.take(addr=t.addr, replica=t.replica, cap=t.cap, timeout=t.connect,
@@ -254,7 +164,7 @@
             keep = None
             c.tcp.begin()
             try:
-                what, keep = await self.exchange(a, n, t, c)
+                what, keep = await self.exchange(a, n, t, c, due)
                 return what
             except Stale as e:                        # ended between `take` and the first byte
                 if not c.until:                       # a new one: this replica has no place for it
@@ -262,10 +172,10 @@
             finally:
                 self.pool.release(c, keep=keep, last=a.attempt)
 
-    def request(self, a, t, c):
+    def request(self, a, t, c, due):
         """The request as this try sends it."""
         d = self.dialect
-        ours = [(d.deadline, b"%d" % max(1, t.deadline_ms))]
+        ours = [(d.deadline, b"%d" % max(1, round((due - time.monotonic()) * 1000)))]
         if t.expect:
             ours.append((d.expect, t.replica.encode()))
         if t.urgency is not None:
@@ -278,9 +188,9 @@
             a.method, httpcore.URL(scheme=b"http", host=ip.encode(), port=int(port), target=a.target),
             headers=[h for h in a.headers if h[0] not in names] + ours, content=a.body or None)
 
-    async def exchange(self, a, n, t, c):
+    async def exchange(self, a, n, t, c, due):
         """-> (the last word, seconds that the connection may be kept or None)."""
-        d, req = self.dialect, self.request(a, t, c)
+        d, req = self.dialect, self.request(a, t, c, due)
         for _ in range(SKIP):
             try:
                 r = await c.http.handle_async_request(req)
@@ -289,7 +199,7 @@
             finally:
                 a.tried = a.tried or c.tcp.wrote
             h = {k.lower(): v for k, v in reversed(r.headers)}
-            if h.get(d.attempt, b"") == a.attempt and r.status != 101:
+            if self.ours(a, h) and r.status != 101:
                 break
             if not h.get(d.attempt) or await self.whole(r) is None or not c.http.is_idle():
                 return (("lost", "not-ours"), None)
@@ -394,6 +304,9 @@
             await r.stream.aclose()
         return b"".join(got)
 
+    def ours(self, a, h):
+        return h.get(self.dialect.attempt, b"") == a.attempt
+
     def framed(self, a, r, h):
         """Does the answer tell where it ends?"""
         return (b"content-length" in h or b"transfer-encoding" in h or a.method == "HEAD"
--- a/silverglade/daemon/upstream.py
+++ b/silverglade/daemon/upstream.py
@@ -17,7 +17,7 @@
 MARGIN = 0.5                       # seconds before a replica's own time is up
 HIGH = 64 * 1024                   # bytes held unread: above it the replica is held up
 IDLE = 512                         # idle connections of the daemon in all
-# TCP_NODELAY is set by asyncio. A dead machine says nothing: these end the wait (seconds, and ms)
+# TCP_NODELAY is set by asyncio on sockets that name their protocol. A dead machine says nothing: these end the wait (seconds, and ms)
 OPTIONS = ((socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2), (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 8000))
@@ -137,7 +137,7 @@
 async def connect(*, addr, local, timeout):
     ip, port = addr.rsplit(":", 1)
     loop = asyncio.get_running_loop()
-    s = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM)
+    s = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         s.setblocking(False)
         for o in OPTIONS:
--- a/silverglade/front/forward.py
+++ b/silverglade/front/forward.py
@@ -10,8 +10,9 @@
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from ..daemon.forwarding import SECOND, Ask, kept, small
+from ..daemon.ask import Ask, kept, small
 from ..daemon.run import BODIES
+from ..daemon.upstream import SECOND
 
 RESET = struct.pack("ii", 1, 0)
 OWN = frozenset((b"expect", b"content-length"))
@@ -105,7 +106,7 @@
     # times: a head that is begun must come whole, an idle connection ends
     def connection_made(self, transport):
         super().connection_made(transport)
-        self.mine = self.port in (None, self.server[1])
+        self.mine = self.port is None or bool(self.server) and self.server[1] == self.port
         if not self.mine:
             return
         self.transport = Joined(transport)
@@ -167,7 +168,7 @@
             return await small(send, 400, 208, close=True)
         if n is not None and int(n) > li.body_bytes:
             return await small(send, 413, 204, close=True)
-        d, size, body = shell.d, 0, b""
+        d, size, body, a = shell.d, 0, b"", None
         try:
             if not self.cycle.more_body:              # all of it came with the head
                 body = bytes(self.cycle.body)
@@ -209,4 +210,5 @@
             await shell.run(a, facts(method=a.method, target=target, fields=fields, size=size, dialect=shell.dialect))
         finally:
             d.bodies -= size
-            self.ask = None
+            if self.ask is a:                         # the next request of a client that does not wait may be under way
+                self.ask = None
--- a/silverglade/front/serve.py
+++ b/silverglade/front/serve.py
@@ -23,7 +23,8 @@
 
 def bound(addr):
     ip, port = addr.rsplit(":", 1)
-    s = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM)
+    # with its protocol named: asyncio sets TCP_NODELAY on no other
+    s = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     s.bind((ip.strip("[]"), int(port)))
     return s
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -32,7 +32,7 @@
     """Each connection runs `script(conn)`; `conn.request()` reads one request, `conn.say()` sends bytes."""
 
     def __init__(self, script):
-        self.script, self.seen, self.conns, self.raw = script, [], [], []
+        self.script, self.seen, self.conns, self.raw, self.rest = script, [], [], [], b""
 
     async def serve(self, r, w):
         c = Wire(self, r, w, len(self.conns))
@@ -67,10 +67,10 @@
         await self.w.drain()
 
     async def closed(self):
-        """Until the other side has closed."""
+        """Until the other side has closed; what it still said is kept."""
         with contextlib.suppress(OSError):
-            while await self.r.read(65536):
-                pass
+            while b := await self.r.read(65536):
+                self.replica.rest += b
 
     def reset(self):
         import socket
@@ -252,19 +252,22 @@
         d.shell.pool.shut()
 
 
-def play(go, *, secs=10):
+SECS = 10
+
+
+def play(go):
     """Run a scene; one that hangs fails."""
     async def main():
-        with anyio.fail_after(secs):
+        with anyio.fail_after(SECS):
             return await go()
     return anyio.run(main)
 
 
-def scene(script, talk, *, secs=10, part=None, **kw):
+def scene(script, talk, *, part=None, **kw):
     """A replica, a daemon with a simple part and a client -> (what `talk` returned, the daemon, the replica)."""
     async def go():
         async with replica(script) as rep:
             async with front((part or simple)([rep.addr], **kw)) as (d, client):
                 got = await talk(await client(), d, rep, client)
                 return got, d, rep
-    return play(go, secs=secs)
+    return play(go)
--- /dev/null
+++ b/tests/test_face.py
@@ -0,0 +1,273 @@
+"""The clients' face (design 15.7): heads, bodies and times within limits; what is refused; one request after another."""
+import asyncio
+import socket
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from silverglade import faults
+from silverglade.daemon.ask import Limits, small
+from silverglade.front import forward
+from silverglade.front.forward import host, pair, parts, whole
+from silverglade.front.serve import bound, serve
+
+from . import scripted
+from .scripted import ID, SEAL, answer, chunk, event, scene, stream
+
+MS = timedelta(milliseconds=1)
+FIRST = f"POST /p HTTP/1.1\r\nHost: h\r\n{ID}: a1\r\n"
+
+
+async def script(c):
+    while True:
+        first, *_, i = await c.request()
+        await c.say(answer(i, "" if first.startswith("HEAD") else "ok"))
+
+
+def limits(**kw):
+    return Limits()._replace(**kw)
+
+
+def raw(*said, lim=None, until=None):
+    """A client says these bytes -> (its answer, whether it was closed, the daemon, the replica)."""
+    async def talk(c, d, rep, client):
+        if lim:
+            d.shell.limits = lim
+            c = await client()
+        for b in said:
+            await c.say(b)
+        got = await c.answer()
+        return got, await c.closed() if until != "open" else None
+    (got, closed), d, rep = scene(script, talk)
+    assert d.bodies == 0 and d.shell.asks == {}
+    return got, closed, d, rep
+
+
+@pytest.mark.parametrize("said,status", [
+    ((FIRST + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",), 400),
+    ((FIRST + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n",), 400),
+    ((FIRST + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",), 400),
+    ((FIRST + "Content-Length: -2\r\n\r\nok",), 400),
+    ((FIRST + "Transfer-Encoding: gzip\r\n\r\n",), 501),
+    ((FIRST + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",), 400),
+    ((FIRST + "Host: g\r\n\r\n",), 400),
+    ((FIRST + "Bad : 1\r\n\r\n",), 400),
+    ((FIRST + "Bad\0: 1\r\n\r\n",), 400),
+    (("POST /p HTTP/1.1\r\n\r\n",), 400),
+    (("POST  /p HTTP/1.1\r\nHost: h\r\n\r\n",), 400),
+    (("POST /p\r\n\r\n",), 400),
+    (("garbage\r\n\r\n",), 400),
+    (("CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n",), 400),
+])
+def test_what_is_no_proper_request_is_refused_and_closed(said, status):
+    got, closed, d, rep = raw(*said)
+    assert got[0] in (400, status) and closed and rep.conns == [] and d.told == []
+
+
+def test_a_request_inside_a_body_stays_a_body():
+    inner = "POST /evil HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+    for said in (FIRST + f"Content-Length: {len(inner)}\r\n\r\n" + inner,
+                 FIRST + "Transfer-Encoding: chunked\r\n\r\n" + chunk(inner) + "0\r\n\r\n"):
+        got, _, d, rep = raw(said, until="open")
+        assert got[0] == 200 and [(f, b) for f, _, b in rep.seen] == [("POST /p HTTP/1.1", inner.encode())]
+
+
+LIM = limits(header_bytes=400, body_bytes=100)
+
+
+@pytest.mark.parametrize("said,status", [
+    ((FIRST + "X: " + "y" * 400 + "\r\n\r\n",), 431),
+    ((FIRST + "X: " + "y" * 390, "y" * 400), 400),                            # dribbled: h11's own bound
+    ((FIRST + "Content-Length: 101\r\n\r\n",), 413),
+    ((FIRST + "Content-Length: 99999999999999999999\r\n\r\n",), 413),
+    ((FIRST + "Transfer-Encoding: chunked\r\n\r\n", chunk("x" * 60), chunk("x" * 41)), 413),
+    ((FIRST + "Transfer-Encoding: chunked\r\n\r\n" + chunk("x" * 101) + "0\r\n\r\n",), 413),
+])
+def test_more_than_the_limits_is_refused(said, status):
+    got, closed, d, rep = raw(*said, lim=LIM)
+    assert got[0] == status and closed and rep.conns == [] and d.told == []
+
+
+def test_just_the_limits_pass():
+    got, _, d, rep = raw(FIRST + "Content-Length: 100\r\nX: " + "y" * 290 + "\r\n\r\n" + "x" * 100, lim=LIM, until="open")
+    assert got[0] == 200 and len(rep.seen[0][2]) == 100
+
+
+def test_bodies_are_bounded_over_all_requests(monkeypatch):
+    monkeypatch.setattr(forward, "BODIES", 50)
+    got, closed, d, rep = raw(FIRST + "Content-Length: 60\r\n\r\n", "x" * 30, "x" * 30)
+    assert got[0] == 503 and closed and "retry-after" in got[1] and d.told == []
+
+
+@pytest.mark.parametrize("said,status", [
+    ((FIRST,), None),                                                         # a head half sent
+    ((FIRST + "Content-Length: 5\r\n\r\n", "abc"), 408),                      # a body half sent
+    ((), None)])
+def test_what_takes_too_long_is_ended(said, status):
+    got, closed, d, rep = raw(*said, lim=limits(header_timeout=20 * MS, idle_timeout=20 * MS))
+    assert (got and got[0]) == status and closed and d.told == []
+
+
+def test_an_idle_connection_is_closed_and_a_waiting_one_is_not():
+    async def talk(c, d, rep, client):
+        daemons.append(d)
+        d.shell.limits = limits(header_timeout=30 * MS, idle_timeout=30 * MS)
+        c = await client()
+        await c.ask()
+        got = await c.answer()
+        return got[0], await c.closed()
+
+    async def late(c):
+        *_, i = await c.request()
+        await c.say(answer(i))
+        await c.closed()
+
+    def part(addr):
+        simple = scripted.simple(addr)
+
+        def feed(ev):
+            if ev[0] == "request":
+                face, = (a.client for a in daemons[0].shell.asks.values())
+                timers.append((face.head_timer, face.timeout_keep_alive_task))     # while it waits for its answer
+            return simple(ev)
+        return feed
+    daemons, timers = [], []
+    assert scene(late, talk, part=part)[0] == (200, True)
+    assert timers == [(None, None)]
+
+
+def test_requests_one_after_another_and_at_once_on_a_connection():
+    async def talk(c, d, rep, client):
+        out = []
+        for i in ("a1", "a2"):
+            await c.ask(i, method="GET", body="")
+            out.append((await c.answer())[1][ID])
+        for i in ("a3", "a4", "a5"):
+            await c.ask(i, body=i)
+        return out + [(await c.answer())[1][ID] for _ in range(3)]
+    got, d, rep = scene(script, talk)
+    assert got == ["a1", "a2", "a3", "a4", "a5"] and [b for *_, b in rep.seen] == [b"", b"", b"a3", b"a4", b"a5"]
+
+
+def test_an_answer_to_head_has_no_body():
+    async def talk(c, d, rep, client):
+        await c.ask("a1", method="HEAD", body="")
+        status, h = await c.head()
+        await c.ask("a2", method="GET", body="")
+        return status, (await c.answer())[2]
+
+    async def heads(c):
+        *_, i = await c.request()
+        await c.say(f"HTTP/1.1 200 OK\r\n{ID}: {i}\r\n{SEAL}: s\r\nContent-Length: 77\r\n\r\n")
+        await script(c)
+    assert scene(heads, talk)[0] == (200, b"ok")
+
+
+def test_a_broken_answer_to_an_old_client_is_reset():
+    async def old(c):
+        await c.request()
+        await c.say(stream("a1", event(1), last=False))
+
+    async def talk(c, d, rep, client):
+        await c.say(f"POST /p HTTP/1.0\r\nHost: h\r\n{ID}: a1\r\n\r\n")
+        try:
+            while await c.r.read(100):
+                pass
+        except ConnectionResetError:
+            return "reset"
+    assert scene(old, talk)[0] == "reset"
+
+
+def test_a_client_that_goes_with_its_body_half_sent_is_no_request():
+    async def talk(c, d, rep, client):
+        await c.say(FIRST + "Content-Length: 5\r\n\r\nab")
+        while not d.bodies:
+            await asyncio.sleep(0)
+        c.close()
+        while d.bodies:
+            await asyncio.sleep(0)
+    _, d, rep = scene(script, talk)
+    assert d.told == [] and rep.conns == [] and d.lg.said == []
+
+
+def test_a_fault_in_the_shell_ends_its_own_request_alone():
+    async def talk(c, d, rep, client):
+        d.shell.request = None                        # planted
+        await c.ask()
+        got = await c.answer()
+        del d.shell.request
+        e = await client()
+        await e.ask("a2")
+        return got, (await e.answer())[0]
+    (got, status), d, _ = scene(script, talk)
+    assert got is None and status == 200 and (1, "gone") in d.words() and len(d.lg.said) == 1
+
+
+def test_names_and_numbers_of_a_head():
+    assert [host(b) for b in (b"Nony24.Example:80", b"a", b"[::1]:8", b"[::1]", b"a:b", b"")] == [
+        "nony24.example", "a", "[::1]", "[::1]", "a:b", ""]
+    assert parts(b"5c:800, 91:410") == (("5c", 800), ("91", 410))
+    assert [parts(b) for b in (None, b"", b"x", b"x:", b":1", b"x:-1", b"x:1,")] == [()] * 7
+    assert [pair(b) for b in (b"1,2", b"1", b"a,b", None, b"1, 2")] == [(1, 2), None, None, None, (1, 2)]
+    assert [whole(b) for b in (b"7", b"", None, b"-1", b"9" * 17, b"1.5")] == [7, None, None, None, None, None]
+
+
+def test_limits_of_a_configuration():
+    lim = Limits.of({"header_bytes": 1, "body_bytes": 2, "header_ms": 3, "idle_ms": 4})
+    assert lim == (1, 2, 3 * MS, 4 * MS) and Limits.of(None) == Limits()
+    assert all(n in faults.CODES for n in (204, 208, 310, 311, 403, 810))
+
+
+def test_small_packets_are_not_held_back():
+    """Without its protocol named, a listening socket hands on connections that wait for acknowledgements."""
+    async def go():
+        seen = []
+        srv = await asyncio.start_server(lambda r, w: seen.append(w.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NODELAY)), sock=bound("127.0.0.1:0"))
+        r, w = await asyncio.open_connection(*srv.sockets[0].getsockname())
+        while not seen:
+            await asyncio.sleep(0)
+        w.transport.abort()
+        srv.close()
+        return seen[0]
+    assert scripted.play(go)
+
+
+def free():
+    with socket.create_server(("127.0.0.1", 0)) as s:
+        return "127.0.0.1:%d" % s.getsockname()[1]
+
+
+def test_the_address_says_which_face_a_call_meets():
+    async def app(scope, receive, send):
+        await small(send, 404, 507)
+
+    async def say(addr):
+        c = scripted.Client(*await asyncio.open_connection(*addr.rsplit(":", 1)))
+        await c.ask("a1", "/healthz", method="GET", body="")
+        got = await c.answer()
+        c.close()
+        return got[0], got[2]
+
+    async def go():
+        async with scripted.replica(script) as rep:
+            d = scripted.Daemon(scripted.simple([rep.addr]))
+            d.s, d.closing = {"http": free(), "name": "d", **{f"{r}_key": "" for r in ("operator", "replica", "platform")}}, anyio.Event()
+            d.outer, other = type("Outer", (), {"front": free()}), free()
+            d.faces = lambda: {other: app}
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(serve, d)
+                got = []
+                for a in (d.outer.front, d.s["http"], other):
+                    while True:
+                        try:
+                            got.append(await say(a))
+                            break
+                        except ConnectionRefusedError:
+                            await asyncio.sleep(0)
+                d.closing.set()
+            d.shell.pool.shut()
+            return got
+    front, own, other = scripted.play(go)
+    assert front == (200, b"ok") and own == (200, b'{"daemon": "d"}\n') and other[0] == 404 and b"507" in other[1]
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from silverglade.daemon import forwarding, upstream
+from silverglade.daemon import forwarding
 
 from .scripted import ID, NOT, SEAL, answer, chunk, event, one, scene, stream
 
@@ -48,7 +48,8 @@
     (first, h, body), (second, h2, _) = rep.seen
     assert first == "PURGE /a//b/%2e%2E/%41?x=%20&&y=? HTTP/1.1" and body == b"h\r\n\0i"
     assert h == {"host": "h.example:80", ID: "a7", "content-length": "5", "x-kept": "ä".encode().decode("latin-1"),
-                 "silverglade-due": "4321", "silverglade-replica": "i1", "silverglade-urgency": "3"}
+                 "silverglade-due": h["silverglade-due"], "silverglade-replica": "i1", "silverglade-urgency": "3"}
+    assert 4000 < int(h["silverglade-due"]) <= 4321                 # what is left when it is sent
     assert second == "GET /q? HTTP/1.1" and len(rep.conns) == 1
     facts = d.told[0][2]
     assert (facts["host"], facts["path"], facts["method"], facts["attempt"], facts["deadline_ms"], facts["size"]) == (
@@ -101,9 +102,9 @@
     (says(answer("a1", "no!!", status="500 Oops")[:-1]), [(1, "lost", "cut")], (502,)),
     (says("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", answer("a1")),
      [(1, "began", 200), (1, "done")], (200, b"ok")),
-    (says(OTHER, answer("a1")), [(1, "began", 200), (1, "done")], (200, b"ok")),                 # read past, ours behind it
-    (says(OTHER, OTHER, answer("a1")), [(1, "began", 200), (1, "done")], (200, b"ok")),
-    (says(*[OTHER] * forwarding.SKIP, answer("a1")), [(1, "lost", "not-ours")], (502,)),
+    (says(OTHER, answer("a1"), close=False), [(1, "began", 200), (1, "done")], (200, b"ok")),                 # read past, ours behind it
+    (says(OTHER, OTHER, answer("a1"), close=False), [(1, "began", 200), (1, "done")], (200, b"ok")),
+    (says(*[OTHER] * forwarding.SKIP, answer("a1"), close=False), [(1, "lost", "not-ours")], (502,)),
     (says(OTHER[:-1]), [(1, "lost", "not-ours")], (502,)),
     (says(answer("old", status="503 Full", more=(f"{NOT}: 1",)), answer("a1")), [(1, "began", 200), (1, "done")], (200, b"ok")),
     (says(f"HTTP/1.1 204 Gone\r\n{ID}: a1\r\n{SEAL}: s\r\n\r\n"), [(1, "began", 204), (1, "done")], (204, b"")),
@@ -117,7 +118,7 @@
     assert d.words() == words
     if want:
         assert (got[0], got[2])[:len(want)] == want and got[3]
-    assert len(rep.raw) == 1                          # never sent twice
+    assert len(rep.raw) == 1 and rep.rest == b""      # never sent twice
     assert d.lg.said == []
 
 
@@ -206,6 +207,14 @@
     assert got[0] == 200 and got[2] == body.encode() and not got[3]
 
 
+def test_a_stream_with_a_length_is_passed_on_in_chunks():
+    body = event(1) + event(2)
+    got, d, _ = scene(says(answer("a1", body, more=("Content-Type: text/event-stream; charset=utf-8",))), ask)
+    assert got[2] == body.encode() and got[3] and "content-length" not in got[1]
+    got, d, _ = scene(says(answer("a1", body, more=("Content-Type: text/event-stream",))[:-1]), ask)
+    assert got[2] == event(1).encode() and not got[3] and d.words()[-1] == (1, "cut", "1")
+
+
 def resuming(more):
     def part(addr, **kw):
         def feed(ev):
@@ -276,114 +285,3 @@
     assert got[2] == body.encode() and got[3]
     got, d, rep = scene(says(answer("a1", body)[:-1]), ask)
     assert d.words()[-1] == (1, "cut", None) and len(got[2]) < len(body) and not got[3]
-
-
-def test_a_client_that_goes_ends_its_try_and_one_that_waits_for_none():
-    async def script(c):
-        await c.request()
-        await c.closed()
-
-    async def talk(c, d, rep, client):
-        await c.ask()
-        await rep_asked(rep)
-        c.close()
-        await d.heard("gone")
-        await rep.conns[0].over.wait()
-    _, d, rep = scene(script, talk)
-    assert d.words() == [(1, "gone")] and d.shell.asks == {} and d.bodies == 0
-
-    async def waits(c, d, rep, client):
-        await c.ask()
-        while not d.told:
-            await d.news.wait()
-        c.close()
-        await d.heard("gone")
-    _, d, rep = scene(script, waits, part=lambda addr: lambda ev: ())
-    assert d.words() == [(0, "gone")] and d.shell.asks == {}
-
-
-def test_a_dropped_try_ends_and_the_next_one_runs():
-    async def script(c):
-        await c.request()
-        if c.n == 0:
-            c.replica.first = c
-            return await c.closed()
-        await c.say(answer("a1", "second"))
-
-    def part(addr):
-        def feed(ev):
-            match ev:
-                case ("request", rid, _):
-                    return (("try", rid, 1, one(addr[0])),)
-        return feed
-
-    async def talk(c, d, rep, client):
-        await c.ask()
-        await rep_asked(rep)
-        rid, = d.shell.asks
-        d.shell.act(("drop", rid, 1))
-        await rep.first.over.wait()
-        d.shell.act(("try", rid, 2, one(rep.addr)))
-        return await c.answer()
-    got, d, rep = scene(script, talk, part=part)
-    assert got[2] == b"second" and d.words() == [(2, "began", 200), (2, "done")]
-
-
-def test_an_answer_of_our_own_and_a_break_before_any_head():
-    def part(addr, e):
-        return lambda ev: ((e[0], ev[1], *e[1:]),) if ev[0] == "request" else ()
-    got, d, rep = scene(says(), ask, part=part, e=("answer", 404, None, 507))
-    assert got[0] == 404 and b"507" in got[2] and "retry-after" not in got[1]
-    got, d, rep = scene(says(), ask, part=part, e=("break",))
-    assert got is None and rep.conns == []
-
-
-def test_a_full_door_refuses_and_a_part_that_forgets_ends_in_a_refusal(monkeypatch):
-    async def full(c, d, rep, client):
-        d.full = True
-        await c.ask()
-        return await c.answer()
-    got, d, _ = scene(says(), full)
-    assert got[0] == 503 and "retry-after" in got[1] and d.told == []
-    monkeypatch.setattr(forwarding, "SLACK", upstream.SECOND / 100)
-
-    async def forgot(c, d, rep, client):
-        await c.ask(more=("Silverglade-Due: 10",))
-        return await c.answer()
-    got, d, _ = scene(says(), forgot, part=lambda addr: lambda ev: ())
-    assert got[0] == 503 and d.words() == [(0, "gone")]
-    got, d, _ = scene(says(close=False), forgot, deadline_ms=20)
-    assert got[0] == 502 and d.words() == [(1, "gone")]
-
-
-def test_answers_of_a_daemon_that_drains_say_so():
-    async def talk(c, d, rep, client):
-        d.draining = True
-        await c.ask()
-        got = await c.answer()
-        return got, await c.closed()
-    (got, closed), d, _ = scene(says(answer("a1")), talk)
-    assert got[0] == 200 and got[1]["connection"] == "close" and closed
-
-
-def test_a_client_that_does_not_read_holds_the_replica_up():
-    big = event(1, "y" * 16000)
-
-    async def script(c):
-        await c.request()
-        await c.say(stream("a1", last=False))
-        try:
-            for c.sent in range(4000):                # 64 MB
-                await asyncio.wait_for(c.say(chunk(big)), 0.5)
-        except asyncio.TimeoutError:
-            held.set()
-        await c.closed()
-
-    async def talk(c, d, rep, client):
-        c.w.transport.pause_reading()
-        await c.ask()
-        await held.wait()
-        return rep.conns[0].sent
-    held = asyncio.Event()
-    sent, d, rep = scene(script, talk)
-    assert sent < 2000
--- /dev/null
+++ b/tests/test_forwarding_ends.py
@@ -0,0 +1,155 @@
+"""How a forwarded request ends (design 15.3): the client, the part or the daemon has its word, over real sockets."""
+import asyncio
+
+from silverglade.daemon import forwarding, upstream
+
+from .scripted import answer, chunk, event, one, scene, stream
+from .test_forwarding import ask, rep_asked, says
+
+
+def again(addr):
+    """A part that goes on whatever was passed on."""
+    def feed(ev):
+        match ev:
+            case ("request", rid, _):
+                return (("try", rid, 1, one(addr[0])),)
+            case ("tried", rid, 1, ("cut" | "failed"), *_):
+                return (("try", rid, 2, one(addr[0])), ("pass", rid, 1))
+    return feed
+
+
+def test_nothing_goes_on_behind_a_part_of_a_plain_answer():
+    body = "x" * (forwarding.HOLD + 70000)
+    got, d, rep = scene(says(answer("a1", body)[:-1]), ask, part=again)
+    assert len(got[2]) < len(body) and not got[3] and len(rep.raw) == 1 and d.words()[-1] == (2, "gone")
+
+
+def test_a_held_answer_of_another_try_is_not_passed_on():
+    async def script(c):
+        await c.request()
+        if c.n:
+            return c.reset()
+        await c.say(answer("a1", "first", status="500 No", more=("Connection: close",)))
+
+    async def talk(c, d, rep, client):
+        await c.ask()
+        await d.heard("lost")
+        for rid in list(d.shell.asks):
+            d.shell.act(("pass", rid, 1))
+        return await c.answer()
+
+    def part(addr):
+        return lambda ev: again(addr)(ev)[:1] if ev[:1] == ("request",) or ev[3:4] == ("failed",) else ()
+    got, d, rep = scene(script, talk, part=part)
+    assert got[0] == 502 and b"first" not in got[2]
+
+
+def test_a_client_that_goes_ends_its_try_and_one_that_waits_for_none():
+    async def script(c):
+        await c.request()
+        await c.closed()
+
+    async def talk(c, d, rep, client):
+        await c.ask()
+        await rep_asked(rep)
+        c.close()
+        await d.heard("gone")
+        await rep.conns[0].over.wait()
+    _, d, rep = scene(script, talk)
+    assert d.words() == [(1, "gone")] and d.shell.asks == {} and d.bodies == 0
+
+    async def waits(c, d, rep, client):
+        await c.ask()
+        while not d.told:
+            await d.news.wait()
+        c.close()
+        await d.heard("gone")
+    _, d, rep = scene(script, waits, part=lambda addr: lambda ev: ())
+    assert d.words() == [(0, "gone")] and d.shell.asks == {}
+
+
+def test_a_dropped_try_ends_and_the_next_one_runs():
+    async def script(c):
+        await c.request()
+        if c.n == 0:
+            c.replica.first = c
+            return await c.closed()
+        await c.say(answer("a1", "second"))
+
+    def part(addr):
+        def feed(ev):
+            match ev:
+                case ("request", rid, _):
+                    return (("try", rid, 1, one(addr[0])),)
+        return feed
+
+    async def talk(c, d, rep, client):
+        await c.ask()
+        await rep_asked(rep)
+        rid, = d.shell.asks
+        d.shell.act(("drop", rid, 1))
+        await rep.first.over.wait()
+        d.shell.act(("try", rid, 2, one(rep.addr)))
+        return await c.answer()
+    got, d, rep = scene(script, talk, part=part)
+    assert got[2] == b"second" and d.words() == [(2, "began", 200), (2, "done")]
+
+
+def test_an_answer_of_our_own_and_a_break_before_any_head():
+    def part(addr, e):
+        return lambda ev: ((e[0], ev[1], *e[1:]),) if ev[0] == "request" else ()
+    got, d, rep = scene(says(), ask, part=part, e=("answer", 404, None, 507))
+    assert got[0] == 404 and b"507" in got[2] and "retry-after" not in got[1]
+    got, d, rep = scene(says(), ask, part=part, e=("break",))
+    assert got is None and rep.conns == []
+
+
+def test_a_full_door_refuses_and_a_part_that_forgets_ends_in_a_refusal(monkeypatch):
+    async def full(c, d, rep, client):
+        d.full = True
+        await c.ask()
+        return await c.answer()
+    got, d, _ = scene(says(), full)
+    assert got[0] == 503 and "retry-after" in got[1] and d.told == []
+    monkeypatch.setattr(forwarding, "SLACK", upstream.SECOND / 100)
+
+    async def forgot(c, d, rep, client):
+        await c.ask(more=("Silverglade-Due: 10",))
+        return await c.answer()
+    got, d, _ = scene(says(), forgot, part=lambda addr: lambda ev: ())
+    assert got[0] == 503 and d.words() == [(0, "gone")]
+    got, d, _ = scene(says(close=False), forgot, deadline_ms=20)
+    assert got[0] == 502 and d.words() == [(1, "gone")]
+
+
+def test_answers_of_a_daemon_that_drains_say_so():
+    async def talk(c, d, rep, client):
+        d.draining = True
+        await c.ask()
+        got = await c.answer()
+        return got, await c.closed()
+    (got, closed), d, _ = scene(says(answer("a1")), talk)
+    assert got[0] == 200 and got[1]["connection"] == "close" and closed
+
+
+def test_a_client_that_does_not_read_holds_the_replica_up():
+    big = event(1, "y" * 16000)
+
+    async def script(c):
+        await c.request()
+        await c.say(stream("a1", last=False))
+        try:
+            for c.sent in range(4000):                # 64 MB
+                await asyncio.wait_for(c.say(chunk(big)), 0.5)
+        except asyncio.TimeoutError:
+            held.set()
+        await c.closed()
+
+    async def talk(c, d, rep, client):
+        c.w.transport.pause_reading()
+        await c.ask()
+        await held.wait()
+        return rep.conns[0].sent
+    held = asyncio.Event()
+    sent, d, rep = scene(script, talk)
+    assert sent < 2000
