--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -199,7 +199,7 @@
             out.append(("cast", ("roll", roll)))
 
     def beat(now):
-        """Pulses to my watchers; doubts of those whose pulses ceased (4.2, 4.3)."""
+        """Pulses to my watchers (4.2)."""
         nonlocal mates
         live = {r[ID]: r for r in roll}
         w = watchers(me, live, opt["watch"]) if me in live else ()
@@ -208,15 +208,16 @@
         out.extend(send(i, "alive", inc, PULSE) for i in w)
         for i in [i for i in heard if i not in live and now - heard[i] > opt["gone"] * 2]:
             del heard[i]
-        for i, r in live.items():
-            if i not in heard:
-                continue
-            quiet = now - heard[i] > opt["doubt"]
-            if quiet and doubted.get(i) != r[INC]:
-                doubt(i, r[INC])
         for i in [i for i in doubted if i not in heard and i not in live]:
             doubt(i, None)
 
+    def listen(now):
+        """Those whose pulses ceased are doubted."""
+        for i in [i for i, at in heard.items() if now - at > opt["doubt"]]:
+            r = t.rows.get(("daemon", i))
+            if r and record(r[VALUE]) and r[VALUE][STATE] != "left" and doubted.get(i) != r[VALUE][INC]:
+                doubt(i, r[VALUE][INC])
+
     def doubt(i, n):
         nonlocal doubts
         doubts += 1
@@ -239,6 +240,7 @@
                     contact = contact and now
                 last = now
                 extras(now)
+                listen(now)
                 if now >= due:
                     due = now + opt["watch_beat"]
                     beat(now)
--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -68,12 +68,10 @@
         return new
 
     def watch(now, all_):
-        nonlocal dead, shown
         for x in probed:                         # doubted: asked directly, twice a second
             out.append(send(x, "doubted"))
         for x in [x for x, at in alive.items() if x in probed and now - at < opt["doubt"]]:
             probed[x] = now                      # it answers here: only a link of its watchers' is down
-        dead = deaths(now, all_)
         mourned.update({x: now for x in dead if x not in mourned})
         for x in [x for x in mourned if x not in dead and all_.get(x, ("",) * 12)[STATE] != "left"]:
             del mourned[x]
@@ -171,6 +169,7 @@
                 if now >= due:
                     due = now + opt["watch_beat"]
                     all_ = recs()
+                    dead = deaths(now, all_)
                     watch(now, all_)
                     here = {r[ADDR] for i, r in all_.items() if i not in dead}
                     cores = {i for i, r in all_.items() if r[CORE] and i != me and r[STATE] != "left"}
@@ -190,6 +189,8 @@
                                     out.append(send("@" + s, "sync", soft.pairs(t.vec), (), ()))
                         t.bury(now, opt["forget"])
                         t.prune({r[LIFE] for r in all_.values()})
+                elif probed:
+                    dead = deaths(now, recs())
                 move(now)
             case ("msg", frm, ("told", rows)):
                 new = [r for r in rows if t.take(r[:5], now)]
