--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -25,7 +25,7 @@
     vb, view = meta.get("view") or (rg.NONE, None)
     sealed, recruited = meta.get("sealed", 0), meta.get("recruited", 0)
     served = meta.get("served", 0)    # the epoch whose opening copy this store began from
-    book, shown = {}, bk.START        # what may be told to others
+    book, shown = dict(saved.get("shown", {})), meta.get("shown", bk.START)   # what may be told to others (5.7)
     others = tuple(c for c in cores if c != me)
     peer, wait, ops, asks, out = {}, {}, [], [], []
     tok, fit, opened, fresh, due, probe = 0, True, 0, None, None, ZERO
@@ -76,21 +76,25 @@
         p = peer.get(c)
         return bool(p and now - p["at"] <= opt["takeover"] and p["fit"])
 
-    def show(items, v):
+    def show(items, v, now):
+        """Acknowledged. Kept on disk by and by: a core that starts again tells it at once (5.7)."""
         nonlocal shown
-        for k, iv, x in items:
-            if iv > book.get(k, (bk.START,))[0]:
-                book[k] = (iv, x)
-        for k in bk.pruned(book):
+        new = [(k, iv, x) for k, iv, x in items if iv > book.get(k, (bk.START,))[0]]
+        book.update({k: (iv, x) for k, iv, x in new})
+        gone = bk.pruned(book)
+        for k in gone:
             del book[k]
-        shown = max(shown, v)
+        if v > shown or new:
+            shown = max(shown, v)
+            write([("put", "shown", k, (iv, x)) for k, iv, x in new] + [("del", "shown", k) for k in gone] + keep(shown=shown),
+                  None, now)
 
     def commit(now):
         """Both members have synced: show it, answer, tell the others."""
         nonlocal pend
         p, pend = pend, None
         if p["items"]:
-            show(p["items"], p["at"])
+            show(p["items"], p["at"], now)
             tell = ("items", view[0], p["prev"], shown, p["items"])
             out.extend(send(c, *tell) for c in others)
         answer(p["cid"], p["res"])
@@ -329,7 +333,7 @@
                     opened = e
                     at = bk.version(store)
                     out.append(log("primary-open", epoch=e))
-                    show([(k, v, x) for k, (v, x) in store.items()], at)
+                    show([(k, v, x) for k, (v, x) in store.items()], at, now)
                     if pend:                     # now part of the synced store
                         pend["items"] = ()
                         commit(now)
@@ -341,7 +345,7 @@
                     commit(now)
             case ("msg", frm, ("items", e, prev, at, items)) if view and frm in others and e == view[0]:
                 if bk.sound(items) and bk.sound_version(at) and shown >= prev:
-                    show(items, at)
+                    show(items, at, now)
                     serve(now)
             case ("msg", frm, ("pull", v)) if bk.sound_version(v):
                 if view and (not is_primary() or opened == view[0]):
--- a/silverglade/daemon/disk.py
+++ b/silverglade/daemon/disk.py
@@ -73,7 +73,7 @@
             raise Fault(702, f"damaged: table {tab}") from e
 
     def load(self):
-        return {t: self.table(t) for t in ("meta", "book", "shard", "claim")}
+        return {t: self.table(t) for t in ("meta", "book", "shown", "shard", "claim")}
 
     def write(self, ops):
         """One transaction, synced when this returns."""
--- a/silverglade/daemon/links.py
+++ b/silverglade/daemon/links.py
@@ -25,6 +25,7 @@
     def __init__(self, *, me, life, addr, heard, lg):
         self.me, self.life, self.addr, self.heard, self.lg = me, life, addr, heard, lg
         self.at, self.out, self.group, self.lost = {}, {}, None, 0
+        self.up = anyio.Event()              # from here on messages go out
 
     def peer(self, name, addr):
         self.at[name] = addr
@@ -95,4 +96,5 @@
         ip, port = split(self.addr)
         lis = await anyio.create_tcp_listener(local_host=ip, local_port=port, reuse_port=False)
         async with anyio.create_task_group() as self.group, lis:
+            self.up.set()
             await lis.serve(self.take)
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -188,6 +188,7 @@
 
     async def pulse(self):
         gap = self.opt["pulse"] / timedelta(seconds=1)
+        await self.links.up.wait()           # what the first pulse sends would be lost, and is asked again late
         while True:
             self.lanes.pulse()
             await anyio.sleep(gap)
--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -72,7 +72,7 @@
                     bad[frm] = now + opt["settle"]
                     continue
                 f = asked + span(min(held_ms, ms(now - asked))) - span(age)
-                sure = sure or age >= 0 and f >= born
+                sure = sure or opt["trust"] or age >= 0 and f >= born
                 if not sure:                     # an earlier life may have held newer: wait for proof
                     due = now + opt["pulse"]
                     if age < 0 or age > ms(opt["alone"]) / 2:
