--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -18,6 +18,7 @@
 from .upstream import SECOND, Pool, Stale, Unsent
 
 HOLD = 1024 * 1024                 # bytes of an answer held until it is whole
+PROBES = 1 << 16                   # a probe takes what connection there is
 SKIP = 4                           # surplus answers read past in the place of ours
 SLACK = timedelta(seconds=2)       # behind the deadline the shell ends a request that the part forgot
 LONGEST = timedelta(seconds=60)    # until the part has named a deadline
@@ -304,6 +305,26 @@
             await r.stream.aclose()
         return b"".join(got)
 
+    async def get(self, *, replica, addr, path, wait=timedelta(seconds=1)):
+        """A plain GET of a replica on a connection of its pool -> the body of a 200, else None."""
+        ip, port = addr.rsplit(":", 1)
+        req = httpcore.Request(b"GET", httpcore.URL(scheme=b"http", host=ip.encode(), port=int(port), target=path.encode()),
+                               headers=[(b"host", addr.encode())])
+        c = keep = None
+        try:
+            with anyio.fail_after(wait / SECOND):
+                c = await self.pool.take(addr=addr, replica=replica, cap=PROBES, timeout=wait)
+                c.tcp.begin()
+                r = await c.http.handle_async_request(req)
+                body = await self.whole(r)
+            keep = self.settle(c, {k.lower(): v for k, v in reversed(r.headers)})
+            return body if r.status == 200 else None
+        except (Unsent, TimeoutError, *BROKEN):
+            return None
+        finally:
+            if c:
+                self.pool.release(c, keep=keep)
+
     def ours(self, a, h):
         return h.get(self.dialect.attempt, b"") == a.attempt
 
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -25,6 +25,7 @@
 RELAY, DISK, GROUP = 256, 4096, 256
 BODIES = 64 * 1024 * 1024          # bytes of visitors' bodies held at once
 DRAIN = timedelta(seconds=30)
+SPARE = timedelta(milliseconds=700)     # of the grace that a stopped daemon is given, for its own end
 
 
 def clock():
@@ -45,7 +46,8 @@
                        addr=s["advertise"] or s["listen"], http=s["http"], seeds=s["seeds"], cores=tuple(s["cores"]),
                        opt=self.opt, rng=random.Random(secrets.randbits(64)),
                        disk=self.store.id if self.store else "",
-                       saved=self.store.load() if self.store else None, front=outer.front if outer else "")
+                       saved=self.store.load() if self.store else None, front=outer.front if outer else "",
+                       lists=bool(outer and outer.list_at))
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
         self.stopping, self.ready = anyio.Event(), anyio.Event()
@@ -121,6 +123,10 @@
                     self.jobs.pop(did).cancel()
             case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "limits", *_):
                 self.shell.act(e)
+            case ("list",):
+                self.group.start_soon(self.read_list)
+            case ("ask", rid, addr):
+                self.group.start_soon(self.ask, rid, addr)
             case ("probe", rid, inc, addr):
                 self.group.start_soon(self.probe, rid, inc, addr)
             case ("result", oid, kind, *r):
@@ -231,25 +237,26 @@
         """One plain GET of what lists the replicas -> (status, body); no answer is (0, b"")."""
         return await callout.get(pool=self.pool, addr=addr, path=path)
 
-    async def lister(self):
-        """Reads the list of replicas that somebody else keeps (design 15.4)."""
-        gap = self.opt["list_every"] / timedelta(seconds=1)
-        while self.outer and self.outer.list_at:
-            rs = await self.outer.replicas(self.get)
-            if rs is not None:
-                await self.lanes.send(("listed", rs))
-            await anyio.sleep(gap)
+    async def read_list(self):
+        """The list of replicas that somebody else keeps (design 15.4)."""
+        await self.lanes.send(("read", await self.outer.replicas(self.get)))
+
+    async def ask(self, rid, addr):
+        """How a replica does -> ("asked", id, (active, queued, slots) or None)."""
+        body = await self.shell.get(replica=rid, addr=addr, path=self.outer.dialect.report)
+        await self.lanes.send(("asked", rid, self.outer.report(body) if body is not None else None))
 
     async def drain(self):
         """SIGTERM: no new orders, the others learn it, those under way end (design 1.4)."""
         self.lg.info(line("drain", []))
-        self.draining = True
+        self.draining, begun = True, clock()
         await self.lanes.send(("drain",))
         await self.lanes.send(("state", "leaving"))
-        end = clock() + DRAIN
-        while clock() < end and (self.relays or self.jobs or self.shell.asks):
+        end, calm = begun + DRAIN, begun
+        if self.outer and self.outer.front:           # clients come for as long as they hold the address (15.9)
+            end, calm = begun + self.outer.grace - SPARE, begun + self.outer.linger
+        while clock() < end and (clock() < calm or self.relays or self.jobs or self.shell.asks):
             await anyio.sleep(0.1)
-        await anyio.sleep(0.3)
         await self.lanes.send(("state", "left"))
         await anyio.sleep(0.3)
         self.stopping.set()
@@ -291,7 +298,7 @@
             if self.store:
                 tg.start_soon(self.write)
             for name, run in (("links", self.links.run), ("pulse", self.pulse),
-                              ("platform", self.platform), ("lister", self.lister),
+                              ("platform", self.platform),
                               ("front", lambda: serve(self)), ("signals", self.signals)):
                 tg.start_soon(lambda n=name, r=run: keep(name=n, run=r, lg=self.lg))
             await self.stopping.wait()
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -40,7 +40,7 @@
     """Events and effects: design 15.3. Generator; see part.py."""
     tab, cfg, evac, reqs, reps = {}, None, frozenset(), {}, {}
     peers, members, edges, out, short = 1, {}, 1, [], frozenset()
-    budget, cold, listed, told = Budget(opt=opt), Cold(opt=opt), False, False
+    budget, cold, listed, told, clock = Budget(opt=opt), Cold(opt=opt), False, False, ZERO
 
     def answer(q, status, wait, code):
         end(q)
@@ -66,7 +66,7 @@
         f = q.f
         q.route = routes.find(tab, f["host"], f["path"])
         if cfg is None or not listed:
-            return answer(q, 503, 0.5, 801)
+            return answer(q, 503, 1.0, 801)
         if q.route is None:
             return answer(q, 404, None, 802)
         if not f["attempt"]:
@@ -140,8 +140,9 @@
                     r.failed(now)
                 go(q, now)
             case "not-run":
-                if r and more[0] == 421:
-                    r.gone = now                 # another life has the address
+                if r and more[0] == 421:         # another life has the address: it never came to a replica of ours
+                    r.gone, q.sent = now, q.sent - 1
+                    out.append(("forget", r.id))
                 elif r:
                     r.active = max(r.active, r.slots)    # full: until the next probe or answer
                     r.shy = max(r.shy, now + span(200))
@@ -162,6 +163,7 @@
             case "lost" | "cut":
                 if r:
                     r.failed(now)
+                    out.append(("post", "catalog", ("doubt", r.id)))
                 if what == "cut" and more and more[0] is not None:
                     q.last = more[0]
                 q.why = what
@@ -171,13 +173,10 @@
             case "gone":
                 end(q)
 
-    def on_listed(rs, now):
+    def on_listed(rs, whole, now):
         nonlocal listed
         listed, seen = True, set()
         for rec in rs:
-            if not rp.sound(rec):
-                out.append(log("replica-record", why="unsound", record=str(rec)[:80]))
-                continue
             seen.add(rec[rp.RID])
             r = reps.get(rec[rp.RID])
             if r is None:
@@ -187,20 +186,32 @@
                 if rec[rp.LEAVING] and not r.leaving:
                     out.append(log("replica-leaving", id=r.id))
                 r.told(rec, now)
-        for i, r in list(reps.items()):
-            if i not in seen:
-                if r.gone is None:
-                    r.gone = now
-                    out.append(("forget", i))
-                if not r.tries:
-                    del reps[i]
+        if whole:
+            on_unlisted([i for i in reps if i not in seen], now)
+
+    def on_unlisted(ids, now):
+        for i in [i for i in ids if i in reps]:
+            if reps[i].gone is None:
+                reps[i].gone = now
+                out.append(("forget", i))
+            if not reps[i].tries:
+                del reps[i]
         cold.forget(reps)
 
+    def on_loads(loads):
+        for i, (active, queued, _) in loads.items():
+            r = reps.get(i)
+            if r and (active, queued) != (r.active, r.queued):
+                if active < 0:                   # its prober got no answer
+                    r.shy = max(r.shy, clock + rp.HOLD_OFF)
+                r.active, r.queued = max(0, active), max(0, queued)
+
     def on_book(b, now):
         nonlocal cfg, tab, evac
         new = bk.get(b, "config")
         if new is not cfg and new is not None and new.get("services"):
             cfg, tab = new, routes.table(new)
+            out.append(("limits", cfg["limits"]))
             for s, d in cfg["services"].items():
                 for r in reps.values():
                     if r.service == s and d["slots"]:
@@ -214,7 +225,7 @@
 
     while True:
         now, ev = yield tuple(out)
-        out = []
+        out, clock = [], now
         budget.born = budget.born or now
         match ev:
             case ("request", rid, f):
@@ -222,8 +233,12 @@
                 settle(q, now)
             case ("tried", rid, n, what, *more) if rid in reqs:
                 on_tried(reqs[rid], n, what, more, now)
-            case ("listed", rs):
-                on_listed(rs, now)
+            case ("listed", rs, whole):
+                on_listed(rs, whole, now)
+            case ("unlisted", ids):
+                on_unlisted(ids, now)
+            case ("loads", x):
+                on_loads(x)
             case ("book", b, _):
                 on_book(b, now)
             case ("roll", roll):
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -8,6 +8,7 @@
 from . import __version__
 from .control.core import core
 from .desk import desk
+from .forward.catalog import catalog
 from .forward.part import forward
 from .messages import checked, known
 from .news import keeper, news
@@ -16,6 +17,7 @@
 from .replicas.ledger import ledger
 from .replicas.registry import registry
 from .roster import roster
+from .scaler.need import need
 from .scaler.scaler import scaler
 from .shards.follower import follower
 from .shards.owner import owner
@@ -41,7 +43,7 @@
 
 class Hub:
     def __init__(self, *, me, life, zone, region, addr, http, seeds, cores, opt, rng,
-                 disk="", saved=None, front=""):
+                 disk="", saved=None, front="", lists=False):
         self.me = me
         p = self.parts = {
             "roster": roster(me=me, life=life, place=(zone, region, addr, http, bool(disk)),
@@ -52,6 +54,8 @@
             "owner": owner(me=me, zone=zone, cores=cores, opt=opt, rng=rng),
             "path": ingress(me=me, life=life, zone=zone, opt=opt),
             "forward": forward(me=me, region=region, opt=opt),
+            "catalog": catalog(me=me, region=region, lists=lists, opt=opt),
+            "need": need(me=me, region=region, opt=opt),
             "scaler": scaler(me=me, region=region, opt=opt),
             "desk": desk(me=me, cores=cores, opt=opt, rng=rng),
         }
@@ -79,8 +83,10 @@
                 return (part,)
             case ("order" | "gone" | "ran" | "drain" | "drained", *_):
                 return ("path",)
-            case ("request" | "tried" | "listed", *_):
+            case ("request" | "tried", *_):
                 return ("forward",)
+            case ("read" | "asked", *_):
+                return ("catalog",)
             case ("probed", *_):
                 return ("ledger",)
             case ("call", _, op, _):
--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -5,7 +5,7 @@
 from . import soft
 from .part import ZERO, log, ms, post, send
 from .rank import score
-from .soft import CORES, KIND, ORIGIN, RANK, SCOPE, VALUE
+from .soft import CORES, KIND, RANK, VALUE
 
 # record: id, life, inc, number, zone, region, addr, http, core, state, doubts (unused), extra
 ID, LIFE, INC, BEAT, ZONE, REGION, ADDR, HTTP, CORE, STATE, DOUBTS, EXTRA = range(12)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -35,7 +35,7 @@
         self.p, self.now, self.n = start(forward(me="d1", region=region, opt=tuning())), timedelta(seconds=100), 0
         self.put(*rs, **services)
         self.feed("roll", tuple(("d%d" % i, "", 1, 1, "a1", "a", "", "", False, "ready", (), ()) for i in (1, 2, 3)))
-        self.feed("listed", reps)
+        self.feed("listed", reps, True)
         self.go(30)                              # past every time of settling
 
     def put(self, *rs, number=1, **services):
@@ -70,7 +70,8 @@
 
 def test_longest_prefix_of_the_host_goes():
     t = routes.table(cfg(route("x", prefix="/a/"), route("y", prefix="/a/b/"), route("z", host="g", prefix="/")))
-    for host, path, want in (("h", "/a/b/c", "y"), ("h", "/a/c", "x"), ("h", "/a", None), ("h", "/b/", None), ("g", "/q", "z"), ("k", "/", None)):
+    for host, path, want in (("h", "/a/b/c", "y"), ("h", "/a/c", "x"), ("h", "/a", None), ("h", "/b/", None), ("g", "/q", "z"),
+                             ("k", "/", None)):
         got = routes.find(t, host, path)
         assert (got and got["name"]) == want
 
@@ -174,20 +175,20 @@
 def test_homes_bind_also_when_the_home_is_gone():
     b = Bench(route(homes=["b"]), reps=(rep("1", "a1"), rep("2", "b1")))
     assert one(b.ask()[1], "try")[3]["replica"] == "2"
-    b.feed("listed", (rep("1", "a1"),))
+    b.feed("listed", (rep("1", "a1"),), True)
     assert one(b.ask()[1], "answer")[2] == 503
 
 
 def test_leaving_gone_and_emptied_replicas_get_nothing():
     b = Bench(route(), reps=(rep("1"), rep("2", "b1")))
-    b.feed("listed", (rep("1", leaving=True), rep("2", "b1")))
+    b.feed("listed", (rep("1", leaving=True), rep("2", "b1")), True)
     b.feed("listed", (rep("1"), rep("2", "b1")))             # leaving is not taken back within a life
     assert {one(b.ask()[1], "try")[3]["replica"] for _ in range(9)} == {"2"}
     b.empty("b1")
     assert one(b.ask()[1], "answer")[2] == 503
     b.empty("b1", False)
     assert one(b.ask()[1], "try")[3]["replica"] == "2"
-    b.feed("listed", ())
+    b.feed("listed", (), True)
     assert one(b.ask()[1], "answer")[2] == 503
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -154,8 +154,8 @@
 
 
 def entry(i, **kw):
-    return dict({"id": f"i-{i}", "target": "s", "address": f"10.9.0.{i}:80", "zone": "z2", "version": "v1", "capacity": 64, "phase": "serving",
-                 "cold_left_ms": 0}, **kw)
+    return dict({"id": f"i-{i}", "target": "s", "address": f"10.9.0.{i}:80", "zone": "z2", "version": "v1", "capacity": 64,
+                 "phase": "serving", "cold_left_ms": 0}, **kw)
 
 
 def test_the_list_is_read_whole_or_not_at_all(tmp_path):
@@ -187,7 +187,8 @@
 def foreign():
     """Names of the platform that are not the product's own too."""
     heads = {v.decode() for f, v in words.HEADERS._asdict().items() if isinstance(v, bytes) and v != getattr(OWN, f)}
-    paths = {words.HEADERS.health, words.HEADERS.report, words.READY, words.RESOLVE, words.REPLACE, words.READ, words.EVACUATION, words.LIST}
+    paths = {words.HEADERS.health, words.HEADERS.report, words.READY, words.RESOLVE, words.REPLACE, words.READ, words.EVACUATION,
+             words.LIST}
     fields = {t for d in (words.ROUTE, words.SERVICE, words.ENGINE, words.LIMITS) for t, o in d.items() if t != o}
     return heads | paths | fields | {words.BASE.decode(), words.SETTINGS_AT.lower(), "next_token", "phase", "bind_addrs", "seed_addrs"}
 
