--- a/silverglade/daemon/ask.py
+++ b/silverglade/daemon/ask.py
@@ -81,7 +81,8 @@
         await self.send({"type": "http.response.body", "body": b, "more_body": True})
 
     async def end(self, b=b""):
-        await self.send({"type": "http.response.body", "body": b})
+        with self.client.together():
+            await self.send({"type": "http.response.body", "body": b})
 
     async def whole(self, status, headers, body, *, more=False):
         """A head and what comes with it, in one piece."""
--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -233,7 +233,7 @@
             a.head = (r.status, kept(r.headers, h))
         try:
             if events:
-                what = await self.stream(a, n, t, r)
+                what = await self.stream(a, n, t, c, r)
             else:
                 what = await self.plain(a, n, r, h)
         except (*BROKEN, ValueError):
@@ -261,17 +261,16 @@
             await a.whole(r.status, self.back(a, r, h, body), body)
         return ("done",)
 
-    async def stream(self, a, n, t, r):
-        """Whole events as they come; the client's own pace is the replica's."""
-        cut, first = Splitter(), True
-        skip = a.last if t.resume else None
-        async for b in r.stream:
-            block = cut.feed(b)
-            if skip is not None and block:
-                block, found = beyond(block, skip)
-                skip = None if found else skip
-            if not block:
-                continue
+    async def stream(self, a, n, t, c, r):
+        """Whole events as they come, and together what came together; the client's own pace is the replica's."""
+        cut, skip, got, first = Splitter(), a.last if t.resume else None, [], True
+
+        async def push():
+            nonlocal first
+            if not got:
+                return
+            block = b"".join(got)
+            got.clear()
             if a.started:
                 await a.data(block)
             else:
@@ -280,11 +279,25 @@
             if first:
                 first = False
                 await self.tell(a, n, "first")
+        c.tcp.pause = push
+        try:
+            async for b in r.stream:
+                block = cut.feed(b)
+                if skip is not None and block:
+                    block, found = beyond(block, skip)
+                    skip = None if found else skip
+                if block:
+                    got.append(block)
+        except (*BROKEN, ValueError):
+            await push()
+            raise
         await r.stream.aclose()
+        if first or cut.rest:
+            await push()
         if cut.rest:
             return ("cut", a.last)
         if a.started:
-            await a.end()
+            await a.end(b"".join(got))
         else:
             await a.whole(a.head[0], self.unsized(a.head[1]), b"")
         return ("done",)
--- a/silverglade/daemon/upstream.py
+++ b/silverglade/daemon/upstream.py
@@ -46,10 +46,10 @@
         self.got, self.size, self.out = deque(), 0, []
         self.ended, self.why, self.waits, self.held = False, None, None, False
         self.wrote, self.mute, self.idle = False, False, None
-        self.t = None
+        self.t = self.pause = None                   # pause: awaited before more is read
 
     def begin(self):
-        self.wrote, self.mute, self.idle = False, False, None
+        self.wrote, self.mute, self.idle, self.pause = False, False, None, None
 
     # from the loop
     def connection_made(self, transport):
@@ -100,6 +100,8 @@
     async def read(self, max_bytes, timeout=None):
         if self.out:
             self.flush()
+        if self.pause:
+            await self.pause()
         while not self.got:
             if self.why:
                 raise httpcore.ReadError(str(self.why))
--- a/tests/test_forwarding_ends.py
+++ b/tests/test_forwarding_ends.py
@@ -1,9 +1,11 @@
 """How a forwarded request ends (design 15.3): the client, the part or the daemon has its word, over real sockets."""
 import asyncio
+import random
 
 from silverglade.daemon import forwarding, upstream
 
 from .scripted import answer, chunk, event, one, scene, stream
+from .test_events import cuts, text, whole
 from .test_forwarding import ask, rep_asked, says
 
 
@@ -153,3 +155,34 @@
     held = asyncio.Event()
     sent, d, rep = scene(script, talk)
     assert sent < 2000
+
+
+def test_events_that_come_together_leave_together():
+    got, d, _ = scene(says(stream("a1", *[event(n) for n in range(9)])), raw_body)
+    assert got == chunk("".join(event(n) for n in range(9))) + "0\r\n\r\n"
+
+
+async def raw_body(c, d, rep, client):
+    await c.ask()
+    await c.head()
+    return (await c.r.readuntil(b"0\r\n\r\n")).decode()
+
+
+def test_streams_cut_anyhow_come_through_whole_or_end_before_an_event():
+    rng = random.Random(7)
+    for _ in range(60):
+        raw = text(rng) or b"\n"
+        pieces, ended = cuts(rng, raw), rng.random() < 0.7
+
+        async def script(c, pieces=pieces, ended=ended):
+            await c.request()
+            await c.say(stream("a1", last=False))
+            for p in pieces:
+                await c.say(b"%x\r\n%s\r\n" % (len(p), p))
+                await asyncio.sleep(0)
+            await c.say("0\r\n\r\n" if ended else "")
+        got, d, _ = scene(script, ask)
+        if got is None:                               # broken before anything was passed on
+            assert whole(raw) == b""
+            continue
+        assert got[2] == whole(raw) and got[3] == (ended and whole(raw) == raw)
