--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -24,7 +24,7 @@
 
 RELAY, DISK, GROUP = 256, 4096, 256
 BODIES = 64 * 1024 * 1024          # bytes of visitors' bodies held at once
-DRAIN = timedelta(seconds=30)
+DRAIN, SECOND = timedelta(seconds=30), timedelta(seconds=1)
 
 
 def clock():
@@ -35,6 +35,7 @@
     def __init__(self, *, settings, lg, reread=None, outer=None):
         s = self.s = settings
         self.outer, self.draining, self.closing = outer, False, anyio.Event()
+        self.open = ()                               # connections of the HTTP server
         self.lg, self.reread, self.opt = lg, reread, s["tuning"]
         self.store = Store(folder=s["data"], name=s["name"]) if s["data"] else None
         self.life = secrets.token_hex(6)
@@ -245,12 +246,16 @@
         self.draining = True
         await self.lanes.send(("drain",))
         await self.lanes.send(("state", "leaving"))
-        end = clock() + DRAIN
-        while clock() < end and (self.relays or self.jobs or self.shell.asks):
+        span = min(DRAIN, self.outer.grace - SECOND) if self.outer else DRAIN
+        end = clock() + span
+        while clock() < end and (self.relays or self.jobs or self.shell.asks and clock() < end - span / 2):
             await anyio.sleep(0.1)
         await anyio.sleep(0.3)
         await self.lanes.send(("state", "left"))
         await anyio.sleep(0.3)
+        self.closing.set()                           # no new connections; idle ones end, the others with their answers
+        while clock() < end and (self.shell.asks or self.open):
+            await anyio.sleep(0.05)
         self.stopping.set()
 
     async def signals(self):
--- a/silverglade/front/serve.py
+++ b/silverglade/front/serve.py
@@ -47,5 +47,5 @@
                          date_header=False, timeout_keep_alive=30, log_level="critical", http=face, ws="none",
                          loop="asyncio", backlog=BACKLOG)
     server = Quiet(cfg)
-    server.over = d.closing
+    server.over, d.open = d.closing, server.server_state.connections
     await server.serve(sockets=[bound(a) for a in (*apps, *([front] if front else ()))])
