--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -338,4 +338,4 @@
 
     def settle(self, c, h):
         """May the connection be used again, and for how long? Bytes behind a whole answer end it."""
-        return self.pool.patience(h) if c.http.is_idle() and not c.surplus() and not c.tcp.ended else None
+        return self.pool.patience(h, c.tcp.trip) if c.http.is_idle() and not c.surplus() and not c.tcp.ended else None
--- a/silverglade/daemon/upstream.py
+++ b/silverglade/daemon/upstream.py
@@ -1,8 +1,8 @@
 """Connections to replicas (design 15): small pools, kept no longer than the replica says.
 
 A new connection has its price, and a stale one may swallow a request that cannot be repeated. So one
-is used again only while it is surely idle: within the time that the replica gave, less a margin, with
-nothing to be read on it. Whatever arrives on an idle connection belongs to no request and closes it.
+is used again only while it is surely idle: within the time that the replica gave, less a margin for
+what is on the way, with nothing to be read on it. Whatever arrives on an idle connection belongs to no request and closes it.
 """
 import asyncio
 import select
@@ -14,8 +14,10 @@
 import httpcore
 
 SECOND = timedelta(seconds=1)
-MARGIN = 0.5                       # seconds before a replica's own time is up
+NEAR = 0.01                        # seconds that a connection takes to come up in the same region, at most
+MARGIN, MOST = 0.05, 0.5           # seconds before a replica's own time is up: at least, at most
 HIGH = 64 * 1024                   # bytes held unread: above it the replica is held up
+FAR = 4.0                          # seconds that one without a time is kept, elsewhere
 IDLE = 512                         # idle connections of the daemon in all
 # TCP_NODELAY is set by asyncio on sockets that name their protocol. A dead machine says nothing: these end the wait (seconds, and ms)
 OPTIONS = ((socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
@@ -47,6 +49,7 @@
         self.ended, self.why, self.waits, self.held = False, None, None, False
         self.wrote, self.mute, self.idle = False, False, None
         self.t = self.pause = None                   # pause: awaited before more is read
+        self.trip = 0.0                              # seconds that it took to come up: there and back once
 
     def begin(self):
         self.wrote, self.mute, self.idle, self.pause = False, False, None, None
@@ -146,9 +149,13 @@
             s.setsockopt(*o)
         if local:
             s.bind((local, 0))
+        at = time.monotonic()
         async with asyncio.timeout(timeout / SECOND):
             await loop.sock_connect(s, (ip.strip("[]"), int(port)))
-        return (await loop.create_connection(Tcp, sock=s))[1]
+        took = time.monotonic() - at
+        tcp = (await loop.create_connection(Tcp, sock=s))[1]
+        tcp.trip = took
+        return tcp
     except BaseException:
         s.close()
         raise
@@ -173,7 +180,7 @@
 
 
 class Pool:
-    def __init__(self, *, local=None, keep=timedelta(seconds=4), most=IDLE):
+    def __init__(self, *, local=None, keep=timedelta(seconds=15), most=IDLE):
         self.local, self.keep, self.most = local, keep / SECOND, most
         self.all, self.idle, self.waiting, self.timer = {}, {}, 0, None
 
@@ -262,8 +269,12 @@
         for c in [c for row in self.all.values() for c in row]:
             self.close(c)
 
-    def patience(self, headers):
-        """Seconds that an idle connection may be used again, by the answer's headers."""
+    def patience(self, headers, trip):
+        """Seconds that an idle connection may be used again, by the answer's headers.
+
+        The answer was on its way to us and the next request will be on its way to the replica. Where no time
+        is told there may be none, or one below a second: then only an end that is on its way harms.
+        """
         if b"close" in headers.get(b"connection", b"").lower():
             return None
         said = headers.get(b"keep-alive", b"").lower()
@@ -271,5 +282,5 @@
             k, _, v = word.strip().partition(b"=")
             if k.strip() == b"timeout":
                 v = v.strip()
-                return max(0.0, int(v) - MARGIN) if v.isdigit() and len(v) < 8 else None
-        return self.keep
+                return max(0.0, int(v) - min(MOST, MARGIN + 2 * trip)) if v.isdigit() and len(v) < 8 else None
+        return self.keep if trip < NEAR else min(self.keep, FAR)
