--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -24,8 +24,7 @@
 
 RELAY, DISK, GROUP = 256, 4096, 256
 BODIES = 64 * 1024 * 1024          # bytes of visitors' bodies held at once
-DRAIN = timedelta(seconds=30)
-SPARE = timedelta(milliseconds=700)     # of the grace that a stopped daemon is given, for its own end
+DRAIN, SECOND = timedelta(seconds=30), timedelta(seconds=1)
 
 
 def clock():
@@ -36,6 +35,7 @@
     def __init__(self, *, settings, lg, reread=None, outer=None):
         s = self.s = settings
         self.outer, self.draining, self.closing = outer, False, anyio.Event()
+        self.open = ()                               # connections of the HTTP server
         self.lg, self.reread, self.opt = lg, reread, s["tuning"]
         self.store = Store(folder=s["data"], name=s["name"]) if s["data"] else None
         self.life = secrets.token_hex(6)
@@ -254,11 +254,15 @@
         await self.lanes.send(("state", "leaving"))
         end, calm = begun + DRAIN, begun
         if self.outer and self.outer.front:           # clients come for as long as they hold the address (15.9)
-            end, calm = begun + self.outer.grace - SPARE, begun + self.outer.linger
-        while clock() < end and (clock() < calm or self.relays or self.jobs or self.shell.asks):
+            end = begun + self.outer.grace - SECOND
+            calm = min(end - SECOND, begun + self.outer.linger)
+        while clock() < end and (clock() < calm or self.relays or self.jobs):
             await anyio.sleep(0.1)
         await self.lanes.send(("state", "left"))
         await anyio.sleep(0.3)
+        self.closing.set()                           # no new connections; idle ones end, the others with their answers
+        while clock() < end and (self.shell.asks or self.open):
+            await anyio.sleep(0.05)
         self.stopping.set()
 
     async def signals(self):
