--- a/silverglade/rehearsal/needday.py
+++ b/silverglade/rehearsal/needday.py
@@ -119,9 +119,18 @@
         print(f"a request a second, {what}:", day(capacity=64, replicas=2, peak=1.0, secs=secs, seed=seed, **kw))
     for capacity in (6, 16, 64):
         print(f"K of {capacity} at once:", rooms(capacity))
+    for replicas in (7, 30, 60, 90, 120):
+        print(f"{replicas} replicas, seven tenths used:", {f: wide(replicas, f) for f in ("printed", "served")})
     return 0
 
 
+def wide(replicas, flow):
+    """(m, met) in a region of many replicas of 64 places; a request takes as long as the aim."""
+    mu, aim = 64 / 0.6, 0.6
+    return smallest(lam=0.7 * replicas * mu, mu=mu, replicas=replicas, aim=aim, room=room_of(capacity=64, mu=mu, aim=aim),
+                    fan=50, top=0.8, fall=0.65, flow=flow)
+
+
 def rooms(capacity):
     """m by the room worked out, and how often another room gives another m: loads of 0.1 to 1.4 a replica."""
     got, other, mu = {}, dict.fromkeys(("capacity", "20", "4 x capacity"), 0), capacity / 0.6
@@ -134,4 +143,4 @@
                 for name, n in (("capacity", capacity), ("20", 20), ("4 x capacity", 4 * capacity)):
                     other[name] += smallest(room=n, **kw) != m
     return dict(rooms=[room_of(capacity=capacity, mu=mu, aim=a) for a in (0.3, 0.6, 2.0)], cases=len(got), other=other,
-                m_at_load_of_two=[got[0.6, 5, x] for x in (20,)])
+                m_of_five=[got[0.6, 5, x][0] for x in (5, 20, 40, 60)])
