--- a/tests/test_need.py
+++ b/tests/test_need.py
@@ -79,6 +79,15 @@
     assert d.run(10, came=2, served=2) == (3, 2, True)
 
 
+def test_a_wrong_count_of_daemons_cancels_out_of_the_offered_load():
+    got = []
+    for n in (1, 3, 9):
+        d = Daemon(daemons=n)
+        d.loads(6, 6, 6)
+        got.append(d.run(20, came=2, served=2))
+    assert got == [(3, 3, False)] * 3
+
+
 def test_a_region_without_a_ready_replica_is_short_of_them():
     d = Daemon()
     d.loads(5, 5, ready=False)
