--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,449 @@
+"""The rules of the forwarding path: each reports a planted breach, and is silent of the like done right."""
+from datetime import timedelta
+
+import pytest
+
+from silverglade import config
+from silverglade.rehearsal import rules
+from silverglade.rehearsal.asks import Ask, answer, pieces
+from silverglade.rehearsal.rules import Bounds, Rules, Sent
+
+SEC = timedelta(seconds=1)
+
+
+def cfg(number, *routes, **kw):
+    """Routes as (prefix, service) or (prefix, service, homes)."""
+    got, bad = config.checked(dict(
+        number=number, zones={"a1": {"region": "a"}, "b1": {"region": "b"}}, tenants={},
+        services=dict.fromkeys({s for _, s, *_ in routes}, {}),
+        routes=[dict(name=p, host="h", prefix=p, kind="streaming", due_ms=4000, homes=(r or [[]])[0],
+                     shares=[dict(service=s, weight=1)]) for p, s, *r in routes], **kw))
+    assert not bad, bad
+    return got
+
+
+class Plant:
+    """Rules that are fed by hand: a configuration is in force, a minute has passed."""
+
+    def __init__(self):
+        self.r, self.now, self.n = Rules(bounds=Bounds(slack=3)), 0 * SEC, 0
+        self.put(cfg(1, ("/r/", "s")), base=0, ok=True)
+        self.now = 60 * SEC
+
+    def put(self, c, base, ok, **kw):
+        p = self.r.put(self.now, c, base=base, **kw)
+        self.r.told(self.now, p, ok)
+        return p
+
+    def ask(self, attempt="a", path="/r/x", **kw):
+        self.r.asked(Sent(**dict(dict(attempt=attempt, at=self.now, life="d1", host="h", path=path, body=b"b",
+                                      service="s", tokens=(10, 80)), **kw)))
+        return attempt
+
+    def arrive(self, attempt="a", rep="r1", **kw):
+        self.r.arrived(self.now, attempt, **dict(dict(rep=rep, service="s", zone="a1", region="a", sent=self.now, touch=True), **kw))
+
+    def run(self, attempt="a", rep="r1", service="s", **kw):
+        self.n += 1
+        run = f"{rep}.{self.n}"
+        self.arrive(attempt, rep, service=service)
+        self.r.ran(self.now, attempt, run=run, rep=rep, service=service, seal=rules.seal(run, attempt),
+                   **dict(dict(stride=1), **kw))
+        return run
+
+    def head(self, run, attempt="a", status=200):
+        self.r.head(self.now, attempt, status, rules.seal(run, attempt))
+
+    def stream(self, run, ns, attempt="a"):
+        for n in ns:
+            self.r.event(self.now, attempt, n, f"{run} {n}".encode())
+
+    def all(self, attempt="a"):
+        s = self.r.sent[attempt]
+        return range(1, pieces(s.body, s.tokens[1], 1) + 1)
+
+    def end(self, attempt="a", **kw):
+        self.r.ended(self.now, attempt, **dict(dict(whole=True), **kw))
+
+    def own(self, status, attempt="a"):
+        self.r.head(self.now, attempt, status, None)
+        self.end(attempt, own=True)
+
+    def later(self, secs):
+        self.now += timedelta(seconds=secs)
+
+
+BREACHES = []
+
+
+def breach(rule):
+    """A function (plant, good): with good it does the like of the breach rightly."""
+    def keep(fn):
+        BREACHES.append((rule, fn))
+        return fn
+    return keep
+
+
+@breach("TWICE")
+def run_twice(p, good):
+    p.ask(again=good)
+    p.run()
+    p.run(rep="r2")
+
+
+@breach("REFUSED")
+def refused_though_it_ran(p, good):
+    p.ask(again=good)
+    p.run()
+    p.own(503)
+
+
+@breach("REFUSED")
+def refused_and_runs_later(p, good):
+    p.ask()
+    p.own(502 if good else 429)
+    p.later(1)
+    p.run()
+
+
+@breach("MIXED")
+def another_seal(p, good):
+    p.ask()
+    p.ask("b")
+    run, other = p.run(), p.run("b")
+    p.r.head(p.now, "a", 200, rules.seal(run, "a") if good else rules.seal(other, "b"))
+
+
+@breach("MIXED")
+def success_of_nothing(p, good):
+    p.ask()
+    if good:
+        p.head(p.run())
+    else:
+        p.r.head(p.now, "a", 200, None)
+
+
+@breach("MIXED")
+def success_where_the_replica_failed(p, good):
+    p.ask(stream=False)
+    run = p.run()
+    p.r.failed("a", run, 200 if good else 500, answer(run, p.r.sent["a"]))
+    p.head(run)
+
+
+@breach("MIXED")
+def short_body(p, good):
+    p.ask(stream=False)
+    run = p.run()
+    p.head(run)
+    body = answer(run, Ask(attempt="a", body=b"b", path="/r/x", tokens=(10, 80)))
+    p.r.data("a", body if good else body[:-1])
+    p.end()
+
+
+@breach("MIXED")
+def anothers_events(p, good):
+    p.ask()
+    p.ask("b")
+    run, other = p.run(), p.run("b")
+    p.head(run)
+    p.stream(run if good else other, [1])
+
+
+@breach("MIXED")
+def failure_of_another(p, good):
+    p.ask()
+    run = p.run()
+    p.r.failed("a", run, 500, b"failed")
+    p.r.head(p.now, "a", 500, None)
+    p.r.data("a", b"failed" if good else b"else")
+    p.end()
+
+
+@breach("MIXED")
+def two_answers(p, good):
+    p.ask()
+    run = p.run()
+    p.head(run)
+    if not good:
+        p.head(run)
+
+
+@breach("UNASKED")
+def body_changed(p, good):
+    p.ask()
+    p.run(body=b"b" if good else b"c")
+
+
+@breach("UNASKED")
+def id_of_no_client(p, good):
+    p.ask()
+    p.run("a" if good else "b")
+
+
+@breach("ORDER")
+def piece_lacks(p, good):
+    p.ask()
+    run = p.run()
+    p.head(run)
+    p.stream(run, [1, 2, 3] if good else [1, 3])
+
+
+@breach("ORDER")
+def piece_twice(p, good):
+    p.ask()
+    run = p.run()
+    p.head(run)
+    p.stream(run, [1, 2] if good else [1, 1])
+
+
+@breach("ORDER")
+def runs_joined(p, good):
+    p.ask(again=True)
+    a, b = p.run(), p.run(rep="r2", last=2 if good else 0)
+    p.head(a)
+    p.stream(a, [1, 2])
+    p.stream(b, [3])
+
+
+@breach("ORDER")
+def runs_joined_though_it_may_not_repeat(p, good):
+    p.ask(again=good)
+    a = p.run()
+    p.head(a)
+    p.stream(a, [1, 2])
+    p.r.runs["x"] = dict(p.r.runs[a], last=2)
+    p.stream("x", [3])
+
+
+@breach("ORDER")
+def ends_early(p, good):
+    p.ask()
+    run = p.run()
+    p.head(run)
+    ns = list(p.all())
+    p.stream(run, ns if good else ns[:-1])
+    p.end()
+
+
+@breach("ROUTE")
+def service_of_no_configuration(p, good):
+    p.ask()
+    p.run(service="s" if good else "other")
+
+
+@breach("DRAIN")
+def work_for_one_that_leaves(p, good):
+    p.r.leaving(p.now, "r1")
+    p.later(4.9 if good else 5.1)
+    p.ask()
+    p.arrive()
+
+
+@breach("DRAIN")
+def work_for_one_that_leaves_by_a_list_out_of_order(p, good):
+    p.r.leaving(p.now, "r1")
+    p.r.listing(p.now, False)
+    p.later(2 if good else 0.5)
+    p.r.listing(p.now, True)
+    p.later(4 if good else 5.1)
+    p.ask()
+    p.arrive()
+
+
+@breach("LOST")
+def broken_off_in_calm_times(p, good):
+    p.ask()
+    p.run()
+    p.end(whole=False, calm=not good)
+
+
+@breach("LOST")
+def broken_off_though_the_replica_did_not(p, good):
+    p.ask()
+    run = p.run()
+    if good:
+        p.r.broke.add("a")
+    p.head(run)
+    p.end(whole=False, calm=True)
+
+
+@breach("LOST")
+def closed_unanswered(p, good):
+    p.ask()
+    p.later(0.1 if good else 0.3)
+    p.end(whole=False, calm=True)
+
+
+@breach("CONFIG")
+def handled_as_of_old(p, good):
+    p.put(cfg(2, ("/r/", "t")), base=1, ok=True)
+    p.later(2.9 if good else 3.1)
+    p.ask()
+    p.run()
+
+
+@breach("CONFIG")
+def route_missed(p, good):
+    p.put(cfg(2, ("/r/", "s"), ("/q/", "s")), base=1, ok=True)
+    p.later(2.9 if good else 3.1)
+    p.ask(path="/q/x")
+    p.own(404)
+
+
+@breach("CONFIG")
+def went_back(p, good):
+    p.put(cfg(2, ("/r/", "t")), base=1, ok=None)
+    p.ask()
+    p.run(service="t")
+    p.later(1)
+    p.ask("b", life="d2" if good else "d1")
+    p.run("b")
+
+
+@breach("CONFIG")
+def invalid_in_force(p, good):
+    bad = p.r.put(p.now, cfg(2, ("/r/", "s"), ("/q/", "t")), base=1)
+    p.r.told(p.now, bad, None if good else False)
+    p.ask(path="/q/x")
+    p.run(service="t")
+
+
+@breach("CONFIG")
+def lost_race_in_force(p, good):
+    p.put(cfg(2, ("/r/", "t")), base=1, ok=True)
+    p.put(cfg(3, ("/r/", "u")), base=2 if good else 1, ok=None)
+    p.ask()
+    p.run(service="u")
+
+
+@breach("CONFIG")
+def invalid_acknowledged(p, good):
+    p.put({"number": 2}, base=1, ok=not good, valid=False)
+
+
+@breach("CONFIG")
+def both_of_a_race_acknowledged(p, good):
+    p.put(cfg(2, ("/r/", "t")), base=1, ok=True)
+    p.put(cfg(3, ("/r/", "u")), base=1, ok=not good)
+
+
+@breach("CONFIG")
+def acknowledged_one_forgotten(p, good):
+    c = cfg(2, ("/r/", "t"))
+    p.put(c, base=1, ok=True)
+    p.r.read(p.now, 2 if good else 1, c if good else None)
+
+
+@breach("CONFIG")
+def read_back_changed(p, good):
+    c = cfg(2, ("/r/", "t"))
+    p.put(c, base=1, ok=True)
+    p.r.read(p.now, 2, c if good else cfg(2, ("/r/", "s")))
+
+
+@breach("CONFIG")
+def refused_one_read_back(p, good):
+    p.put(cfg(2, ("/r/", "t")), base=1, ok=None if good else False)
+    p.r.read(p.now, 2)
+
+
+@breach("BUDGET")
+def too_many_further_tries(p, good):
+    for i in range(20):
+        p.ask(f"a{i}", again=True)
+        p.later(0.1)
+    for i in range(7 if good else 8):              # 0.2 of 20, and 3
+        p.arrive(f"a{i}")
+        p.arrive(f"a{i}", rep="r2")
+
+
+@breach("BUDGET")
+def too_many_further_tries_in_some_window(p, good):
+    for i in range(20):
+        p.ask(f"a{i}", again=True)
+    p.later(40)
+    for i in range(4):
+        p.arrive(f"a{i}")
+        p.arrive(f"a{i}", rep="r2")
+        p.later(4 if good else 2)
+
+
+@breach("FAILBACK")
+def cold_one_flooded(p, good):
+    for i in range(15):                            # it bears 4 a second: 4 x 1.5 + 5
+        p.ask(f"a{i}")
+        p.arrive(f"a{i}", cold_per_s=4.0)
+        p.later(0.095 if good else 0.05)
+
+
+@breach("HOME")
+def outside_its_homes(p, good):
+    p.put(cfg(2, ("/r/", "s"), ("/q/", "s", ["a"])), base=1, ok=True)
+    p.ask(path="/q/x")
+    p.arrive(region="a" if good else "b", zone="b1")
+
+
+@breach("EVAC")
+def work_in_an_emptied_zone(p, good):
+    p.r.empty(p.now, "a1", True)
+    p.later(4.9 if good else 5.1)
+    p.ask()
+    p.arrive()
+
+
+@breach("EVAC")
+def work_in_a_zone_before_it_is_taken_back(p, good):
+    p.r.empty(p.now, "a1", True)
+    p.later(6)
+    if good:
+        p.r.empty(p.now, "a1", False)
+    p.later(1)
+    p.ask()
+    p.arrive()
+
+
+@breach("RECOVER")
+def not_served_again(p, good):
+    for i in range(60):
+        p.ask(f"a{i}", stream=False)
+        if i < 20 or good and i % 3 == 0:
+            run = p.run(f"a{i}")
+            p.head(run, f"a{i}")
+            p.r.data(f"a{i}", answer(run, p.r.sent[f"a{i}"]))
+            p.end(f"a{i}")
+        p.later(1)
+    p.r.recover(p.now, before=(60 * SEC, 80 * SEC), back=81 * SEC)
+
+
+@breach("DENIED")
+def proper_ones_denied(p, good):
+    for i in range(6):
+        p.ask(f"a{i}", path="/none/" if good else "/r/")
+        p.own(404 if good else 403, f"a{i}")
+    p.r.close(p.now)
+
+
+@breach("SILENT")
+def never_answered(p, good):
+    p.ask()
+    if good:
+        p.own(503)
+    p.r.forgotten(p.now, "a")
+
+
+@pytest.mark.parametrize("rule,plant", BREACHES, ids=[fn.__name__ for _, fn in BREACHES])
+def test_a_planted_breach_is_caught_and_the_like_done_right_passes(rule, plant):
+    p = Plant()
+    plant(p, False)
+    assert {f[1] for f in p.r.faults} == {rule}
+    p = Plant()
+    plant(p, True)
+    assert p.r.faults == []
+
+
+def test_every_rule_has_a_planted_breach():
+    import inspect
+    import re
+    named = set(re.findall(r'bad\(now, "([A-Z]+)"', inspect.getsource(rules)))
+    assert named == {r for r, _ in BREACHES} and len(named) > 14
