--- /dev/null
+++ b/silverglade/rehearsal/callers.py
@@ -0,0 +1,221 @@
+"""A seeded run of the forwarding path (design 15): clients of all regions, operators, peace and checks."""
+import random
+from datetime import timedelta
+
+from .. import config
+from ..control import book as bk
+from ..options import tuning
+from .asks import MS, SEC
+from .forwarding import Field, Way
+from .rules import Bounds, Sent
+from .towns import SITES
+from .world import World
+
+BOUNDS = Bounds()
+GOOD, AGAIN = (100,), (503, 504, 705)
+
+
+class Scene:
+    """Also the scene of the faults: it has `w`, `rng`, `live`, `put`, `empty` as the other one does."""
+
+    def __init__(self, *, town="navrang", seed=1, pace=1.0, opt=None, bounds=BOUNDS, loss=0.0):
+        self.t = SITES[town](seed)
+        self.w = World(seed=seed, daemons=self.t["daemons"], config=self.t["config"], delay_ms=self.t["delay"],
+                       replicas=(), opt=opt or tuning(), loss=loss)
+        self.f = Field(world=self.w, seats=self.t["seats"], bounds=bounds)
+        self.r, self.rng, self.pace, self.open = self.f.rules, random.Random(f"clients/{seed}"), pace, True
+        self.n, self.number, self.cfg, self.taken = 0, 0, None, []
+        self.rate, self.lean, self.long = 1.0, {}, 1.0           # a burst; zones where clients are; answers' length
+        self.emptying, self.extra = {}, []
+        self.why = {}                                            # status of ended tries -> how many
+
+    # operators
+    def live(self, core=None, zone=None):
+        return [n.name for n in self.w.nodes.values() if n.hub and n.frozen is None
+                and (core is None or n.core == core) and (zone is None or n.zone == zone)]
+
+    def held(self, name):
+        """The number in force at a daemon."""
+        n = self.w.nodes[name]
+        c = bk.get(n.peek("news", "book"), "config") if n.hub else None
+        return c["number"] if c else 0
+
+    def put(self, raw=None, *, base=None, valid=True, then=None, step=None):
+        """An operator sends a whole configuration again and again until its outcome is clear."""
+        raw = dict(raw or self.t["config"])
+        self.number = max(self.number, base or 0) + (step or self.rng.randint(1, 4))
+        raw["number"] = number = self.number
+        base = self.r.laws.newest(self.w.now) or 0 if base is None else base
+        cfg, bad = config.checked(raw)
+        assert valid == (not bad), bad
+        rec = self.r.put(self.w.now, cfg if valid else raw, base=base, valid=valid, number=number)
+        change, source, began = f"put-{number}-{self.rng.getrandbits(30)}", repr(sorted(raw)), self.w.now
+
+        def got(code, kw):
+            self.w.note("put", number, code)
+            if code in AGAIN and (self.w.now - began < 60 * SEC or not self.taken):
+                return self.w.after(SEC / 2, ask)
+            self.r.told(self.w.now, rec, True if code in GOOD else None if code in AGAIN else False)
+            if code in GOOD:
+                self.taken.append(number)
+            return then(code) if then else None
+
+        def ask():
+            up = self.live()
+            if not up:
+                return self.w.after(SEC / 2, ask)
+            return self.w.call(self.rng.choice(up), "table-put", (base, number, change, raw, source), got)
+        ask()
+        return rec
+
+    def latest(self):
+        """The newest acknowledged configuration as it was sent."""
+        top = max((p for p in self.r.laws.puts if p["acked"]), key=lambda p: p["number"], default=None)
+        return top["cfg"] if top else self.t["config"]
+
+    def empty(self, zone, on=True):
+        if not on and self.emptying.get(zone):
+            return self.w.after(SEC / 2, self.empty, zone, on)
+        self.emptying[zone], change = on, f"evac-{zone}-{on}-{self.rng.getrandbits(30)}"
+        if not on:
+            self.r.empty(self.w.now, zone, False)
+
+        def got(code, kw):
+            self.w.note("evac", zone, on, code)
+            if code in AGAIN:
+                return self.w.after(SEC / 2, ask)
+            self.emptying[zone] = False
+            if on and code in GOOD:
+                self.r.empty(self.w.now, zone, True)
+            return None
+
+        def ask():
+            up = self.live()
+            if up:
+                self.w.call(self.rng.choice(up), "evac", (zone, on, change), got)
+            else:
+                self.w.after(SEC / 2, ask)
+        return ask()
+
+    # clients
+    def traffic(self):
+        for row in self.t["mix"]:
+            for z in self.w.region:
+                self.next_(row, z)
+
+    def next_(self, row, z):
+        rate = row[1] * self.pace * self.rate * self.lean.get(z, 1.0)
+        self.w.after(timedelta(seconds=self.rng.expovariate(max(rate, 0.01))), self.visit, row, z)
+
+    def visit(self, row, z):
+        if self.open:
+            self.next_(row, z)
+            self.order(row, z)
+
+    def order(self, row, z, path=None, deadline=None):
+        """One request of one client, with its further tries."""
+        name, _, common, own, out = row
+        rng, r = self.rng, next(r for r in self.t["config"]["routes"] if r["name"] == name)
+        self.n += 1
+        own = max(1, int(own * rng.lognormvariate(0, 0.6) * self.long)) if own else 0
+        out = max(1, int(out * rng.uniform(0.2, 1) * (2 - self.long if self.long < 1 else 1 / self.long)))
+        parts = ()
+        if common:
+            parts = ((f"c{rng.randrange(3)}", common // 2), (f"d{rng.randrange(12)}", common - common // 2), (f"o{self.n}", own))
+        self.go(row=row, z=z, r=r, path=path or f"/{name}/{self.n % 7}", body=f"body {self.n}".encode(), parts=parts,
+                tokens=(common + own, out), due=deadline or timedelta(milliseconds=r["due_ms"]), tries=1 + (rng.random() < 0.9), last=0)
+
+    def go(self, *, row, z, r, path, body, parts, tokens, due, tries, last):
+        ns = self.f.fronts(z)
+        if not ns or due < 20 * MS:
+            return
+        again = r["kind"] == "pure" or r["kind"] == "streaming" and r.get("resumable", False)
+        born = self.w.now
+        s = Sent(attempt=f"{self.rng.getrandbits(64):016x}", at=born, life="", host=r["host"], path=path, body=body,
+                 stream=r["kind"] == "streaming", again=again, due=due, tokens=tokens, last=last, service=r["shares"][0]["service"])
+        n = self.rng.choice(ns)
+        s = s._replace(life=n.life, service=self.meant(s, r))
+
+        def over(way, whole):
+            k = (way.status if whole else "cut")
+            self.why[k] = self.why.get(k, 0) + 1
+            left = due - (self.w.now - born)
+            if whole and (200 <= way.status < 300 or way.status in (400, 401, 404, 413, 431)) or tries <= 1:
+                return
+            if not again and not (whole and way.status in (408, 421, 429, 503)):
+                return
+            wait = min(timedelta(seconds=way.wait or 0.05), left / 3)
+            self.w.after(wait, lambda: self.go(row=row, z=z, r=r, path=path, body=body, parts=parts, tokens=tokens,
+                                               due=due - (self.w.now - born), tries=tries - 1,
+                                               last=int(way.last or 0) if s.stream else 0))
+        Way(self.f, s, parts, n, over)
+
+    def meant(self, s, r):
+        """The service for which the request counts: as the route's weights draw it."""
+        from ..forward import routes
+        top = routes.find(routes.table(self.latest()), s.host, s.path)
+        return routes.service(top, s.attempt) if top else r["shares"][0]["service"]
+
+    # the run
+    def settle(self, secs=9):
+        self.w.run(2)
+        self.put()
+        self.w.run(secs - 2)
+
+    def peace(self):
+        """Everything is back."""
+        w, f = self.w, self.f
+        w.heal()
+        w.loss = 0.0
+        self.rate, self.lean, self.long, f.forgets = 1.0, {}, 1.0, 0.0
+        if f.mode:
+            f.listing("")
+        for n in w.nodes.values():
+            if n.disk:
+                n.disk.stall, n.disk.full, n.disk.slow = False, False, timedelta(0)
+            if n.frozen is not None:
+                n.freeze(False)
+            if n.hub is None:
+                n.boot()
+        for row in f.rows:
+            now = [s for s in f.seats.values() if s.name == row["name"] and s.e.up]
+            for s in now:
+                s.e.troubles.clear()
+                s.e.liar = False
+                if s.e.dark:
+                    s.said(s.e.wake(w.now))
+            if not [s for s in now if s.leaves is None]:
+                f.start(row)
+        for z in sorted(w.region):
+            self.empty(z, False)
+
+    def finish(self, before=None):
+        w = self.w
+        self.peace()
+        back = w.now
+        w.run(12 + 10)
+        if before:
+            self.r.recover(w.now - 4 * SEC, before=before, back=back)
+        self.open = False
+        w.run(22)
+        self.ends()
+        for n in w.nodes.values():
+            if n.hub is not None and n.frozen is None:
+                w.call(n.name, "config-get", (), lambda code, kw: self.r.read(
+                    w.now, kw["config"]["number"] if code == 100 and kw.get("config") else None, kw.get("config")))
+        w.run(1)
+        return self.r.close(w.now)
+
+    def ends(self):
+        """Nothing is left of requests that are over."""
+        for n in self.w.nodes.values():
+            if n.hub is None or n.core:
+                continue
+            reqs = n.peek("forward", "reqs")
+            if reqs:
+                self.r.bad(self.w.now, "LEAK", n.name, len(reqs))
+            tries = sum(len(r.tries) for r in n.peek("forward", "reps").values())
+            if tries:
+                self.r.bad(self.w.now, "LEAK", n.name, "tries", tries)
+            if self.f.couriers[n.name].ways:
+                self.r.bad(self.w.now, "LEAK", n.name, "asks", len(self.f.couriers[n.name].ways))
--- a/silverglade/rehearsal/engine.py
+++ b/silverglade/rehearsal/engine.py
@@ -2,7 +2,7 @@
 
 Sent a request, a hang-up or the time, it gives back what it says, as tuples:
   ("refuse", key, status, wait_s)   turned away: not run, and never will be
-  ("run", key)                      work began: a stream with its first token
+  ("run", key, run)                 work began: a stream with its first token
   ("head", key, status, seal)       seal: None when it is missing
   ("event", key, n, data)           one event of a stream, several tokens in it
   ("body", key, data)               a plain answer's bytes
@@ -273,7 +273,7 @@
     # answers
     def begin(self, j):
         j.run = f"{self.rid}.{j.n}"
-        self.out.append(("run", j.key))
+        self.out.append(("run", j.key, j.run))
 
     def seal(self, j):
         return None if j.trouble == "unsealed" else word("seal", j.run, j.a.attempt)
--- /dev/null
+++ b/silverglade/rehearsal/forwarding.py
@@ -0,0 +1,264 @@
+"""The forwarding path in the simulator (design 15): replicas that work by the engine, the list of them, clients.
+
+A `Field` stands beside a World: the world moves the daemons' messages and disks, the field what they forward.
+"""
+from datetime import timedelta
+
+from ..part import ZERO, ms
+from .asks import MS, SEC, Ask
+from .courier import CLIENT, Courier
+from .engine import Engine
+from .rules import Rules, seal
+
+LAG = 0.8 * SEC                           # how far the list of replicas trails
+LINGER = 1.5 * SEC                        # a replica that leaves goes on for so long behind its time
+
+
+class Seat:
+    """One life of a replica at one address."""
+
+    def __init__(self, field, *, id, name, service, zone, region, addr, spec, seed, warm):
+        self.f, self.w, self.id, self.name, self.service = field, field.w, id, name, service
+        self.zone, self.region, self.addr, self.spec = zone, region, addr, spec
+        self.e = Engine(rid=id, spec=spec, seed=seed, warm=warm, now=field.w.now)
+        self.conns, self.trips, self.num, self.leaves, self.at, self.ended = set(), {}, 0, None, None, None
+
+    def record(self, now):
+        """As the list shows it; see forward/replicas.py."""
+        left = -1 if self.e.gone is None else max(0, ms(self.e.gone - now))
+        return (self.id, self.addr, self.zone, self.region, self.service, self.spec.capacity,
+                self.leaves is not None, ms(self.e.cold(now)), left)
+
+    def take(self, trip):
+        f, t, s, now = self.f, trip.t, trip.way.sent, self.w.now
+        self.num += 1
+        trip.key = self.num
+        self.trips[trip.key] = trip
+        other = t["expect"] and t["replica"] != self.id
+        calm = f.touch(trip.conn.c.n) and now - trip.sent < SEC / 2
+        f.rules.arrived(now, s.attempt, rep=self.id, service=self.service, zone=self.zone, region=self.region,
+                        sent=trip.sent, touch=calm, status=421 if other else None,
+                        cold_per_s=self.spec.cold_per_s if self.e.cold(now) else 0.0)
+        self.said(self.e.ask(now, trip.key, Ask(
+            attempt=s.attempt, body=s.body, parts=trip.way.parts, tokens=s.tokens, urgency=t["urgency"],
+            left=t["deadline_ms"] * MS, last=int(t["last_event"] or 0), expect=t["replica"] if t["expect"] else None,
+            method=s.method, path=s.path)))
+
+    def hangup(self, trip):
+        if trip.key in self.trips and self.e.up:
+            del self.trips[trip.key]
+            self.said(self.e.hangup(self.w.now, trip.key))
+
+    def said(self, es):
+        f, now = self.f, self.w.now
+        for e in es:
+            if e == ("fell",):
+                self.fell()
+                continue
+            trip = self.trips.get(e[1])
+            if trip is None:
+                continue
+            a = trip.way.sent.attempt
+            match e:
+                case ("run", _, run):
+                    trip.run = run
+                    f.rules.ran(now, a, run=run, rep=self.id, service=self.service, seal=seal(run, a), plain=bool(self.spec.work),
+                                stride=self.spec.stride, last=int(trip.t["last_event"] or 0), touch=f.touch(trip.conn.c.n))
+                    continue
+                case ("head", _, status, _) if status != 200:
+                    trip.fail = status
+                case ("body", _, data) if getattr(trip, "fail", None):
+                    f.rules.failed(a, trip.run, trip.fail, data)
+                case ("cut" | "garbage", *_) | ("head", _, 200, None):
+                    f.rules.broke.add(a)
+            if e[0] == "more" and e[2] == "late":
+                self.w.after(timedelta(milliseconds=self.w.rng.randrange(30, 400)), trip.conn.down.push, trip, e)
+            else:
+                trip.conn.down.push(trip, e)
+            if e[0] in ("refuse", "end", "cut", "garbage"):
+                self.trips.pop(e[1], None)
+        self.wake()
+
+    def wake(self):
+        due = self.e.due()
+        if due is not None and (self.at is None or due < self.at):
+            self.at = due
+            self.w.after(max(ZERO, due - self.w.now), self.turn, due)
+
+    def turn(self, due):
+        if self.at == due:
+            self.at = None
+            self.said(self.e.tick(self.w.now))
+
+    def fell(self):
+        self.ended = self.w.now
+        for c in self.conns:
+            c.stale = True
+            c.down.push(None, ("cut",))
+        self.w.note("replica-fell", self.id)
+
+
+class Field:
+    def __init__(self, *, world, seats, bounds=None, reuse=2 * SEC):
+        """seats: keyword tables (name, service, zone, spec)."""
+        self.w, self.rules, self.rows, self.reuse = world, Rules(bounds=bounds), seats, reuse
+        self.couriers, self.seats, self.lives, self.addrs = {}, {}, 0, {}
+        self.mode, self.forgets, self.history = "", 0.0, []        # mode of the list: "", slow, part, down, busy
+        self.busy = []                                             # places in trouble now, see faults
+        self.shed, self.unrest = set(), ZERO                       # daemons out of the registry; the last unplanned trouble
+        world.field = self
+        for r in seats:
+            self.start(r, warm=True)
+        for n in world.nodes.values():
+            self.boot(n)
+        self.glance()
+
+    # replicas
+    def start(self, row, *, warm=False, addr=None):
+        self.lives += 1
+        region = self.w.region[row["zone"]]
+        s = Seat(self, id=f"{row['name']}-{self.lives}", name=row["name"], service=row["service"], zone=row["zone"],
+                 region=region, addr=addr or f"10.9.{self.lives // 250}.{self.lives % 250 + 1}:80", spec=row["spec"],
+                 seed=self.w.seed, warm=warm)
+        self.seats[s.id] = self.addrs[s.addr] = s
+        self.w.note("replica-start", s.id, s.addr)
+        return s
+
+    def at(self, addr):
+        return self.addrs.get(addr)
+
+    def up(self, service=None, zone=None):
+        return [s for s in self.seats.values() if s.e.up and s.service == (service or s.service) and s.zone == (zone or s.zone)]
+
+    def crash(self, s):
+        if s.e.up:
+            s.said(s.e.crash())
+
+    def leave(self, s, after):
+        """It leaves: the list shows it as draining; after so long it is gone, whatever it runs."""
+        if s.e.up and s.leaves is None:
+            s.leaves = self.w.now
+            s.e.drain(self.w.now, left=after)
+            s.wake()
+
+    def troubled(self, at):
+        """Was anything unplanned amiss from a while before that moment on?"""
+        return self.unrest > at - self.rules.b.contact
+
+    # the list
+    def glance(self):
+        """The list as it stands now; daemons see it a while later."""
+        now = self.w.now
+        if self.busy:
+            self.unrest = max(self.unrest, now)
+        rows = tuple(s.record(now) for s in self.seats.values()
+                     if s.e.up or s.leaves is None and now - s.ended < 3 * SEC)     # a crashed one stays for some seconds
+        self.history = [(t, r) for t, r in self.history if now - t < 5 * SEC] + [(now, rows)]
+        seen = next((r for t, r in reversed(self.history) if now - t >= LAG), ())
+        shown = {r[0] for r in seen}
+        for s in self.seats.values():
+            if s.leaves is not None and any(r[0] == s.id and r[6] for r in seen) or (
+                    s.ended is not None and s.id not in shown and now - s.ended > LAG + 3 * SEC):
+                self.rules.leaving(now, s.id)
+        self.w.after(SEC / 5, self.glance)
+
+    def listing(self, mode):
+        self.mode = mode
+        self.rules.listing(self.w.now, mode == "")
+        self.w.note("list", mode)
+
+    def read(self, c):
+        """A daemon reads the list, again and again."""
+        if not c.alive():
+            return
+        gap = self.w.opt["list_every"]
+        self.w.after(gap, self.read, c)
+        if self.mode in ("down", "busy") or any(p in (c.n.name, c.n.zone) for p in self.busy):
+            return
+        seen = next((r for t, r in reversed(self.history) if self.w.now - t >= LAG * self.w.rng.random()), ())
+        if self.mode == "part" and self.w.rng.random() < 0.5:
+            return                                        # a page of it did not come: the reader takes it whole or not
+        if seen:
+            self.w.after(2 * SEC if self.mode == "slow" else 2 * MS, c.do, c.told, ("listed", seen))
+
+    # daemons
+    def boot(self, n):
+        c = self.couriers[n.name] = Courier(self, n)
+        self.shed.discard(n.name)
+        self.w.after(timedelta(milliseconds=self.w.rng.randrange(20, 300)), self.read, c)
+
+    def died(self, n):
+        c = self.couriers.get(n.name)
+        if c is None:
+            return
+        ways, c.ways = c.ways, {}
+        for way in ways.values():
+            if way.trip and way.trip.conn:
+                way.trip.conn.close()
+            way.end(False)
+        for pool in c.idle.values():
+            for x in pool:
+                x.close()
+
+    def effect(self, n, e):
+        c = self.couriers[n.name]
+        if c.alive():
+            c.act(e)
+
+    def touch(self, n):
+        """Is this daemon in touch: nothing in trouble that concerns it or the core?"""
+        return (n.hub is not None and n.steady(self.w.now - self.rules.b.contact)
+                and all(p in self.w.nodes and not self.w.nodes[p].core and p != n.name for p in self.busy))
+
+    def fronts(self, zone):
+        """Daemons that a client of this zone is told of."""
+        up = [n for n in self.w.nodes.values() if not n.core and n.hub is not None and n.name not in self.shed]
+        near = [n for n in up if n.zone == zone]
+        return near if len(near) > 1 else [n for n in up if n.region == self.w.region[zone]] or up
+
+
+class Way:
+    """One try of a client, at the daemon that it chose."""
+
+    def __init__(self, field, sent, parts, node, over):
+        self.f, self.w, self.sent, self.parts, self.node, self.over = field, field.w, sent, parts, node, over
+        self.started, self.last, self.trip, self.held, self.rid = False, str(sent.last) if sent.last else None, None, None, ""
+        self.status, self.wait, self.ended = None, None, False
+        field.rules.asked(sent)
+        c = field.couriers[node.name]
+        if node.hub is None:
+            self.end(False)
+        else:
+            self.w.after(CLIENT, c.do, c.ask, self)
+            self.w.after(sent.due, self.patience, c)
+
+    def later(self, fn, *a, **kw):
+        self.w.after(CLIENT, lambda: self.ended or fn(self.w.now, self.sent.attempt, *a, **kw))
+
+    def start(self, status, seal, wait=None):
+        self.started, self.status, self.wait = True, status, wait
+        self.later(self.f.rules.head, status, seal)
+
+    def event(self, n, data):
+        self.later(self.f.rules.event, n, data)
+
+    def data(self, b):
+        self.w.after(CLIENT, self.f.rules.data, self.sent.attempt, b)
+
+    def end(self, whole, own=False):
+        self.w.after(CLIENT, self.close, whole, own)
+
+    def close(self, whole, own):
+        if self.ended:
+            return
+        self.ended = True
+        calm = not self.f.busy and not self.f.troubled(self.sent.at)
+        self.f.rules.ended(self.w.now, self.sent.attempt, whole=whole, calm=calm, own=own)
+        self.over(self, whole)
+
+    def patience(self, c):
+        """The client waits no longer."""
+        if not self.ended:
+            self.ended = True
+            self.f.rules.got[self.sent.attempt]["ended"] = (self.w.now, False)
+            self.w.after(CLIENT, c.do, c.gone, self)
--- a/silverglade/rehearsal/rules.py
+++ b/silverglade/rehearsal/rules.py
@@ -113,7 +113,7 @@
         """
         g, s = self.got[attempt], self.sent[attempt]
         if g["ended"] is not None:
-            return self.bad(now, "MIXED", attempt, "ended twice")
+            return self.bad(now, "MIXED", attempt, "ended twice")     # no request waits there
         g["ended"] = (now, whole)
         if not whole:
             if calm and now < s.at + s.due and attempt not in self.broke and (
@@ -127,7 +127,7 @@
             if not own and g["body"] not in [self.runs[r].get("said") for r in self.by[attempt]]:
                 self.bad(now, "MIXED", attempt, "a failure's body changed", g["status"], g["body"][:60])
             return None
-        if s.stream:
+        if s.stream and not any(self.runs[r]["plain"] for r in self.by[attempt]):
             return self.complete(now, g, s)
         if g["body"] not in [self.runs[r]["body"] for r in self.by[attempt] if self.runs[r]["seal"] == g["seal"]]:
             self.bad(now, "MIXED", attempt, "not the replica's whole body", g["body"][:60])
@@ -168,7 +168,7 @@
         return None
 
     def ran(self, now, attempt, *, run, rep, service, seal, stride=1, last=0, method=None, path=None, body=None,
-            touch=True, status=200):
+            touch=True, status=200, plain=False):
         """A replica began to work on it. What it was given is compared with what the client sent."""
         s = self.sent.get(attempt)
         if s is None:
@@ -176,7 +176,7 @@
         had = (s.method if method is None else method, s.path if path is None else path, s.body if body is None else body)
         if had != (s.method, s.path, s.body):
             self.bad(now, "UNASKED", attempt, rep, "changed", had[:2])
-        a = dict(attempt=attempt, seal=seal, status=status, stride=stride, at=now, service=service, last=last)
+        a = dict(attempt=attempt, seal=seal, status=status, stride=stride, at=now, service=service, last=last, plain=plain)
         a["body"] = answer(run, s)
         self.runs[run] = a
         self.by[attempt].append(run)
--- a/silverglade/rehearsal/towns.py
+++ b/silverglade/rehearsal/towns.py
@@ -1,5 +1,8 @@
 """The deployments that are rehearsed (design 10.4): sizes of the brief, traffic of its callers."""
+import random
+
 from ..config import digest
+from .asks import MS, SEC, Spec
 
 
 def tenant(name, homes, classes):
@@ -77,3 +80,84 @@
 
 
 TOWNS = {"navrang": navrang, "banyan": banyan, "hamlet": hamlet, "borough": borough, "parish": parish}
+
+
+def route(name, service, *, kind="streaming", due, aim, **kw):
+    """A route; its prefix is its name. Several services share it by their weights."""
+    shares = [dict(service=s, weight=w) for s, w in (service if isinstance(service, list) else [(service, 1)])]
+    return dict(name=name, host="town.example", prefix=f"/{name}/", kind=kind, due_ms=due, aim_ms=aim, shares=shares, **kw)
+
+
+def site(*, zones, edges, seats, routes, specs, mix, delay):
+    """A deployment whose requests are forwarded (design 15): replicas work by the engine.
+
+    seats: service -> how many replicas in each zone; mix: (route, a second in each zone, tokens in that are shared,
+    tokens in, most out).
+    """
+    zs = list(zones)
+    daemons = [(f"core-{z}", z, zones[z], True) for z in zs]
+    daemons += [(f"edge-{z}-{i}", z, zones[z], False) for z, n in zip(zs, edges) for i in range(n)]
+    rows = [dict(name=f"{s}-{z}-{i}", service=s, zone=z, spec=specs[s])
+            for s, ns in seats.items() for z, n in zip(zs, ns) for i in range(n)]
+    cfg = dict(zones={z: dict(region=zones[z], least=1) for z in zs}, tenants={}, routes=routes, services={
+        s: dict(conns=x.conns, slots=x.capacity, cold_ms=int(x.cold / MS) if x.cold_per_s else 0, cold_per_s=x.cold_per_s,
+                keeps=x.cache_tokens, stride=x.stride) for s, x in specs.items()})
+    return dict(daemons=daemons, seats=rows, config=cfg, delay=delay, mix=mix)
+
+
+MODEL = Spec(capacity=64, cache_tokens=250000, step=3 * MS, per_slot=0.1 * MS, read=57.0, stride=8, conns=370, cold_per_s=11.0)
+BOOKS = Spec(capacity=6, queue=24, work=20 * MS, conns=110, cold=0 * SEC, cold_per_s=0.0)
+
+
+def navrang_site():
+    z = {"ahmedabad": "gujarat-a", "vadodara": "gujarat-v", "surat": "gujarat-s"}
+    return site(zones=z, edges=(3, 4, 2), seats=dict(model=(2, 2, 1), books=(1, 1, 1), ledger=(1, 1, 0)), delay=55.0,
+                specs=dict(model=MODEL, books=BOOKS, ledger=BOOKS), routes=[
+        route("lookup", "model", due=4000, aim=800, gap_ms=600, rank=1, by_prefix=True),
+        route("chat", "model", due=10000, aim=600, gap_ms=600, tries=2, by_prefix=True, resumable=True,
+              homes=["gujarat-a", "gujarat-v"]),
+        route("receipt", [("books", 90), ("ledger", 10)], kind="pure", due=3000, aim=325, tries=2, rank=2),
+        route("dues", "books", kind="effectful", due=3000, aim=325, tries=2, rank=2)],
+        mix=[("lookup", 2.9, 6300, 2890, 56), ("chat", 4.2, 198, 628, 288), ("receipt", 1.8, 0, 0, 40),
+             ("dues", 0.9, 0, 0, 40)])
+
+
+def banyan_site():
+    z = {"taipei": "north", "taichung": "middle", "kaohsiung": "south"}
+    return site(zones=z, edges=(2, 2, 2), seats=dict(model=(3, 2, 2), other=(1, 1, 0)), delay=35.0,
+                specs=dict(model=MODEL._replace(step=5.2 * MS, read=38.0, stride=5, conns=360),
+                           other=MODEL._replace(capacity=8, queue=24, stride=5)), routes=[
+        route("roster", "model", due=5000, aim=800, gap_ms=400, tries=2, by_prefix=True, resumable=True),
+        route("swap", "model", due=15000, aim=1200, gap_ms=400, rank=1, by_prefix=True, homes=["north", "middle"])],
+        mix=[("roster", 2.3, 6300, 2890, 50), ("swap", 6.9, 198, 628, 290)])
+
+
+def drawn(seed):
+    """A town drawn by the seed: zones, machines, replicas, routes, delays, tolerance."""
+    rng = random.Random(f"town/{seed}")
+    zs = {f"z{i}": f"g{i}" for i in range(rng.choice((3, 3, 4, 5)))}
+    gs = list(zs.values())
+    model = MODEL._replace(capacity=rng.choice((4, 16, 64)), queue=rng.choice((8, 64, 192)), stride=rng.choice((1, 4, 8)),
+                           step=rng.choice((2, 5, 9)) * MS, conns=rng.choice((60, 360)), cache_tokens=rng.choice((30000, 250000)),
+                           cold_per_s=rng.choice((3.0, 11.0, 40.0)), drops=rng.random() < 0.8)
+    books = BOOKS._replace(capacity=rng.choice((2, 6, 30)), work=rng.choice((5, 20, 120)) * MS, queue=rng.choice((4, 24)))
+
+    def places(most):
+        return [rng.randint(0, most) or rng.randint(0, 1) for _ in zs]
+
+    def homes():
+        return rng.sample(gs, rng.randint(1, len(gs))) if rng.random() < 0.4 else []
+    seats = dict(model=[1 + n for n in places(3)], books=[1 + n for n in places(1)], ledger=[1, 1] + places(1)[2:])
+    rate = rng.uniform(0.5, 4)
+    return site(zones=zs, edges=[rng.randint(1, 4) for _ in zs], seats=seats, delay=rng.choice((2.0, 20.0, 60.0, 120.0)),
+                specs=dict(model=model, books=books, ledger=books), routes=[
+        route("long", "model", due=rng.choice((3000, 8000)), aim=800, rank=1, by_prefix=rng.random() < 0.7, homes=homes(),
+              tries=rng.randint(1, 3), resumable=rng.random() < 0.5),
+        route("talk", "model", due=rng.choice((6000, 15000)), aim=600, tries=rng.randint(1, 3), by_prefix=rng.random() < 0.7,
+              resumable=rng.random() < 0.5, homes=homes()),
+        route("fetch", [("books", 9), ("ledger", 1)], kind="pure", due=3000, aim=300, tries=rng.randint(1, 3), homes=homes()),
+        route("pay", "books", kind="effectful", due=rng.choice((1000, 3000)), aim=300, tries=rng.randint(1, 3), homes=homes())],
+        mix=[("long", rate / 2, 4000, 2000, 60), ("talk", rate, 200, 600, 200), ("fetch", rate, 0, 0, 40), ("pay", rate / 2, 0, 0, 40)])
+
+
+SITES = {"navrang": lambda seed: navrang_site(), "banyan": lambda seed: banyan_site(), "drawn": drawn}
