--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -3,7 +3,7 @@
 from .part import ZERO, log, ms, send, span
 
 
-def news(*, me, zone, core, addr, seeds, opt, rng):
+def news(*, me, zone, region, core, addr, seeds, opt, rng):
     """Casts ("book", book, version) and ("fresh", time of the last confirmed news).
 
     The cores are those of the roll; while there is none to ask, the seeds. What an answer says of
@@ -17,10 +17,11 @@
     def near(now):
         """The nearest core that nothing speaks against; else the one that may be tried again first."""
         nonlocal turn
-        z = {r[0]: r[4] for r in roll if r[8]}
+        z = {r[0]: (r[4], r[5]) for r in roll if r[8]}
         if core:
-            z[me] = zone
-        c = min(z, default=None, key=lambda c: (max(bad.get(c, ZERO), now), c != me, z[c] != zone, rng.random()))
+            z[me] = (zone, region)
+        c = min(z, default=None, key=lambda c: (max(bad.get(c, ZERO), now), c != me, z[c][0] != zone,
+                                                z[c][1] != region, c != last, rng.random()))
         others = [s for s in seeds if s != addr]
         if others and (c is None or bad.get(c, ZERO) > now):
             turn += 1
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -70,6 +70,10 @@
     q = sub.add_parser("measure", help="figures of recovery, isolation, prefixes, latency (simulated)")
     q.add_argument("--town", choices=TOWNS, default="navrang")
     q.add_argument("--count", type=int, default=6)
+    q = sub.add_parser("scale", help="what a quiet fleet of so many daemons sends and how often it wakes")
+    q.add_argument("--daemons", type=int, default=60)
+    q.add_argument("--secs", type=int, default=20)
+    q.add_argument("--simulated", action="store_true", help="in the simulator, the only way here")
     q = sub.add_parser("up", help="start a town as real processes, put its configuration, and stay up")
     q.add_argument("--town", choices=TOWNS, default="hamlet")
     q.add_argument("--folder", default="")
@@ -79,6 +83,9 @@
     if a.cmd == "days":
         from .longday import main as long
         return long(range(1, a.count + 1), a.secs)
+    if a.cmd == "scale":
+        from .scale import main as scale
+        return scale(a.daemons, a.secs)
     if a.cmd == "measure":
         from .measure import main as figures
         return figures(a.town, range(1, a.count + 1))
--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -5,7 +5,7 @@
 from . import soft
 from .part import ZERO, log, ms, post, send
 from .rank import score
-from .soft import CORES, KIND, ORIGIN, RANK, SCOPE, VALUE
+from .soft import CORES, KIND, RANK, VALUE
 
 # record: id, life, inc, number, zone, region, addr, http, core, state, doubts (unused), extra
 ID, LIFE, INC, BEAT, ZONE, REGION, ADDR, HTTP, CORE, STATE, DOUBTS, EXTRA = range(12)
@@ -24,6 +24,23 @@
             and r[STATE] in STATES and r[INC] > 0 and r[BEAT] >= 0)
 
 
+def fit(r):
+    """Is a row of the kinds that cores and roster read themselves as it should be? (A tombstone is.)"""
+    v = r[VALUE]
+    match r[KIND]:
+        case "daemon":
+            return v is None or record(v) and v[ID] == r[1]
+        case "extra":
+            return " " in r[1]
+        case "doubt":
+            return " " in r[1] and (v is None or type(v) is int)
+        case "via":
+            return v is None or type(v) is str
+        case "silent":
+            return v is None or type(v) is tuple and len(v) == 2 and type(v[0]) is int and type(v[1]) is str
+    return True
+
+
 def extra(r, k, d=None):
     return next((v for n, v in r[EXTRA] if n == k), d)
 
@@ -114,7 +131,7 @@
         out.append(send(at_core, "told", (("daemon", me, rank, value, scope),)))
 
     def extras(now):
-        gap = 0.02 * len(roll)
+        gap = 0.05 * len(roll)
         for k, v in more.items():
             was = mine.get(("extra", f"{me} {k}"))
             if was and not differs(k, was[1], v):
@@ -142,7 +159,7 @@
             return None if d else True
         token, vec, rows, dead_ = d[0], dict(d[1]), d[2], d[3]
         kinds = {}
-        for r in t.merge(rows, now):
+        for r in t.merge([r for r in rows if fit(r)], now):
             if r[KIND] in ("daemon", "extra"):
                 stale = True
                 if r[KIND] == "daemon" and record(r[VALUE]) and r[1] != me:
@@ -208,8 +225,9 @@
         out.extend(send(i, "alive", inc, PULSE) for i in w)
         for i in [i for i in heard if i not in live and now - heard[i] > opt["gone"] * 2]:
             del heard[i]
-        for i in [i for i in doubted if i not in heard and i not in live]:
-            doubt(i, None)
+        for i in [i for i in doubted if t.rows.get(("daemon", i), (None,) * 7)[VALUE] is None]:
+            del doubted[i]                       # forgotten: the cores drop what was said of it
+            mine.pop(("doubt", f"{i} {me}"), None)
 
     def listen(now):
         """Those whose pulses ceased are doubted."""
--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -1,8 +1,8 @@
 """A core's table of soft state (design 4): takes what daemons tell, agrees with the other cores by
 deltas, works out who is dead, and answers askers with what changed since they asked last."""
 from . import soft
-from .part import ZERO, log, ms, send
-from .roster import ADDR, CORE, INC, LIFE, REGION, STATE, record, watchers
+from .part import ZERO, send
+from .roster import ADDR, CORE, INC, LIFE, REGION, STATE, fit, watchers
 from .soft import CORES, KEY, KIND, RANK, SCOPE, VALUE
 
 
@@ -27,10 +27,14 @@
         if t.take((kind, key, rank, value, scope), now):
             stirred = True
 
+    def silent(x, v, now):
+        r = t.rows.get(("silent", x))
+        put("silent", x, ((r[RANK][0] if r else 0) + 1,), v, CORES, now)
+
     def noted(rows, now):
         """Addresses and doubts among new rows."""
         for r in rows:
-            if r[KIND] == "daemon" and record(r[VALUE]):
+            if r[KIND] == "daemon" and r[VALUE] is not None:
                 out.append(("peer", r[KEY], r[VALUE][ADDR]))
             elif r[KIND] == "doubt" and r[VALUE] is not None:
                 i = r[KEY].split(" ")[0]
@@ -40,11 +44,11 @@
     def deaths(now, all_):
         """Two watchers agree, or all if fewer; or its core has not heard it, or nobody its core (4.3)."""
         live = {i: r for i, r in all_.items() if r[STATE] != "left"}
-        votes, via = {}, t.of("via")
+        votes, via, mute = {}, t.of("via"), t.of("silent")
         for k, r in t.rows.items():
             if k[0] == "doubt" and r[VALUE] is not None:
                 x, w = k[1].split(" ", 1)
-                if x in live and r[VALUE] == live[x][INC]:
+                if x in live and r[VALUE] == live[x][INC] and w in live and live[w][INC] == r[RANK][0]:
                     votes.setdefault(x, set()).add(w)
         up = {i: r for i, r in live.items() if i not in dead}
         new = {}
@@ -57,6 +61,10 @@
                 heard = max(heard, peers[c]["at"] if c in peers else born)
             if now - heard > opt["gone"]:
                 new[x] = "silent"
+                if c == me and (x not in mute or mute[x][VALUE] != (live[x][INC], me)):
+                    silent(x, (live[x][INC], me), now)
+            elif c != me and x in mute and mute[x][VALUE] == (live[x][INC], c):
+                new[x] = "silent"                # says the core that it asked
         for x, ws in votes.items():
             ws &= set(watchers(x, {**up, x: live[x]}, opt["watch"]))
             n = len(watchers(x, {**up, x: live[x]}, opt["watch"]))
@@ -91,7 +99,7 @@
         """One gone for long leaves tombstones, and later nothing."""
         del mourned[x]
         for k, r in list(t.rows.items()):
-            if r[VALUE] is not None and (k in (("daemon", x), ("via", x))
+            if r[VALUE] is not None and (k in (("daemon", x), ("via", x), ("silent", x))
                                          or k[0] == "extra" and k[1].split(" ")[0] == x):
                 put(*k, (*r[RANK], 1)[:4], None, r[SCOPE], now)
 
@@ -193,11 +201,11 @@
                     dead = deaths(now, recs())
                 move(now)
             case ("msg", frm, ("told", rows)):
-                new = [r for r in rows if t.take(r[:5], now)]
+                new = [r for r in rows if fit(r) and t.take(r[:5], now)]
                 stirred |= bool(new)
                 noted(new, now)
             case ("msg", frm, ("sync", vec, lacks, rows)):
-                new = t.merge(rows, now)
+                new = t.merge([r for r in rows if fit(r)], now)
                 vec, lacks = dict(vec), dict(lacks)
                 stirred |= bool(new)
                 noted(new, now)
@@ -214,6 +222,8 @@
                 alive[frm] = now
             case ("asked", frm):
                 asked[frm] = now
+                if t.rows.get(("silent", frm), (None,) * 7)[VALUE] is not None:
+                    silent(frm, None, now)
                 v = t.rows.get(("via", frm))
                 if v is None or v[VALUE] != me:
                     put("via", frm, ((v[RANK][0] if v else 0) + 1,), me, CORES, now)
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,270 @@
+"""Who lives and what is told of them (design 4): its steady cost, its bounds, and deltas against an oracle."""
+import random
+
+import pytest
+
+from silverglade import messages, soft
+from silverglade.options import tuning
+from silverglade.part import ZERO, span
+from silverglade.rehearsal.scale import measure
+from silverglade.rehearsal.scene import SEC, Scene
+
+from .test_codec import some
+from .test_nevers import hamlet, without
+
+
+def rolls(s):
+    return {len(n.peek("desk", "roll")) for n in s.w.nodes.values() if n.hub}
+
+
+def until(s, ok, most=10):
+    """-> seconds of simulated time until it is so."""
+    t = s.w.now
+    while not ok() and (s.w.now - t) < most * SEC:
+        s.w.run(0.05)
+    return (s.w.now - t) / SEC
+
+
+@pytest.mark.parametrize("n,secs", [(12, 10), (60, 10), (120, 5)])
+def test_a_quiet_daemon_sends_as_little_in_a_large_fleet_as_in_a_small_one(n, secs):
+    f = measure(daemons=n, secs=secs)
+    assert f["rolls"] == [n]
+    assert f["most_edge"] < 400 and f["mean"] < 800
+
+
+def test_a_fleet_of_420_comes_together_and_its_quiet_cost_is_that_of_twelve():
+    f = measure(daemons=420, secs=3, warm=9.0)
+    assert f["rolls"] == [420] and f["most_edge"] < 400 and f["most"] < 25000
+
+
+def test_with_records_told_at_each_beat_the_cost_grows(monkeypatch):
+    without(monkeypatch, "silverglade.roster", "if was and not differs(k, was[1], v):", "if False:", "silverglade.hub.roster")
+    a, b = (measure(daemons=n, secs=5)["mean"] for n in (12, 60))
+    assert b > 2 * a
+
+
+def bury(town, name, seed=1):
+    s = Scene(town=town, seed=seed)
+    s.settle(5)
+    s.w.nodes[name].kill()
+    return s, until(s, lambda: all(name not in {r[0] for r in n.peek("desk", "roll")}
+                                   for n in s.w.nodes.values() if n.hub))
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("name", ["edge-upper-0", "core-inner"])
+def test_a_dead_daemon_is_known_to_all_thirty_within_two_seconds(name, seed):
+    assert bury("borough", name, seed)[1] < (2 if name.startswith("edge") else 3.5)
+
+
+def test_without_its_watchers_a_death_is_known_only_by_silence(monkeypatch):
+    without(monkeypatch, "silverglade.roster", "doubt(i, r[VALUE][INC])", "pass", "silverglade.hub.roster")
+    assert 3 < bury("borough", "edge-upper-0")[1] < 7
+
+
+def test_a_region_that_is_lost_is_known_within_a_few_seconds_and_nobody_else_is_taken_for_dead():
+    s = Scene(town="navrang")
+    s.settle(5)
+    for n in list(s.w.nodes.values()):
+        if n.zone == "surat":
+            n.kill()
+    assert until(s, lambda: rolls(s) == {8}) < 5
+    s.w.run(3)
+    assert rolls(s) == {8} and s.o.events["daemon-dead"] == 8 * 4
+
+
+def test_a_link_that_is_down_between_two_daemons_or_regions_kills_nobody():
+    s = Scene(town="navrang")
+    s.settle(5)
+    s.w.cut([n.name for n in s.w.nodes.values() if n.zone == "surat" and not n.core],
+            [n.name for n in s.w.nodes.values() if n.zone == "vadodara" and not n.core])
+    s.w.run(8)
+    assert s.o.events["daemon-dead"] == 0 and rolls(s) == {12}
+
+
+def test_each_side_of_a_cut_has_its_roll_and_both_agree_again_after_it():
+    s = Scene(town="navrang")
+    s.settle(5)
+    mine = [n.name for n in s.w.nodes.values() if n.zone == "surat"]
+    s.w.cut(mine, [n for n in s.w.nodes if n not in mine])
+    s.w.run(8)
+    assert {len(s.w.nodes[n].peek("desk", "roll")) for n in mine} == {4}
+    assert {len(n.peek("desk", "roll")) for n in s.w.nodes.values() if n.name not in mine} == {8}
+    s.w.nodes["edge-ahmedabad-0"].kill()
+    s.w.nodes["edge-surat-0"].kill()
+    s.w.run(3)
+    s.w.nodes["edge-surat-0"].boot()
+    s.w.run(3)
+    s.w.heal()
+    assert until(s, lambda: rolls(s) == {11}) < 4
+    s.w.run(2)
+    assert rolls(s) == {11} and len({n.peek("desk", "roll") for n in s.w.nodes.values() if n.hub}) == 1
+
+
+def test_a_daemon_alone_knows_only_itself_and_finds_all_again():
+    s = hamlet()
+    s.w.cut(["edge-north-0"], [n for n in s.w.nodes if n != "edge-north-0"])
+    s.w.run(6)
+    assert len(s.w.nodes["edge-north-0"].peek("desk", "roll")) == 1
+    s.w.heal()
+    assert until(s, lambda: rolls(s) == {6}) < 3
+
+
+def test_a_restarted_daemon_finds_the_fleet_by_the_one_seed_that_lives():
+    s = hamlet()
+    n = s.w.nodes["edge-south-0"]
+    n.kill()
+    s.w.run(3)
+    s.w.seeds = ("10.9.9.1:1", "10.9.9.2:1", s.w.nodes["core-middle"].addr, "10.9.9.3:1")
+    n.boot()
+    assert until(s, lambda: n.peek("roster", "joined") and rolls(s) == {6}, 12) < 7
+    inc = {r[0]: r[2] for r in s.w.nodes["core-north"].peek("desk", "roll")}
+    assert inc["edge-south-0"] == 2
+
+
+def test_two_watchers_or_the_silence_of_all_make_a_daemon_dead_not_one():
+    s = hamlet()
+    t = s.w.nodes["core-north"].hub.parts["table"]
+    t.send((s.w.now, ("msg", "edge-south-0", ("told", (
+        ("doubt", "edge-north-0 edge-south-0", (1, 1), 1, soft.CORES),)))))
+    s.w.run(2)
+    assert rolls(s) == {6}
+
+
+def test_names_that_come_and_go_leave_no_rows():
+    s = Scene(town="hamlet", opt=tuning(forget=5))
+    s.settle(5)
+    n, base = s.w.nodes["edge-south-0"], None
+    for k in range(5):
+        n.kill()
+        s.w.run(3)
+        n.boot()
+        s.w.run(3)
+    for i in range(20):
+        s.w.nodes["edge-north-0"].hub.queue.append(("roster", ("publish", "thing", f"k{i}", (1, 1), i)))
+    s.w.run(2)
+    base = len(s.w.nodes["core-north"].peek("table", "t").rows)
+    for i in range(20):
+        s.w.nodes["edge-north-0"].hub.queue.append(("roster", ("publish", "thing", f"k{i}", (1, 2), None)))
+    s.w.nodes["edge-middle-0"].kill()
+    s.w.run(20)
+    t = s.w.nodes["core-north"].peek("table", "t")
+    assert len(t.rows) < base - 20 and not t.of("thing") and not t.buried
+    assert "edge-middle-0" not in t.of("daemon") and len(t.vec) <= 6
+    assert not any(k[0] == "thing" for k in s.w.nodes["edge-south-0"].peek("roster", "mine"))
+
+
+def test_what_one_daemon_publishes_all_or_all_of_its_region_are_told():
+    s = hamlet()
+    got = {}
+    q = s.w.nodes["edge-north-0"].hub.queue
+    q.append(("roster", ("publish", "thing", "everywhere", (1,), 7)))
+    q.append(("roster", ("publish", "thing", "here", (1,), 8, "n")))
+    s.w.run(1.5)
+    for n in s.w.nodes.values():
+        got[n.name] = {k: r[3] for k, r in n.peek("roster", "t").of("thing").items()}
+    for n in s.w.nodes.values():
+        assert got[n.name] == ({"everywhere": 7, "here": 8} if n.region == "n" else {"everywhere": 7}), n.name
+    assert all("here" in n.peek("table", "t").of("thing") for n in s.w.nodes.values() if n.core)
+
+
+# deltas against an oracle
+class Core:
+    def __init__(self, i):
+        self.t = soft.Table(life=f"c{i}")
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_tables_that_exchange_deltas_in_any_order_hold_the_highest_rank_of_every_key(seed):
+    rng = random.Random(seed)
+    cores = [Core(i) for i in range(rng.randrange(2, 6))]
+    asker, truth, n = soft.Table(), {}, 0
+    ways = []
+    for _ in range(400):
+        k = rng.random()
+        c = rng.choice(cores)
+        if k < 0.4:
+            n += 1
+            key = f"k{rng.randrange(12)}"
+            row = ("thing", key, (rng.randrange(30), n % 3), rng.choice((None, n, "x")), "")
+            c.t.take(row, ZERO)
+            if soft.higher(row, truth.get(key)):
+                truth[key] = row
+        elif k < 0.8:                            # a delta leaves, and may arrive late, twice or never
+            d = rng.choice(cores)
+            told = dict(d.t.vec)
+            ways.append((d, told, dict(c.t.vec), c.t.since(told)))
+        elif ways:
+            d, lacks, vec, rows = rng.choice(ways)
+            d.t.merge(rows, ZERO)
+            if soft.covers(d.t.vec, lacks):
+                d.t.adopt(vec)
+        if rng.random() < 0.1:
+            asker.merge(c.t.since(asker.vec), ZERO)
+            asker.adopt(c.t.vec)
+    for _ in range(2):
+        for c in cores:
+            for d in cores:
+                d.t.merge(c.t.since(d.t.vec), ZERO)
+                d.t.adopt(c.t.vec)
+    snap = soft.Table()
+    snap.merge(cores[0].t.since({}), ZERO)
+    asker.merge(cores[0].t.since(asker.vec), ZERO)
+    for t in [c.t for c in cores] + [snap, asker]:
+        assert {k[1]: r[:5] for k, r in t.rows.items()} == truth
+
+
+def test_a_vector_adopted_without_its_rows_loses_some():
+    a, b = soft.Table(life="a"), soft.Table(life="b")
+    a.take(("thing", "k", (1,), 1, ""), ZERO)
+    b.adopt(a.vec)                               # the breach: what covers() guards against
+    b.merge(a.since(b.vec), ZERO)
+    assert b.rows != a.rows
+
+
+def test_tombstones_go_after_a_while_and_with_them_origins_that_nobody_speaks_of():
+    t = soft.Table(life="a")
+    t.merge((("thing", "k", (1,), 1, "", "old", 4),), ZERO)
+    t.adopt({"old": 4})
+    t.prune({"a"})
+    assert t.vec == {"old": 4}
+    t.take(("thing", "k", (2,), None, ""), ZERO)
+    t.bury(9 * SEC, 10 * SEC)
+    assert len(t.rows) == 1
+    t.bury(11 * SEC, 10 * SEC)
+    t.prune({"a"})
+    assert t.rows == {} and t.buried == {} and t.vec == {"a": 1}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_whatever_a_message_of_membership_holds_it_is_refused_or_fells_nobody(seed):
+    rng = random.Random(seed)
+    s = hamlet()
+    n = s.w.nodes["core-north"]
+    row = ("daemon", "x", (1, 1), ("x", "l", 1, 1, "z", "r", "a", "h", True, "ready", (), ()), "", "o", 1)
+    for _ in range(1500):
+        kind = rng.choice(("alive", "doubted", "told", "sync", "get", "news"))
+        r = list(row)
+        for _ in range(rng.randrange(3)):
+            r[rng.randrange(len(r))] = some(rng)
+        pend = n.peek("news", "pend")
+        body = dict(
+            alive=(some(rng), some(rng)), doubted=(), told=((tuple(r[:5]), some(rng))[:rng.randrange(1, 3)],),
+            sync=((("o", 1),), some(rng, 1) if rng.random() < 0.3 else (), (tuple(r),)),
+            get=(1, (0, 0), some(rng)), news=(pend[0] if pend else 1, (0, 0), (), 5, 0, (
+                7, (("o", 1),), (tuple(r),), ("edge-south-0",))[:rng.randrange(5)]))[kind]
+        n.feed(("msg", rng.choice(("edge-south-0", "core-south", "x")), (kind, *body)))
+        if rng.random() < 0.05:
+            s.w.run(0.1)
+    s.w.run(8)
+    assert messages.checked(("told", (row[:5],))) and not messages.checked(("told", (row[:4],)))
+    assert n.hub is not None and n.feed(("pulse",)) is None
+
+
+def test_a_changed_count_is_told_when_it_is_a_fifth_off():
+    from silverglade.roster import differs
+    assert not differs("pace", (100, 10), (110, 11)) and differs("pace", (100, 10), (130, 10))
+    assert differs("pace", (0, 0), (1, 0)) and differs("view", (1, "a", "b"), (2, "a", "b"))
+    a = (("model", 3, 1.0, 4.0, 0.1, True),)
+    assert not differs("parts", a, (("model", 3, 1.0, 4.4, 0.1, True),))
+    assert differs("parts", a, (("model", 4, 1.3, 4.0, 0.1, True),)) and span(1) > ZERO
