--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -6,7 +6,7 @@
 from . import soft
 
 SHAPES = {
-    "alive": "ii", "doubted": "", "told": "t", "sync": "ttt",
+    "alive": "ii", "doubted": "", "told": "t", "sync": "ittt",
     "lease": "siss", "release": "ssb", "renew": "sit", "leased": "ssi", "unleased": "sss", "offer": "siss",
     "ask": "sisit", "claimed": "sis", "unclaimed": "siss", "adopted": "sit", "unadopted": "sis",
     "copied": "sii", "fin": "sis", "quit": "s",
@@ -68,7 +68,7 @@
     "adopted": lambda b: rows(b[3], "sssi"),
     "copy": lambda b: rows(b[4], "sssi"),
     "told": lambda b: soft.sound_told(b[1]),
-    "sync": lambda b: soft.sound_vector(b[1]) and soft.sound_vector(b[2]) and soft.sound_rows(b[3]),
+    "sync": lambda b: soft.sound_vector(b[2]) and soft.sound_vector(b[3]) and soft.sound_rows(b[4]),
     "get": lambda b: len(b) >= 4 and (type(b[3]) is int or soft.sound_vector(b[3])) or len(b) == 3,
     "renew": lambda b: rows(b[3], "ss"),
     "ask": lambda b: rows((b[5][:4],), "sssi"),
--- a/silverglade/soft.py
+++ b/silverglade/soft.py
@@ -48,8 +48,13 @@
 
 
 def covers(a, b):
-    """Does vector a hold all that b holds?"""
-    return all(a.get(o, -1) >= n for o, n in b.items())
+    """Does vector a hold all that b holds? Numbers begin at 1."""
+    return all(a.get(o, 0) >= n for o, n in b.items())
+
+
+def short(b, vec):
+    """Of a base b for a delta up to vec, what is not as in vec itself."""
+    return {o: b.get(o, 0) for o, n in vec.items() if b.get(o, 0) != n}
 
 
 class Table:
--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -108,23 +108,20 @@
         p = peers[c]
         b = dict(p["told"])
         if now - p["when"] < opt["ask_wait"] * 1.5:
-            b[life] = max(b.get(life, -1), p["sent"])
+            b[life] = max(b.get(life, 0), p["sent"])
         return b
 
     def sync(c, now):
         """Where this table stands, with all that the other core lacks as far as is known."""
         b = base(c, now)
-        rows = t.since(b)
-        out.append(send(c, "sync", soft.pairs(t.vec), soft.pairs({o: n for o, n in b.items() if n >= 0}) if rows else (), rows))
+        out.append(send(c, "sync", 1, soft.pairs(t.vec), soft.pairs(soft.short(b, t.vec)), t.since(b)))
 
     def push(c, now):
         """What was taken here first goes to each core at once; the rest they have from where it was (4.3)."""
-        n, b = t.vec.get(life, 0), base(c, now).get(life, -1)
+        n, b = t.vec.get(life, 0), base(c, now).get(life, 0)
         if n > b:
-            rows = t.since({**t.vec, life: b})
             peers[c].update(sent=n, when=now)
-            if rows:
-                out.append(send(c, "sync", ((life, n),), ((life, b),) if b >= 0 else (), rows))
+            out.append(send(c, "sync", 0, ((life, n),), ((life, b),), t.since({**t.vec, life: b})))
 
     def move(now):
         """The table has changed: the other cores get what they lack, askers their answers."""
@@ -184,9 +181,11 @@
                     for c in [c for c in peers if c not in cores]:
                         del peers[c]
                     for c in sorted(cores - dead.keys()):
-                        peers.setdefault(c, dict(at=now, told={}, sent=-1, when=ZERO))
+                        peers.setdefault(c, dict(at=now, told={}, sent=0, when=ZERO))
                     if greeted is None and ("daemon", me) in t.rows or greeted is not None and now >= greeted:
                         greeted = now + opt["ask_wait"]
+                        t.bury(now, opt["forget"])
+                        t.prune({r[LIFE] for r in all_.values()})
                         for c in sorted(peers):
                             sync(c, now)
                         mine = t.rows.get(("daemon", me))
@@ -194,9 +193,7 @@
                             for s in seeds:
                                 if s != addr and s not in here:
                                     out.append(send("@" + s, "told", (mine[:5],)))
-                                    out.append(send("@" + s, "sync", soft.pairs(t.vec), (), ()))
-                        t.bury(now, opt["forget"])
-                        t.prune({r[LIFE] for r in all_.values()})
+                                    out.append(send("@" + s, "sync", 1, soft.pairs(t.vec), (), ()))
                 elif probed:
                     dead = deaths(now, recs())
                 move(now)
@@ -204,19 +201,20 @@
                 new = [r for r in rows if fit(r) and t.take(r[:5], now)]
                 stirred |= bool(new)
                 noted(new, now)
-            case ("msg", frm, ("sync", vec, lacks, rows)):
+            case ("msg", frm, ("sync", all_, vec, lacks, rows)):
                 new = t.merge([r for r in rows if fit(r)], now)
                 vec, lacks = dict(vec), dict(lacks)
                 stirred |= bool(new)
                 noted(new, now)
                 if frm not in peers:
-                    peers[frm] = dict(at=now, told={}, sent=-1, when=ZERO)
+                    peers[frm] = dict(at=now, told={}, sent=0, when=ZERO)
                 p = peers[frm]
-                p.update(at=now, told={**p["told"], **vec} if rows else vec)
-                if rows and soft.covers(t.vec, lacks) or not rows and soft.covers(t.vec, vec):
+                p.update(at=now, told=vec if all_ else {**p["told"], **vec})
+                if soft.covers(t.vec, {**vec, **lacks}):
+                    stirred |= not soft.covers(t.vec, vec)
                     t.adopt(vec)
                     met = True
-                elif not rows:                   # it holds more: this is where I stand
+                else:                            # it takes me to hold more: this is where I stand
                     sync(frm, now)
             case ("msg", frm, ("alive", *_)):
                 alive[frm] = now
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -250,7 +250,7 @@
         pend = n.peek("news", "pend")
         body = dict(
             alive=(some(rng), some(rng)), doubted=(), told=((tuple(r[:5]), some(rng))[:rng.randrange(1, 3)],),
-            sync=((("o", 1),), some(rng, 1) if rng.random() < 0.3 else (), (tuple(r),)),
+            sync=(1, (("o", 1),), some(rng, 1) if rng.random() < 0.3 else (), (tuple(r),)),
             get=(1, (0, 0), some(rng)), news=(pend[0] if pend else 1, (0, 0), (), 5, 0, (
                 7, (("o", 1),), (tuple(r),), ("edge-south-0",))[:rng.randrange(5)]))[kind]
         n.feed(("msg", rng.choice(("edge-south-0", "core-south", "x")), (kind, *body)))
