--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -1,8 +1,8 @@
 """A core's table of soft state (design 4): takes what daemons tell, agrees with the other cores by
 deltas, works out who is dead, and answers askers with what changed since they asked last."""
 from . import soft
-from .part import ZERO, log, ms, send
-from .roster import ADDR, CORE, INC, LIFE, REGION, STATE, record, watchers
+from .part import ZERO, send
+from .roster import ADDR, CORE, INC, LIFE, REGION, STATE, fit, watchers
 from .soft import CORES, KEY, KIND, RANK, SCOPE, VALUE
 
 
@@ -27,10 +27,14 @@
         if t.take((kind, key, rank, value, scope), now):
             stirred = True
 
+    def silent(x, v, now):
+        r = t.rows.get(("silent", x))
+        put("silent", x, ((r[RANK][0] if r else 0) + 1,), v, CORES, now)
+
     def noted(rows, now):
         """Addresses and doubts among new rows."""
         for r in rows:
-            if r[KIND] == "daemon" and record(r[VALUE]):
+            if r[KIND] == "daemon" and r[VALUE] is not None:
                 out.append(("peer", r[KEY], r[VALUE][ADDR]))
             elif r[KIND] == "doubt" and r[VALUE] is not None:
                 i = r[KEY].split(" ")[0]
@@ -40,11 +44,11 @@
     def deaths(now, all_):
         """Two watchers agree, or all if fewer; or its core has not heard it, or nobody its core (4.3)."""
         live = {i: r for i, r in all_.items() if r[STATE] != "left"}
-        votes, via = {}, t.of("via")
+        votes, via, mute = {}, t.of("via"), t.of("silent")
         for k, r in t.rows.items():
             if k[0] == "doubt" and r[VALUE] is not None:
                 x, w = k[1].split(" ", 1)
-                if x in live and r[VALUE] == live[x][INC]:
+                if x in live and r[VALUE] == live[x][INC] and w in live and live[w][INC] == r[RANK][0]:
                     votes.setdefault(x, set()).add(w)
         up = {i: r for i, r in live.items() if i not in dead}
         new = {}
@@ -57,6 +61,10 @@
                 heard = max(heard, peers[c]["at"] if c in peers else born)
             if now - heard > opt["gone"]:
                 new[x] = "silent"
+                if c == me and (x not in mute or mute[x][VALUE] != (live[x][INC], me)):
+                    silent(x, (live[x][INC], me), now)
+            elif c != me and x in mute and mute[x][VALUE] == (live[x][INC], c):
+                new[x] = "silent"                # says the core that it asked
         for x, ws in votes.items():
             ws &= set(watchers(x, {**up, x: live[x]}, opt["watch"]))
             n = len(watchers(x, {**up, x: live[x]}, opt["watch"]))
@@ -91,7 +99,7 @@
         """One gone for long leaves tombstones, and later nothing."""
         del mourned[x]
         for k, r in list(t.rows.items()):
-            if r[VALUE] is not None and (k in (("daemon", x), ("via", x))
+            if r[VALUE] is not None and (k in (("daemon", x), ("via", x), ("silent", x))
                                          or k[0] == "extra" and k[1].split(" ")[0] == x):
                 put(*k, (*r[RANK], 1)[:4], None, r[SCOPE], now)
 
@@ -100,23 +108,20 @@
         p = peers[c]
         b = dict(p["told"])
         if now - p["when"] < opt["ask_wait"] * 1.5:
-            b[life] = max(b.get(life, -1), p["sent"])
+            b[life] = max(b.get(life, 0), p["sent"])
         return b
 
     def sync(c, now):
         """Where this table stands, with all that the other core lacks as far as is known."""
         b = base(c, now)
-        rows = t.since(b)
-        out.append(send(c, "sync", soft.pairs(t.vec), soft.pairs({o: n for o, n in b.items() if n >= 0}) if rows else (), rows))
+        out.append(send(c, "sync", 1, soft.pairs(t.vec), soft.pairs(soft.short(b, t.vec)), t.since(b)))
 
     def push(c, now):
         """What was taken here first goes to each core at once; the rest they have from where it was (4.3)."""
-        n, b = t.vec.get(life, 0), base(c, now).get(life, -1)
+        n, b = t.vec.get(life, 0), base(c, now).get(life, 0)
         if n > b:
-            rows = t.since({**t.vec, life: b})
             peers[c].update(sent=n, when=now)
-            if rows:
-                out.append(send(c, "sync", ((life, n),), ((life, b),) if b >= 0 else (), rows))
+            out.append(send(c, "sync", 0, ((life, n),), ((life, b),), t.since({**t.vec, life: b})))
 
     def move(now):
         """The table has changed: the other cores get what they lack, askers their answers."""
@@ -176,9 +181,11 @@
                     for c in [c for c in peers if c not in cores]:
                         del peers[c]
                     for c in sorted(cores - dead.keys()):
-                        peers.setdefault(c, dict(at=now, told={}, sent=-1, when=ZERO))
+                        peers.setdefault(c, dict(at=now, told={}, sent=0, when=ZERO))
                     if greeted is None and ("daemon", me) in t.rows or greeted is not None and now >= greeted:
                         greeted = now + opt["ask_wait"]
+                        t.bury(now, opt["forget"])
+                        t.prune({r[LIFE] for r in all_.values()})
                         for c in sorted(peers):
                             sync(c, now)
                         mine = t.rows.get(("daemon", me))
@@ -186,34 +193,35 @@
                             for s in seeds:
                                 if s != addr and s not in here:
                                     out.append(send("@" + s, "told", (mine[:5],)))
-                                    out.append(send("@" + s, "sync", soft.pairs(t.vec), (), ()))
-                        t.bury(now, opt["forget"])
-                        t.prune({r[LIFE] for r in all_.values()})
+                                    out.append(send("@" + s, "sync", 1, soft.pairs(t.vec), (), ()))
                 elif probed:
                     dead = deaths(now, recs())
                 move(now)
             case ("msg", frm, ("told", rows)):
-                new = [r for r in rows if t.take(r[:5], now)]
+                new = [r for r in rows if fit(r) and t.take(r[:5], now)]
                 stirred |= bool(new)
                 noted(new, now)
-            case ("msg", frm, ("sync", vec, lacks, rows)):
-                new = t.merge(rows, now)
+            case ("msg", frm, ("sync", all_, vec, lacks, rows)):
+                new = t.merge([r for r in rows if fit(r)], now)
                 vec, lacks = dict(vec), dict(lacks)
                 stirred |= bool(new)
                 noted(new, now)
                 if frm not in peers:
-                    peers[frm] = dict(at=now, told={}, sent=-1, when=ZERO)
+                    peers[frm] = dict(at=now, told={}, sent=0, when=ZERO)
                 p = peers[frm]
-                p.update(at=now, told={**p["told"], **vec} if rows else vec)
-                if rows and soft.covers(t.vec, lacks) or not rows and soft.covers(t.vec, vec):
+                p.update(at=now, told=vec if all_ else {**p["told"], **vec})
+                if soft.covers(t.vec, {**vec, **lacks}):
+                    stirred |= not soft.covers(t.vec, vec)
                     t.adopt(vec)
                     met = True
-                elif not rows:                   # it holds more: this is where I stand
+                else:                            # it takes me to hold more: this is where I stand
                     sync(frm, now)
             case ("msg", frm, ("alive", *_)):
                 alive[frm] = now
             case ("asked", frm):
                 asked[frm] = now
+                if t.rows.get(("silent", frm), (None,) * 7)[VALUE] is not None:
+                    silent(frm, None, now)
                 v = t.rows.get(("via", frm))
                 if v is None or v[VALUE] != me:
                     put("via", frm, ((v[RANK][0] if v else 0) + 1,), me, CORES, now)
