--- /dev/null
+++ b/tests/test_catalog.py
@@ -0,0 +1,175 @@
+"""Which replicas there are, read by few and told to all: readers, lists that fail, lives that are over."""
+import random
+from datetime import timedelta
+
+from silverglade.forward import replicas as rp
+from silverglade.forward.catalog import MISSED, catalog, readers
+from silverglade.options import tuning
+from silverglade.part import start
+
+SEC = timedelta(seconds=1)
+
+
+def roll(*rows):
+    return tuple((i, "l", 1, 1, "z" + g, g, "", "", core, state, (), extra) for i, g, core, state, extra in rows)
+
+
+def edges(*ids, blind=()):
+    return roll(*((i, i[0], False, "ready", (("blind", True),) if i in blind else ()) for i in ids))
+
+
+def rep(i, leaving=False, region="a", cold=0):
+    return (i, f"10.0.0.{i}:80", "z" + region, region, "s", 8, leaving, cold, -1)
+
+
+class Bench:
+    def __init__(self, me="a1", lists=True):
+        self.p = start(catalog(me=me, region=me[0], lists=lists, opt=tuning()))
+        self.now, self.sent = 100 * SEC, []
+
+    def feed(self, *ev):
+        es = self.p.send((self.now, ev))
+        self.sent += es
+        return es
+
+    def go(self, secs=1.0):
+        self.now += timedelta(seconds=secs)
+        return self.feed("pulse")
+
+    def published(self, kind="listed"):
+        return [e[2][2:] for e in self.sent if e[0] == "post" and e[1] == "roster" and e[2][:2] == ("publish", kind)]
+
+    def held(self):
+        """What the part that chooses was told, replayed."""
+        got = {}
+        for e in self.sent:
+            if e[0] == "post" and e[1] == "forward" and e[2][0] == "listed":
+                new = {r[rp.RID]: r for r in e[2][1]}
+                got = new if e[2][2] else {**got, **new}
+            if e[0] == "post" and e[1] == "forward" and e[2][0] == "unlisted":
+                got = {i: r for i, r in got.items() if i not in e[2][1]}
+        return got
+
+
+def test_two_daemons_read_of_two_regions_and_none_that_cannot():
+    ids = ("a1", "a2", "a3", "b1", "b2", "c1")
+    two = readers(edges(*ids))
+    assert len(two) == 2 and two[0][0] != two[1][0]
+    for i in ids:
+        got = readers(edges(*ids, blind=(i,)))
+        assert i not in got and len(got) == 2
+    assert set(readers(edges("a1", blind=("a1",)))) == {"a1"}          # all blind: somebody still tries
+    assert readers(roll(("k1", "a", True, "ready", ()), ("a1", "a", False, "leaving", ()))) == ()
+
+
+def test_every_daemon_agrees_on_the_readers():
+    rng = random.Random(1)
+    ids = [f"{g}{i}" for g in "abc" for i in range(20)]
+    want = readers(edges(*ids))
+    for _ in range(20):
+        rng.shuffle(ids)
+        assert readers(edges(*ids)) == want
+
+
+def test_who_is_no_reader_reads_once_and_then_hears():
+    ids = ("a1", "a2", "b1")
+    out = next(i for i in ids if i not in readers(edges(*ids)))
+    b = Bench(out)
+    b.feed("roll", edges(*ids))
+    assert ("list",) in b.go()
+    assert ("list",) not in b.go()                                     # one at a time
+    b.feed("read", None)
+    assert ("list",) in b.go()
+    b.feed("read", (rep("1"),))
+    assert not any(("list",) in b.go() for _ in range(5))
+    b.feed("told", "listed", {"2": ((0, 1), rep("2")), "1": ((1, 2), rep("1", leaving=True))})
+    assert set(b.held()) == {"1", "2"} and b.held()["1"][rp.LEAVING]
+    b.feed("told", "listed", {"1": ((2, 3), None)})
+    assert set(b.held()) == {"2"}
+
+
+def test_a_reader_goes_on_and_tells_only_what_changed():
+    b = Bench()
+    b.feed("roll", edges("a1"))
+    for _ in range(4):
+        assert ("list",) in b.go()
+        b.feed("read", (rep("1"), rep("2")))
+    assert [k for k, *_ in b.published()] == ["1", "2"]
+    b.go()
+    b.feed("read", (rep("1", leaving=True), rep("2")))
+    assert b.published()[-1][0] == "1" and b.published()[-1][2][rp.LEAVING]
+
+
+def test_one_list_without_a_replica_is_no_end_and_an_end_is_for_good():
+    b = Bench()
+    b.feed("roll", edges("a1"))
+    b.feed("read", (rep("1"), rep("2")))
+    b.feed("read", (rep("2"),))
+    assert set(b.held()) == {"1", "2"}
+    for _ in range(MISSED - 1):
+        b.feed("read", (rep("2"),))
+    assert set(b.held()) == {"2"} and b.published()[-1][2] is None
+    b.feed("read", (rep("1"), rep("2")))
+    b.feed("told", "listed", {"1": ((0, 9), rep("1"))})
+    assert set(b.held()) == {"2"}
+
+
+def test_leaving_is_never_taken_back_and_outranks():
+    b = Bench()
+    b.feed("roll", edges("a1"))
+    b.feed("read", (rep("1", leaving=True),))
+    b.feed("read", (rep("1"),))
+    assert b.held()["1"][rp.LEAVING]
+    ranks = [r for _, r, *_ in b.published()]
+    assert ranks == sorted(ranks) and len(set(ranks)) == len(ranks)
+
+
+def test_another_daemons_words_are_outranked_not_repeated():
+    b = Bench()
+    b.feed("roll", edges("a1"))
+    b.feed("told", "listed", {"1": ((0, 40), rep("1"))})
+    b.feed("read", (rep("1", leaving=True),))
+    assert b.published()[-1][1] > (0, 40)
+
+
+def test_a_daemon_that_cannot_read_says_so_and_takes_it_back():
+    b = Bench()
+    b.feed("roll", edges("a1"))
+    said = lambda: [e[2][2] for e in b.sent if e[0] == "post" and e[2][:2] == ("extra", "blind")]  # noqa: E731
+    b.feed("read", None)
+    assert said() == []
+    b.feed("read", None)
+    b.feed("read", None)
+    assert said() == [True]
+    b.feed("read", (rep("1"),))
+    assert said() == [True, False]
+
+
+def test_unsound_records_of_a_list_or_of_others_are_passed_over():
+    b = Bench()
+    b.feed("roll", edges("a1"))
+    b.feed("read", (("1", 2), rep("2")))
+    b.feed("told", "listed", {"3": ((0, 1), ("3",)), "4": ((0, 1), "x")})
+    assert set(b.held()) == {"2"}
+
+
+def test_loads_are_asked_by_one_and_told_when_they_differ():
+    b = Bench()
+    b.feed("roll", edges("a1"))
+    b.feed("read", (rep("1"),))
+    asked = [e for _ in range(40) for e in b.go(0.25) if e[0] == "ask"]
+    assert asked and asked[0] == ("ask", "1", "10.0.0.1:80")
+    b.feed("asked", "1", (3, 1, 0))
+    b.feed("asked", "1", (3, 1, 0))
+    assert len(b.published("load")) == 1 and b.published("load")[0][2:] == ((3, 1, 8), "a")
+    b.feed("asked", "1", None)
+    assert b.published("load")[-1][2][0] == -1
+    need = [e[2][1] for e in b.sent if e[0] == "post" and e[1] == "need"]
+    assert need[-1] == {"1": ("s", "a", 0, 8, False)}
+    b.feed("asked", "9", (1, 1, 1))                                    # not one that is there
+
+
+def test_without_a_list_nothing_is_read():
+    b = Bench(lists=False)
+    b.feed("roll", edges("a1"))
+    assert b.go() == ()
