--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -12,6 +12,7 @@
 from .news import keeper, news
 from .part import log, start
 from .path.ingress import ingress
+from .proxy import proxy
 from .replicas.ledger import ledger
 from .replicas.registry import registry
 from .roster import roster
@@ -24,6 +25,7 @@
 HEARS = {
     "roster": ("alive", "doubted"),
     "table": ("told", "sync"),
+    "proxy": ("told", "get"),
     "ledger": ("lease", "release", "renew"),
     "owner": ("ask", "leased", "unleased", "offer", "claimed", "unclaimed", "adopted",
               "unadopted", "copied", "fin", "quit"),
@@ -60,6 +62,8 @@
             p["table"] = table(me=me, life=life, addr=addr, seeds=tuple(seeds), opt=opt)
             p["keeper"] = keeper(cores=cores, opt=opt)
             p["follower"] = follower(me=me, saved=saved, opt=opt)
+        else:
+            p["proxy"] = proxy(opt=opt)
         for g in p.values():
             start(g)
         self.hear = {k: n for n, ks in HEARS.items() for k in ks if n in p}
--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -1,6 +1,7 @@
 """How a daemon learns what control holds (design 5.7): it asks with the version held."""
 from .control import book as bk
 from .part import ZERO, log, ms, send, span
+from .proxy import proxy_of
 
 
 def news(*, me, zone, region, core, addr, seeds, opt, rng):
@@ -20,6 +21,9 @@
         z = {r[0]: (r[4], r[5]) for r in roll if r[8]}
         if core:
             z[me] = (zone, region)
+        p = proxy_of(zone, roll)
+        if p not in (None, me) and bad.get(p, ZERO) <= now:
+            return p
         c = min(z, default=None, key=lambda c: (max(bad.get(c, ZERO), now), c != me, z[c][0] != zone,
                                                 z[c][1] != region, c != last, rng.random()))
         others = [s for s in seeds if s != addr]
@@ -37,6 +41,7 @@
         if c != last:                            # it hears who I am first
             last = c
             out.append(("post", "roster", ("core", c)))
+            out.append(("post", "proxy", ("core", c, any(r[0] == c and r[8] for r in roll))))
         out.append(("post", "news", ("go", c, pend[0])))
 
     while True:
@@ -84,7 +89,7 @@
                     book = {k: v for k, v in {**book, **{k: (iv, x) for k, iv, x in new}}.items()
                             if v[1] is not None}     # a duty dropped is none here
                     held = max(held, v)
-                    out += [("cast", ("book", book, held)),
+                    out += [("cast", ("book", book, held)), ("post", "proxy", ("items", items, held)),
                             ("post", "roster", ("extra", "news", held))]
                     if any(k == "config" or k.startswith("evac/") for k, _, _ in new):
                         out.append(log("news", version=f"{held[0]}.{held[1]}",
--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -85,6 +85,7 @@
     """place = (zone, region, addr, http, core). Events: pulse, msg, extra, state, publish, delta."""
     zone, region, addr, http, core = place
     t = soft.Table()
+    teller, moves = soft.Teller(t), 0            # for my zone, should I ask for it (5.7)
     inc, num, state, want, joined = 1, 0, "joining", "ready", False
     mine, sent = {}, {}                          # (kind, key) -> (rank, value, scope); what was sent when
     more, lately = {}, {}                        # extras wanted; when each was told
@@ -117,7 +118,7 @@
             if not every and row is None and scope == CORES and k in sent:
                 if value is None and now - sent[k] > opt["gone"]:
                     del mine[k]                  # cores tell nobody of these: sent a few times
-                if now - sent[k] < opt["gone"]:
+                if now - sent[k] < opt["gone"] or k[0] == "via":
                     continue
             if every or now - sent.get(k, born - opt["settle"]) >= opt["settle"]:
                 sent[k] = now
@@ -125,6 +126,13 @@
         if rows and at_core:
             out.append(send(at_core, "told", tuple(rows)))
 
+    def ask_of_me():
+        """Whom the cores are to ask after me (4.3)."""
+        nonlocal moves
+        if at_core and not at_core.startswith("@"):
+            moves += 1
+            publish("via", me, (inc, moves), at_core, CORES)
+
     def call():
         """A core that I ask for the first time knows where I am before it is asked."""
         rank, value, scope = mine["daemon", me]
@@ -150,10 +158,11 @@
             for k in [k for k in mine if k[0] in ("extra", "doubt")]:
                 del mine[k]
             present()
+            ask_of_me()
 
     def take(now, frm, d):
         """A core's answer (4.3)."""
-        nonlocal contact, behind, dead, stale, joined, state, t, old_roll, at_core
+        nonlocal contact, behind, dead, stale, joined, state, t, old_roll, at_core, teller
         contact = now
         if len(d) < 4:
             return None if d else True
@@ -171,9 +180,13 @@
         own = t.rows.get(("daemon", me))
         if own and (own[VALUE] is None or own[VALUE][LIFE] != life):
             outrank(own)
+        if me in dead_ and not at_core.startswith("@"):
+            ask_of_me()                          # perhaps they ask the wrong one after me
         dead, stale = frozenset(dead_), stale or frozenset(dead_) != dead
         if soft.covers(vec, {o: n for o, n in t.vec.items() if t.log.get(o)}):
             t.vec, behind, old_roll = vec, None, None
+            if not core:
+                out.append(post("proxy", "spot", teller.move(dead_)))
             if not joined and own and own[VALUE] and own[VALUE][LIFE] == life:
                 joined, state = True, want
                 present()
@@ -184,6 +197,7 @@
             tell(now, True)
         elif now - behind > opt["takeover"]:     # for good: it began anew, and so does this
             old_roll, behind, t, stale = roll, None, soft.Table(), True
+            teller = soft.Teller(t)
             out.append(log("table-anew", core=frm))
         return None
 
@@ -280,6 +294,7 @@
                 if c != at_core:
                     at_core = c
                     call()
+                    ask_of_me()
             case ("delta", frm, d):
                 got = take(now, frm, d)
                 if got is not True:
@@ -289,6 +304,8 @@
                 show(now)
                 if any(k not in sent for k in mine):
                     tell(now)
+            case ("answer", frm, body, at):
+                out.append(send(frm, *body, teller.answer(frm, at)))
             case ("extra", k, v):
                 more[k] = v
             case ("publish", kind, key, rank, value, *scope):
--- a/silverglade/soft.py
+++ b/silverglade/soft.py
@@ -133,3 +133,33 @@
 
     def of(self, kind):
         return {k[1]: r for k, r in self.rows.items() if k[0] == kind}
+
+
+class Teller:
+    """Answers askers from a table: by delta from where they stand."""
+
+    def __init__(self, table):
+        self.t, self.spot, self.dead = table, None, ()
+        self.past, self.cache = {}, {}           # token -> vector; (where, region) -> rows
+
+    def move(self, dead):
+        """The table stands elsewhere, or others are dead -> the token."""
+        self.dead, self.spot = dead, self.t.token(dead)
+        self.past[self.spot] = dict(self.t.vec)
+        while len(self.past) > KEPT:
+            self.past.pop(next(iter(self.past)))
+        self.cache.clear()
+        return self.spot
+
+    def answer(self, frm, at):
+        """-> the delta for an asker that stands at a token, or at a vector as pairs."""
+        if self.spot is None or at == self.spot:
+            return ()
+        if type(at) is int and at not in self.past:
+            return (-1,)
+        r = self.t.rows.get(("daemon", frm))
+        k = (at, r[VALUE][5] if r and r[VALUE] else None)
+        if k not in self.cache:
+            self.cache[k] = self.t.since(self.past[at] if type(at) is int else dict(at),
+                                         lambda row: row[SCOPE] in ("", k[1]))
+        return (self.spot, pairs(self.past[self.spot]), self.cache[k], self.dead)
--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -2,7 +2,7 @@
 deltas, works out who is dead, and answers askers with what changed since they asked last."""
 from . import soft
 from .part import ZERO, send
-from .roster import ADDR, CORE, INC, LIFE, REGION, STATE, fit, watchers
+from .roster import ADDR, CORE, INC, LIFE, STATE, fit, watchers
 from .soft import CORES, KEY, KIND, RANK, SCOPE, VALUE
 
 
@@ -14,7 +14,7 @@
     t = soft.Table(life=life)
     born = last = due = None
     spot, stirred, out = None, False, []
-    past, cache = {}, {}                         # token -> vector; (base, scope, token) -> rows
+    teller = soft.Teller(t)
     peers, met = {}, False                       # core -> dict(at, told, sent, when)
     asked, probed, alive = {}, {}, {}            # daemon -> when: it asked here; doubt known; answered a probe
     dead, mourned, shown, greeted = {}, {}, (), None
@@ -58,7 +58,10 @@
             c = via[x][VALUE] if x in via else None
             heard = max(asked.get(x, born), alive.get(x, born))
             if c not in (None, me) and c in live:
-                heard = max(heard, peers[c]["at"] if c in peers else born)
+                if live[c][CORE]:
+                    heard = max(heard, peers[c]["at"] if c in peers else born)
+                else:                            # a proxy of its zone: as long as that lives
+                    heard = max(heard, mourned.get(c, now))
             if now - heard > opt["gone"]:
                 new[x] = "silent"
                 if c == me and (x not in mute or mute[x][VALUE] != (live[x][INC], me)):
@@ -68,7 +71,7 @@
         for x, ws in votes.items():
             ws &= set(watchers(x, {**up, x: live[x]}, opt["watch"]))
             n = len(watchers(x, {**up, x: live[x]}, opt["watch"]))
-            if (x != me and ws and len(ws) >= min(2, n) and now - probed.get(x, now) > opt["settle"] / 2
+            if (x != me and ws and len(ws) >= min(2, n) and now - probed.get(x, now) > opt["settle"] / 3
                     and alive.get(x, born) < probed[x]):
                 new[x] = "doubted"
         for x in [x for x in probed if x not in votes]:
@@ -136,27 +139,9 @@
                 if c in recs() and c not in dead:
                     push(c, now)
         stirred, shown = False, d
-        spot = t.token(shown)
-        past[spot] = dict(t.vec)
-        while len(past) > soft.KEPT:
-            past.pop(next(iter(past)))
-        cache.clear()
+        spot = teller.move(shown)
         out.append(("cast", ("spot", spot)))
 
-    def answer(frm, pos, now):
-        """-> the delta for an asker that stands at pos: a token, or a vector as pairs."""
-        if spot is None or pos == spot:
-            return ()
-        if type(pos) is int and pos not in past:
-            return (-1,)
-        r = t.rows.get(("daemon", frm))
-        region = r[VALUE][REGION] if r and r[VALUE] else None
-        k = (pos, region)
-        if k not in cache:
-            cache[k] = t.since(past[pos] if type(pos) is int else dict(pos),
-                               lambda row: row[SCOPE] in ("", region))
-        return (spot, soft.pairs(past[spot]), cache[k], shown)
-
     while True:
         now, ev = yield tuple(out)
         out = []
@@ -222,8 +207,5 @@
                 asked[frm] = now
                 if t.rows.get(("silent", frm), (None,) * 7)[VALUE] is not None:
                     silent(frm, None, now)
-                v = t.rows.get(("via", frm))
-                if v is None or v[VALUE] != me:
-                    put("via", frm, ((v[RANK][0] if v else 0) + 1,), me, CORES, now)
             case ("answer", frm, body, pos):
-                out.append(send(frm, *body, answer(frm, pos, now)))
+                out.append(send(frm, *body, teller.answer(frm, pos)))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,8 +6,10 @@
 from silverglade import messages, soft
 from silverglade.options import tuning
 from silverglade.part import ZERO, span
-from silverglade.rehearsal.scale import measure
+from silverglade.proxy import proxy_of
+from silverglade.rehearsal.scale import measure, plain
 from silverglade.rehearsal.scene import SEC, Scene
+from silverglade.rehearsal.towns import TOWNS
 
 from .test_codec import some
 from .test_nevers import hamlet, without
@@ -168,6 +170,57 @@
     assert all("here" in n.peek("table", "t").of("thing") for n in s.w.nodes.values() if n.core)
 
 
+def many(n=100):
+    try:
+        TOWNS["plain"] = lambda: plain(n)
+        s = Scene(town="plain")
+    finally:
+        del TOWNS["plain"]
+    s.settle(8)
+    return s
+
+
+def test_a_zone_without_a_core_asks_through_one_daemon_and_goes_on_without_it():
+    s = many()
+    zone = "z03"
+    mates = [n.name for n in s.w.nodes.values() if n.zone == zone]
+    who = proxy_of(zone, s.w.nodes[mates[0]].peek("desk", "roll"))
+    assert who in mates and rolls(s) == {100}
+    assert {s.w.nodes[i].peek("roster", "at_core") for i in mates if i != who} == {who}
+    assert s.w.nodes[who].peek("roster", "at_core") in s.w.cores
+    t = s.w.now
+    s.w.nodes[who].kill()
+    s.put(at=mates[0] if mates[0] != who else mates[1])
+    s.w.run(3)
+    assert [c for *_, c, _ in s.o.acked] == [100, 100]
+    assert {n.peek("news", "book")["config"][0] for n in s.w.nodes.values() if n.hub} == {s.o.acked[-1][-1]}
+    s.w.run(6)
+    assert rolls(s) == {99} and s.w.now > t
+    assert s.o.events["daemon-dead"] == 99         # the proxy alone, told by each
+    fresh = [s.w.now - n.peek("news", "fresh") for n in s.w.nodes.values() if n.hub]
+    assert max(fresh) < 3 * SEC
+    two = proxy_of(zone, s.w.nodes[mates[0] if mates[0] != who else mates[1]].peek("desk", "roll"))
+    s.w.cut([two], [n for n in s.w.nodes if n != two])
+    s.w.run(8)
+    assert {len(n.peek("desk", "roll")) for n in s.w.nodes.values() if n.hub and n.name != two} == {98}
+    s.w.heal()
+    s.w.nodes[who].boot()
+    s.w.run(6)
+    assert rolls(s) == {100} and s.o.faults == []
+
+
+def test_daemons_that_take_each_other_for_the_proxy_do_not_pass_rows_round():
+    from silverglade.part import start
+    from silverglade.proxy import proxy
+    p = start(proxy(opt=tuning()))
+    row = ("thing", "k", (1,), 1, "")
+    assert p.send((ZERO, ("msg", "x", ("told", (row,))))) == ()
+    p.send((ZERO, ("core", "y", False)))
+    assert p.send((ZERO, ("msg", "x", ("told", (row,))))) == ()
+    p.send((ZERO, ("core", "c", True)))
+    assert p.send((ZERO, ("msg", "x", ("told", (row,))))) == (("send", "c", ("told", (row,))),)
+
+
 # deltas against an oracle
 class Core:
     def __init__(self, i):
