--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -45,6 +45,7 @@
                        saved=self.store.load() if self.store else None)
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
+        self.early = anyio.Event()               # a pulse is wanted sooner than it seemed
         self.stopping, self.ready = anyio.Event(), anyio.Event()
 
     # for the front: orders and calls
@@ -169,15 +170,22 @@
             ev = await self.lanes.take()
             for e in self.hub.feed(clock(), ev):
                 self.act(e)
+            if not self.early.is_set() and self.hub.next() <= clock():
+                self.early.set()
             self.fed += 1
             if self.fed % 64 == 0:
                 await anyio.lowlevel.checkpoint()    # sockets and pulse get their turn in a crowd
 
     async def pulse(self):
-        gap = self.opt["pulse"] / timedelta(seconds=1)
+        """As often as some part wants it, at most each `pulse` (1.5)."""
+        sec = timedelta(seconds=1)
         while True:
             self.lanes.pulse()
-            await anyio.sleep(gap)
+            await anyio.sleep(self.opt["pulse"] / sec)
+            while (left := (self.hub.next() - clock()) / sec) > 0:
+                self.early = anyio.Event()
+                with anyio.move_on_after(min(left, 1.0)):
+                    await self.early.wait()
 
     async def write(self):
         """The one writer: a stalled disk holds up this task alone. What waits is synced together."""
--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -2,7 +2,7 @@
 from . import __version__, wire
 from .config import digest
 from .control import book as bk
-from .part import ms, send
+from .part import IDLE, ms, send
 from .replicas.registry import ADDR, HOMES, INC, KIND, LEAVING, PREFIXES, S_CAP, S_RUNNING, S_STATE, S_USE, S_USED, SLOTS, ZONE
 from .roster import extra
 
@@ -141,3 +141,5 @@
                     elif now - p["at"] > opt["beat"]:
                         p["to"] = ""             # whoever is primary by now
                         push(n, now)
+                if not pend:
+                    out.append(("due", IDLE))
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -10,7 +10,7 @@
 from .desk import desk
 from .messages import checked, known
 from .news import keeper, news
-from .part import log, start
+from .part import ZERO, log, start
 from .path.ingress import ingress
 from .proxy import proxy
 from .replicas.ledger import ledger
@@ -67,13 +67,18 @@
         for g in p.values():
             start(g)
         self.hear = {k: n for n, ks in HEARS.items() for k in ks if n in p}
+        self.due = dict.fromkeys(p, ZERO)        # part -> when it wants its next pulse (1.5)
         self.queue = deque([("roster", ("extra", "version", __version__))])
 
-    def aim(self, ev):
+    def next(self):
+        """When the next pulse is wanted."""
+        return min(self.due.values())
+
+    def aim(self, now, ev):
         """-> the parts an outside event goes to."""
         match ev:
             case ("pulse",):
-                return tuple(self.parts)
+                return tuple(n for n, t in self.due.items() if t <= now)
             case ("msg", _, (kind, *_)):
                 return (self.hear[kind],) if kind in self.hear else ()
             case ("disk", (part, _), _, _):
@@ -90,7 +95,9 @@
 
     def feed(self, now, ev):
         out = []
-        to = self.aim(ev)
+        to = self.aim(now, ev)
+        if not to and ev == ("pulse",):
+            return out
         if not to or (ev[0] == "msg" and not checked(ev[2])):
             return [log("message-refused", sender=str(ev[1:2])[:40], what=str(ev)[:80])]
         if ev[0] == "msg":
@@ -100,8 +107,11 @@
             part, e = self.queue.popleft()
             if part not in self.parts:
                 continue
+            self.due[part] = ZERO
             for f in self.parts[part].send((now, e)):
                 match f:
+                    case ("due", t):
+                        self.due[part] = t
                     case ("post", p, x):
                         self.queue.append((p, x))
                     case ("cast", x):
--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -55,6 +55,7 @@
                 elif pend and now - pend[2] > opt["ask_wait"] + opt["beat"] * 2:
                     bad[pend[1]] = now + opt["gone"]
                     ask(now)
+                out.append(("due", pend[2] + opt["ask_wait"] + opt["beat"] * 2 if pend else max(due, now)))
             case ("roll", r):
                 roll = r
             case ("go", c, n):
@@ -149,10 +150,13 @@
                 book = b
             case ("ledgers", rs):
                 reps = rs
-            case ("pulse",) if now >= due:
+            case ("pulse",) if now < due:
+                out.append(("due", due))
+            case ("pulse",):
                 due = now + opt["beat"]
                 todo = tuple(want())
                 if todo:
                     out.append(("post", "control", ("duties", todo)))
                 else:
                     out += [("post", "control", ("drop", *d)) for d in needless(now)]
+                out.append(("due", due))
--- a/silverglade/part.py
+++ b/silverglade/part.py
@@ -5,12 +5,14 @@
 monotonic clock. Effects that a hub settles itself:
   ("post", part, event)   to one part of the same daemon
   ("cast", event)         to every part of the same daemon
+  ("due", time)           no pulse is wanted before that, unless another event comes (1.5)
 and those that leave it: ("send", daemon, body), ("disk", token, ops), ("log", event, pairs),
 ("dispatch", ...), ("abort", did), ("result", ...), ("reply", ...), ("probe", ...).
 """
 from datetime import timedelta
 
 ZERO = timedelta(0)
+IDLE = timedelta(days=1000000)          # a due time: until something happens
 
 
 def start(gen):
--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -4,7 +4,7 @@
 from ..config import homes
 from ..control import book as bk
 from ..faults import Fault
-from ..part import ms, send
+from ..part import IDLE, ms, send
 from ..rank import ranked
 from ..replicas.registry import INC, evacuated, usable
 from .admit import admit, sure
@@ -227,6 +227,8 @@
         match ev:
             case ("pulse",):
                 pulse(now)
+                if not gens and not guests and not hands:
+                    out.append(("due", IDLE))
             case ("call", cid, "trace", (word,)):
                 rows = [dict(t, born=ms(now - t["born"])) for t in tale.values() if word in (t["order"], t["key"])]
                 out.append(("reply", cid, 100 if rows else 507, dict(orders=rows)))
--- a/silverglade/proxy.py
+++ b/silverglade/proxy.py
@@ -1,6 +1,6 @@
 """One daemon of a zone without a core asks for the others there (design 5.7): each change comes into the zone once."""
 from .control import book as bk
-from .part import ms, post, send
+from .part import IDLE, ms, post, send
 from .rank import first
 from .roster import ADDR, CORE, ID, STATE, ZONE, fit
 
@@ -30,8 +30,9 @@
         now, ev = yield tuple(out)
         out = []
         match ev:
-            case ("pulse",) if asks:
+            case ("pulse",):
                 serve(now)
+                out.append(("due", min((a[0] for a in asks), default=IDLE - opt["ask_wait"]) + opt["ask_wait"]))
             case ("items", new, v):
                 for k, iv, x in new:
                     if iv > items.get(k, (bk.START,))[0]:
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -87,7 +87,7 @@
     def pulse(self, life):
         if self.hub is None or life != self.life:
             return
-        if self.frozen is None:
+        if self.frozen is None and self.hub.next() <= self.w.now + self.skew:
             self.feed(("pulse",))
         self.w.after(self.w.opt["pulse"], self.pulse, life)
 
--- a/silverglade/replicas/ledger.py
+++ b/silverglade/replicas/ledger.py
@@ -1,5 +1,5 @@
 """Slot ledgers (design 7.3): one holder per replica hands out its slots, under an epoch."""
-from ..part import ZERO, log, post, send
+from ..part import IDLE, ZERO, log, post, send
 from .registry import ADDR, INC, LEAVING, S_EPOCH, S_NUM, SLOTS, ZONE, evacuated
 
 
@@ -105,6 +105,8 @@
                         m.ghosts.append(now + opt["stale"])
                     m.ghosts = [t for t in m.ghosts if t > now]
                     offer(rid, m, now)
+                if not any(m.leases or m.ghosts or m.hungry for m in mine.values()):
+                    out.append(("due", min((m.due for m in mine.values()), default=IDLE)))
             case ("probed", rid, inc, got):
                 m = mine.get(rid)
                 if m is None or inc != m.inc:
--- a/silverglade/replicas/registry.py
+++ b/silverglade/replicas/registry.py
@@ -147,11 +147,14 @@
             case ("book", b, _):
                 holds = {k[12:]: v[:2] for k, (_, v) in b.items() if k.startswith("duty/ledger/") and v}
                 zones = set((bk.get(b, "config") or {"zones": ()})["zones"])
-            case ("pulse",) if now >= due:
+            case ("pulse",) if now < due:
+                out.append(("due", due))
+            case ("pulse",):
                 due = now + opt["stale"] / 4
                 forget(now)
                 steady(now)
                 changed |= bool(stats)
+                out.append(("due", due))
             case ("told", "mark", got):
                 for rid, (_, inc) in got.items():
                     dirty |= type(inc) is int and leave(rid, inc, "heard")
--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -92,6 +92,7 @@
     heard, doubted, doubts = {}, {}, 0           # whom I hear pulse, and when; whom I doubt
     mates, at_core, contact, behind = (), "", None, None
     born = last = due = None
+    wanted = ZERO                                # the next pulse, as told to the hub
     roll, shown, dead, stale, out = (), None, frozenset(), True, []
     old_roll = None                              # held while a snapshot is awaited
 
@@ -139,7 +140,7 @@
         out.append(send(at_core, "told", (("daemon", me, rank, value, scope),)))
 
     def extras(now):
-        gap = 0.05 * len(roll)
+        gap, waits = 0.05 * len(roll), False
         for k, v in more.items():
             was = mine.get(("extra", f"{me} {k}"))
             if was and not differs(k, was[1], v):
@@ -147,6 +148,9 @@
             if k in URGENT or was is None or (now - lately.get(k, ZERO)).total_seconds() >= max(WAIT.get(k, 0.5), gap):
                 lately[k] = now
                 publish("extra", f"{me} {k}", (inc, was[0][1] + 1 if was and was[0][0] == inc else 1), v)
+            else:
+                waits = True
+        return waits
 
     def outrank(row):
         """A row of an earlier life of mine."""
@@ -266,12 +270,12 @@
             present()
         match ev:
             case ("pulse",):
-                if now - last > opt["late"]:     # frozen: distrust what was held (4.4)
+                if now - max(last, wanted) > opt["late"]:     # frozen: distrust what was held (4.4)
                     out += [log("frozen", late_ms=ms(now - last)), ("cast", ("froze",))]
                     heard.update(dict.fromkeys(heard, now))
                     contact = contact and now
                 last = now
-                extras(now)
+                waits = extras(now)
                 listen(now)
                 if now >= due:
                     due = now + opt["watch_beat"]
@@ -280,6 +284,9 @@
                 elif any(k not in sent for k in mine):
                     tell(now)
                 show(now)
+                wanted = min([due, *(at + opt["doubt"] for i, at in heard.items() if i not in doubted)])
+                if not waits:
+                    out.append(("due", wanted))
             case ("msg", frm, ("alive", _, what)):
                 out.append(post("table", "msg", frm, ("alive",)))
                 if what == OVER:
--- a/silverglade/scaler/scaler.py
+++ b/silverglade/scaler/scaler.py
@@ -118,7 +118,10 @@
                 gauges[kind].came.pop()          # its owner knew the key: a retry after all
             case ("served", f, took, _):
                 gauges.setdefault(f["kind"], Gauge()).went.append((now, took / SEC))
-            case ("pulse",) if now >= due:
+            case ("pulse",) if now < due:
+                out.append(("due", due))
+            case ("pulse",):
                 due = now + opt["scale_every"]
                 if bk.get(book, "config"):
                     name(now)
+                out.append(("due", due))
--- a/silverglade/shards/owner.py
+++ b/silverglade/shards/owner.py
@@ -4,7 +4,7 @@
 
 from ..config import digest
 from ..control import book as bk
-from ..part import ZERO, log, post, send, span
+from ..part import IDLE, ZERO, log, post, send, span
 from ..rank import ranked
 from ..replicas.elect import elect
 from ..replicas.registry import ADDR, INC, S_STATE, ZONE, evacuated
@@ -328,6 +328,8 @@
                     sh.doubt()
             case ("pulse",):
                 pulse(now)
+                if not todo:
+                    out.append(("due", turn if shards or budget.log else IDLE))
             case ("msg", frm, ("ask", str(oid), int(n), str(tenant), int(e), (str(), str(), str(), int(), *_) as facts)):
                 ask(now, frm, oid, n, tenant, e, facts)
             case ("msg", frm, ("leased", str(lid), str(rid), int(e))):
--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -149,7 +149,7 @@
             born = last = due = now
         match ev:
             case ("pulse",):
-                if now - last > opt["late"]:     # frozen: what was not heard says nothing
+                if now - max(last, due) > opt["late"]:     # frozen: what was not heard says nothing
                     born = now
                     for d in (asked, alive, probed):
                         d.update(dict.fromkeys(d, now))
@@ -182,6 +182,8 @@
                 elif probed:
                     dead = deaths(now, recs())
                 move(now)
+                if not probed and not stirred:
+                    out.append(("due", due))
             case ("msg", frm, ("told", rows)):
                 new = [r for r in rows if fit(r) and t.take(r[:5], now)]
                 stirred |= bool(new)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -321,3 +321,10 @@
     a = (("model", 3, 1.0, 4.0, 0.1, True),)
     assert not differs("parts", a, (("model", 3, 1.0, 4.4, 0.1, True),))
     assert differs("parts", a, (("model", 4, 1.3, 4.0, 0.1, True),)) and span(1) > ZERO
+
+
+def test_an_idle_daemon_is_woken_for_what_is_due_alone(monkeypatch):
+    assert measure(daemons=12, secs=5)["woken_edge"] < 18
+    without(monkeypatch, "silverglade.shards.owner", 'out.append(("due", turn if shards or budget.log else IDLE))', "pass",
+            "silverglade.hub.owner")
+    assert measure(daemons=12, secs=5)["woken_edge"] > 25
