--- a/silverglade/check.py
+++ b/silverglade/check.py
@@ -93,8 +93,10 @@
 
 
 def named(kind, *, default=MISSING, least=0):
-    """A dictionary from names to values of one kind."""
+    """A dictionary from names to values of one kind; none where none is the default, so that what was checked passes again."""
     def f(v, p, bad):
+        if v is None and default is None:
+            return None
         if not isinstance(v, dict):
             bad.append((p, "wants a table"))
             return v
@@ -109,6 +111,8 @@
 
 def table(spec, *, default=MISSING):
     def f(v, p, bad):
+        if v is None and default is None:
+            return None
         if not isinstance(v, dict):
             bad.append((p, "wants a table"))
             return v
--- a/silverglade/config.py
+++ b/silverglade/config.py
@@ -2,7 +2,6 @@
 from hashlib import blake2b
 
 from . import check as c
-from .check import Kind
 
 CLASS = c.table({
     "kind": c.text(default="model"),
@@ -35,7 +34,7 @@
     "resumable": c.flag(default=False),
     "shares": c.each(c.table({"service": c.text(), "weight": c.number()}), least=1),
 })
-LIMITS = c.table({
+LIMITS = c.table(default=None, spec={
     "header_bytes": c.whole(default=16384, least=256, most=1 << 20),
     "body_bytes": c.whole(default=4 * 1024 * 1024, most=64 * 1024 * 1024),
     "header_ms": c.whole(default=5000, least=1),
@@ -45,7 +44,7 @@
     "number": c.whole(default=0),           # the operator's own version; 0: told apart by control's alone
     "routes": c.each(ROUTE, default=()),
     "services": c.named(SERVICE, default=None),
-    "limits": Kind(LIMITS.fn, default=None),
+    "limits": LIMITS,
     "zones": c.named(c.table({
         "region": c.text(),
         "least": c.whole(default=1, least=0, most=10000),
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -16,6 +16,7 @@
 SECOND = timedelta(seconds=1)
 MEMBER = timedelta(seconds=60)           # a daemon that was known lately counts, also dead or cut off
 UNSENT = 4                               # replicas that could not be reached, for one try of a client
+FEWEST = 3                               # daemons, for shares: one that knows nobody yet is not alone
 EARLY = span(15)                         # what is left of a deadline for the way back
 
 
@@ -40,7 +41,7 @@
 def forward(*, me, region, opt):
     """Events and effects: design 15.3. Generator; see part.py."""
     tab, cfg, evac, reqs, reps = {}, None, frozenset(), {}, {}
-    peers, members, edges, out, short = 1, {}, 1, [], frozenset()
+    peers, members, edges, out, short = 1, {}, FEWEST, [], frozenset()
     budget, cold, listed, told, clock = Budget(opt=opt), Cold(opt=opt), False, False, ZERO
 
     def answer(q, status, wait, code):
@@ -281,6 +282,6 @@
                     out.append(("post", "roster", ("extra", "serves", True)))
                 for i in [i for i, t in members.items() if now - t > MEMBER]:
                     del members[i]
-                edges = max(len(members), 1)
+                edges = max(len(members), FEWEST)
                 for q in [q for q in reqs.values() if now >= q.due and not q.live]:
                     stop(q, 504, None, 804)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -114,6 +114,12 @@
     assert got["services"]["s"]["slots"] == 64 and got["services"]["s"]["cold_ms"] == 3000 and got["limits"]["header_ms"] == 3000
 
 
+def test_what_was_checked_passes_again():
+    for raw in (faces.configuration(CONFIG, ZONES), dict(zones={"z": {"region": "g"}}, tenants={})):
+        got, bad = config.checked(raw)
+        assert not bad and config.checked(got) == (got, ())
+
+
 @pytest.mark.parametrize("change", [
     lambda c: c["routes"][0].update(weighted=[{"target": "none", "share": 1}]),
     lambda c: c["routes"][1].update(target="none"),
