--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -49,6 +49,7 @@
         self.d, self.dialect = daemon, dialect
         self.pool = pool or Pool(local=local)
         self.limits, self.asks, self.n = Limits(), {}, 0
+        self.words = set()                 # of silence, on their way to the part
         self.live, self.timer = {}, None   # ask -> (n, try, connection, when silence is told)
 
     def act(self, e):
@@ -112,7 +113,8 @@
             most = (t.pause if a.started and t.pause else t.patience) / SECOND
             if now - max(since, c.tcp.heard, c.tcp.peer[0]) > most:
                 row[3] = now
-                self.d.group.start_soon(self.tell, a, n, "silent", a.last)
+                self.words.add(w := asyncio.ensure_future(self.tell(a, n, "silent", a.last)))
+                w.add_done_callback(self.words.discard)
         if self.live:
             self.timer = asyncio.get_running_loop().call_later(LOOK, self.look)
 
--- a/silverglade/daemon/upstream.py
+++ b/silverglade/daemon/upstream.py
@@ -49,6 +49,7 @@
         self.ended, self.why, self.waits, self.held = False, None, None, False
         self.wrote, self.mute, self.idle = False, False, None
         self.t = self.pause = None                   # pause: awaited before more is read
+        self.heard, self.peer = 0.0, [0.0]           # when bytes came last: here, from this replica at all
         self.trip = 0.0                              # seconds that it took to come up: there and back once
 
     def begin(self):
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -150,7 +150,7 @@
                 end(q)
             case "unsent":
                 q.sent -= 1                      # nothing of it arrived
-                if r:
+                if r and more[:1] != ("pool-full",):     # that is this daemon's own bound
                     r.failed(now)
                 go(q, now)
             case "not-run":
--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -82,7 +82,7 @@
                 sure = sure or opt["trust"] or age >= 0 and f >= born
                 if not sure:                     # an earlier life may have held newer: wait for proof
                     due = now + opt["pulse"]
-                    if age < 0 or age > ms(opt["alone"]) / 2:
+                    if age < 0 or age > ms(opt["aged"]):
                         bad[frm] = now + opt["settle"]
                     continue
                 new = [i for i in items if i[1] > book.get(i[0], (bk.START,))[0]]
@@ -98,8 +98,8 @@
                 if age >= 0 and (fresh is None or f > fresh):
                     fresh = f
                     out.append(("cast", ("fresh", fresh)))
-                if age < 0 or age > ms(opt["alone"]) / 2:
-                    bad[frm] = now + opt["settle"]   # its proof is old: perhaps another's is not
+                if age < 0 or age > ms(opt["aged"]):
+                    bad[frm] = now + opt["aged"]     # its proof is old: perhaps another's is not
 
 
 def keeper(*, cores, opt):
--- a/tests/test_forwarding_ends.py
+++ b/tests/test_forwarding_ends.py
@@ -1,10 +1,12 @@
 """How a forwarded request ends (design 15.3): the client, the part or the daemon has its word, over real sockets."""
 import asyncio
 import random
+from datetime import timedelta
+from types import SimpleNamespace
 
 from silverglade.daemon import forwarding, upstream
 
-from .scripted import answer, chunk, event, one, scene, stream
+from .scripted import Daemon, answer, chunk, event, one, scene, stream
 from .test_events import cuts, text, whole
 from .test_forwarding import ask, rep_asked, says
 
@@ -186,3 +188,76 @@
             assert whole(raw) == b""
             continue
         assert got[2] == whole(raw) and got[3] == (ended and whole(raw) == raw)
+
+
+SHORT = timedelta(milliseconds=30)
+
+
+def patient(addr, **kw):
+    """Goes on elsewhere when a replica is silent."""
+    def feed(ev):
+        match ev:
+            case ("request", rid, _):
+                return (("try", rid, 1, one(addr[0], **kw)),)
+            case ("tried", rid, 1, "silent", last):
+                return (("try", rid, 2, one(addr[0], resume=last is not None, last_event=last)),)
+    return feed
+
+
+def test_silence_in_a_stream_is_told_with_its_last_event_and_it_goes_on_elsewhere():
+    async def script(c):
+        await c.request()
+        if c.n == 0:
+            await c.say(stream("a1", event(1), event(2), last=False))
+            return await c.closed()
+        await c.say(stream("a1", event(2), event(3)))
+    got, d, rep = scene(script, ask, part=lambda addr: patient(addr, patience=60 * SHORT, pause=SHORT))
+    assert got[2] == (event(1) + event(2) + event(3)).encode() and got[3]
+    assert (1, "silent", "2") in d.words() and b"last-event-id: 2" in rep.raw[1].lower()
+
+
+def test_silence_before_the_head_is_told():
+    async def script(c):
+        await c.request()
+        if c.n == 0:
+            return await c.closed()
+        await c.say(answer("a1", "late"))
+    got, d, _ = scene(script, ask, part=lambda addr: patient(addr, patience=SHORT))
+    assert got[0] == 200 and (1, "silent", None) in d.words()
+
+
+class Stands(SimpleNamespace):
+    __hash__ = object.__hash__
+
+
+def test_silence_is_told_only_where_it_was_asked_for_and_only_of_a_replica_that_says_nothing_to_anybody(monkeypatch):
+    async def go():
+        d = Daemon(lambda ev: ())
+        now = [100.0]
+        monkeypatch.setattr(forwarding.time, "monotonic", lambda: now[0])
+
+        def row(patience, *, pause=None, started=False):
+            a = Stands(rid="r1", started=started, last=None)
+            tcp = SimpleNamespace(heard=0.0, peer=peer)
+            d.shell.listen(a, 1, SimpleNamespace(patience=patience, pause=pause), SimpleNamespace(tcp=tcp))
+            return a
+        peer = [0.0]
+        quiet, other = row(SHORT), row(None)
+        stream = row(SHORT * 100, pause=SHORT, started=True)
+        assert quiet in d.shell.live and other not in d.shell.live
+        now[0] += 0.02
+        d.shell.look()
+        assert not d.shell.words                      # not long enough
+        now[0], peer[0] = 100.1, 100.09
+        d.shell.look()
+        assert not d.shell.words                      # bytes came on another connection
+        now[0] = 100.2
+        d.shell.look()
+        assert len(d.shell.words) == 2                # the quiet one, and the stream by its own measure
+        d.shell.look()
+        assert len(d.shell.words) == 2                # told once, until as long has gone by again
+        await asyncio.gather(*d.shell.words)
+        del d.shell.live[quiet], d.shell.live[stream]
+        d.shell.timer.cancel()
+        assert [e[3] for e in d.told] == ["silent", "silent"]
+    asyncio.run(go())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -42,6 +42,7 @@
 regions = 1
 [bounds]
 grace_s = 8
+apply_ms = 3000
 ttl_max_s = 5
 retry_ratio = 0.2
 retry_window_s = 10
