--- a/silverglade/forward/choose.py
+++ b/silverglade/forward/choose.py
@@ -41,7 +41,7 @@
 def pick(reps, *, now, region, prefix=(), by_prefix=False, short=frozenset(), peers=1, weight=1.0, may=lambda r: True):
     """The replica that gets it, or None; `may` bounds what cold ones get, and counts it."""
     out = []
-    for rs in regions([r for r in reps if now >= r.shy] or reps, region=region, short=short, peers=peers):
+    for rs in regions([r for r in reps if r.fit(now)] or reps, region=region, short=short, peers=peers):
         key = shared(prefix) if by_prefix else ""
         if key:
             by = {r.id: r for r in rs}
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -59,8 +59,8 @@
             r.work = max(0.0, r.work - q.weight) if r.tries else 0.0
 
     def patience(q):
-        """How long a replica may say nothing to anybody before what may be repeated goes to another (15.3)."""
-        return span(max(250, 0.8 * q.route["aim_ms"] + (q.f["tokens"] or (0, 0))[0] / 20)) if q.again else None
+        """How long a replica may say nothing to anybody before others go first, and what may be repeated leaves it (15.3)."""
+        return span(max(250, 0.8 * q.route["aim_ms"] + (q.f["tokens"] or (0, 0))[0] / 20))
 
     def weigh(f):
         """Work in tokens: reading a prompt costs less a token than making an answer (design 15.5)."""
@@ -117,7 +117,7 @@
             replica=r.id, addr=r.addr, service=q.service, expect=True, urgency=min(9, 4 + q.route["rank"]),
             deadline_ms=ms(left), last_event=q.last, resume=q.begun,
             connect=opt["connect_near"] if r.region == region else opt["connect_wait"],
-            patience=patience(q), pause=span(max(250, 0.6 * q.route["gap_ms"])) if q.again and q.route["gap_ms"] else None,
+            patience=patience(q), pause=span(max(250, 0.6 * q.route["gap_ms"])) if q.route["gap_ms"] else None,
             cap=max(1, s["conns"] // max(1, edges)),
             stream=q.route["kind"] == "streaming")))
 
@@ -223,9 +223,8 @@
     def on_loads(loads):
         for i, (active, queued, _) in loads.items():
             r = reps.get(i)
-            if r and (active, queued) != (r.active, r.queued):
-                if active < 0:                   # its prober got no answer
-                    r.shy = max(r.shy, clock + rp.HOLD_OFF)
+            if r:
+                r.dark = active < 0              # its prober got no answer
                 r.active, r.queued = max(0, active), max(0, queued)
 
     def on_book(b, now):
--- a/silverglade/forward/replicas.py
+++ b/silverglade/forward/replicas.py
@@ -20,13 +20,13 @@
     """One life of a replica: what the list says, and what its answers to this daemon have shown."""
 
     __slots__ = ("id", "addr", "zone", "region", "service", "slots", "leaving", "cold", "tries", "work",
-                 "shy", "fails", "heard", "active", "queued", "asked", "seen", "gone", "probed")
+                 "shy", "dark", "fails", "heard", "active", "queued", "asked", "seen", "gone", "probed")
 
     def __init__(self, rec, now):
         (self.id, self.addr, self.zone, self.region, self.service, self.slots, self.leaving) = rec[:COLD_MS]
         self.cold = now + span(rec[COLD_MS])     # until then it bears little
         self.tries, self.work = {}, 0.0          # (rid, n) -> when sent; work of those in tokens
-        self.shy, self.fails = ZERO, 0           # passed over until then; failures on end
+        self.shy, self.dark, self.fails = ZERO, False, 0     # passed over until then, while its prober hears nothing; failures on end
         self.heard = self.asked = self.probed = now
         self.active, self.queued, self.seen, self.gone = 0, 0, now, None
 
@@ -41,5 +41,9 @@
         self.fails += 1
         self.shy = now + min(HOLD_MOST, HOLD_OFF * 2 ** min(self.fails - 1, 4))
 
+    def fit(self, now):
+        """Does nothing speak against it? After failures one request at a time tries it again."""
+        return now >= self.shy and not self.dark and not (self.fails and self.tries)
+
     def worked(self, now):
         self.fails, self.shy, self.heard = 0, ZERO, now
