--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -66,6 +66,8 @@
                     f.rules.ran(now, a, run=run, rep=self.id, service=self.service, seal=seal(run, a), plain=bool(self.spec.work),
                                 stride=self.spec.stride, last=int(trip.t["last_event"] or 0), touch=f.touch(trip.conn.c.n))
                     continue
+                case ("refuse", _, status, _):
+                    f.rules.turned(a, status)
                 case ("head", _, status, _) if status != 200:
                     trip.fail = status
                 case ("body", _, data) if getattr(trip, "fail", None):
--- a/silverglade/rehearsal/rules.py
+++ b/silverglade/rehearsal/rules.py
@@ -61,6 +61,7 @@
         self.cold = defaultdict(deque)    # replica -> (sent, arrived) of a second
         self.left, self.emptied, self.down = {}, [], []       # replica -> when listed as leaving; zones; list out of order
         self.floor = {}                   # daemon's life -> (number seen in effect, since when)
+        self.said = defaultdict(list)     # attempt -> failures and refusals of its replicas
         self.broke = set()                # attempts whose replica broke off
         self.denied = 0
 
@@ -124,8 +125,8 @@
             if own and g["status"] < 500 and g["status"] not in PROMISES and all(
                     self.laws.allows(p, s.host, s.path) for p in self.laws.sound()):
                 self.denied += 1
-            if not own and g["body"] not in [self.runs[r].get("said") for r in self.by[attempt]]:
-                self.bad(now, "MIXED", attempt, "a failure's body changed", g["status"], g["body"][:60])
+            if not own and (g["status"], g["body"]) not in self.said[attempt]:
+                self.bad(now, "MIXED", attempt, "no failure of its replicas", g["status"], g["body"][:60])
             return None
         if s.stream and not any(self.runs[r]["plain"] for r in self.by[attempt]):
             return self.complete(now, g, s)
@@ -189,7 +190,12 @@
 
     def failed(self, attempt, run, status, said):
         """A run ended as a failure of the replica's own."""
-        self.runs[run].update(status=status, said=said)
+        self.runs[run]["status"] = status
+        self.said[attempt].append((status, said))
+
+    def turned(self, attempt, status, said=b""):
+        """A replica said that it did not run it."""
+        self.said[attempt].append((status, said))
 
     # operators
     def put(self, now, cfg, *, base, valid=True, number=None):
