--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -244,7 +244,7 @@
 
     def start(self, status, seal, wait=None):
         self.started, self.status, self.wait = True, status, wait
-        self.later(self.f.rules.head, status, seal)
+        self.later(self.f.rules.head, status, seal, touch=self.f.touch(self.node))
 
     def event(self, n, data):
         self.later(self.f.rules.event, n, data)
--- a/silverglade/rehearsal/rules.py
+++ b/silverglade/rehearsal/rules.py
@@ -74,7 +74,7 @@
         self.got[s.attempt] = dict(status=None, seal=None, events=[], body=b"", ended=None)
         self.asks[s.service].append(s.at)
 
-    def head(self, now, attempt, status, seal):
+    def head(self, now, attempt, status, seal, touch=True):
         g, s = self.got.get(attempt), self.sent.get(attempt)
         if g is None or g["status"] is not None:
             return self.bad(now, "MIXED", attempt, "an answer that nobody waits for", status)
@@ -84,7 +84,7 @@
         if status in PROMISES and not s.again and self.by[attempt]:
             self.bad(now, "REFUSED", attempt, status, *self.by[attempt])
         if status == 404:
-            self.handled(now, s, None, touch=True)
+            self.handled(now, s, None, touch=touch)
         return None
 
     def seals(self, attempt):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -291,6 +291,14 @@
     p.own(404)
 
 
+@breach("CONFIG")
+def route_missed_by_one_in_touch(p, good):
+    p.put(cfg(2, ("/r/", "s"), ("/q/", "s")), base=1, ok=True)
+    p.later(9)
+    p.ask(path="/q/x")
+    p.r.head(p.now, "a", 404, None, touch=not good)
+
+
 @breach("CONFIG")
 def went_back(p, good):
     p.put(cfg(2, ("/r/", "t")), base=1, ok=None)
