--- a/silverglade/rehearsal/callers.py
+++ b/silverglade/rehearsal/callers.py
@@ -21,7 +21,7 @@
     def __init__(self, *, town="navrang", seed=1, pace=1.0, opt=None, bounds=BOUNDS, loss=0.0):
         self.t = SITES[town](seed)
         self.w = World(seed=seed, daemons=self.t["daemons"], config=self.t["config"], delay_ms=self.t["delay"],
-                       replicas=(), opt=opt or tuning(), loss=loss)
+                       replicas=(), opt=opt or tuning(), loss=loss, fronts=True)
         self.f = Field(world=self.w, seats=self.t["seats"], bounds=bounds)
         self.r, self.rng, self.pace, self.open = self.f.rules, random.Random(f"clients/{seed}"), pace, True
         self.n, self.number, self.taken, self.raws = 0, 0, [], {}
--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -10,6 +10,7 @@
 from .engine import Engine
 from .rules import Rules, seal
 
+TTL = 2 * SEC                             # how long clients hold on to where to go
 LIST = "platform"                         # the place where the list is, for links that are cut
 LAG = 0.8 * SEC                           # how far the list of replicas trails
 PATIENCE = 0.2 * SEC                      # a client waits a little longer than it says
@@ -108,13 +109,15 @@
         self.couriers, self.seats, self.lives, self.addrs = {}, {}, 0, {}
         self.mode, self.forgets, self.history = "", 0.0, []        # mode of the list: "", slow, part, down, busy
         self.busy, self.planned = [], set()                        # places in trouble now, see faults; those by plan
-        self.shed, self.unrest = set(), ZERO                       # daemons out of the registry; the last unplanned trouble
+        self.unrest, self.known = ZERO, {}                         # the last unplanned trouble; zone -> daemons its clients know
         world.field = self
         for r in seats:
             self.start(r, warm=True)
         for n in world.nodes.values():
             self.boot(n)
         self.glance()
+        for z in world.region:
+            self.resolve(z)
 
     # replicas
     def start(self, row, *, warm=False, addr=None):
@@ -191,7 +194,6 @@
     # daemons
     def boot(self, n):
         c = self.couriers[n.name] = Courier(self, n)
-        self.shed.discard(n.name)
         self.w.after(timedelta(milliseconds=self.w.rng.randrange(20, 300)), self.read, c)
 
     def died(self, n):
@@ -217,11 +219,29 @@
         return (n.hub is not None and n.steady(self.w.now - self.rules.b.contact)
                 and all(p in self.w.nodes and not self.w.nodes[p].core and p != n.name for p in self.busy))
 
+    # the registry
+    def resolve(self, zone, turn=0):
+        """Clients of a zone ask where to go: near cores first, each has a second; what they know they keep."""
+        if turn == 0:
+            self.w.after(TTL, self.resolve, zone)
+        cores = sorted((n for n in self.w.nodes.values() if n.core), key=lambda n: (n.zone != zone, n.name))
+        if turn >= min(3, len(cores)):
+            return
+        done = []
+
+        def got(code, kw):
+            if not done:
+                done.append(1)
+                if code == 100 and kw.get("fronts"):
+                    self.known[zone] = tuple(kw["fronts"])
+                else:
+                    self.resolve(zone, turn + 1)
+        self.w.after(SEC, lambda: got(0, {}))
+        self.w.call(cores[turn].name, "fronts", (self.w.region[zone], zone), got)
+
     def fronts(self, zone):
-        """Daemons that a client of this zone is told of."""
-        up = [n for n in self.w.nodes.values() if not n.core and n.hub is not None and n.name not in self.shed]
-        near = [n for n in up if n.zone == zone]
-        return near if len(near) > 1 else [n for n in up if n.region == self.w.region[zone]] or up
+        """Daemons that a client of this zone may choose from: it passes over those that take no connection."""
+        return [n for n in map(self.w.nodes.get, self.known.get(zone, ())) if n.hub is not None]
 
 
 class Way:
--- a/silverglade/rehearsal/mishaps.py
+++ b/silverglade/rehearsal/mishaps.py
@@ -113,8 +113,8 @@
         self.planned.add(name)
         life, asked = n.life, self.w.now
         n.feed(("drain",))
+        n.feed(("state", "leaving"))
         self.w.note("term", name)
-        self.later(self.rng.uniform(0.5, 3), self.f.shed.add, name)
 
         def look():
             if n.life != life or n.hub is None:
@@ -123,6 +123,7 @@
             if not late and (c.ways or self.w.now - asked < secs(5)):
                 return self.w.after(100 * MS, look)
             self.f.rules.broke |= {w.sent.attempt for w in c.ways.values() if w.trip and w.trip.run}
+            n.feed(("state", "left"))
             n.kill()
             return self.later(0.5, self.back, name)
         look()
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -64,7 +64,8 @@
         self.hub = Hub(me=self.name, life=self.life, zone=self.zone, region=self.region, addr=self.addr,
                        http=self.http, seeds=w.seeds, cores=w.cores, opt=w.opt,
                        rng=random.Random(w.rng.getrandbits(64)),
-                       disk=self.disk.id if self.disk else "", saved=saved)
+                       disk=self.disk.id if self.disk else "", saved=saved,
+                       front=self.name if w.fronts and not self.core else "")
         self.frozen, self.held, self.since = None, [], w.now
         w.after(span(w.rng.randrange(50)), self.pulse, self.life)
         w.note("boot", self.name)
@@ -116,10 +117,11 @@
 
 
 class World:
-    def __init__(self, *, seed, daemons, config, delay_ms, replicas, opt=None, loss=0.0):
+    def __init__(self, *, seed, daemons, config, delay_ms, replicas, opt=None, loss=0.0, fronts=False):
         """daemons: (name, zone, region, core); replicas: keyword tables for Replica."""
         self.rng, self.seed, self.now, self.heap, self.num = random.Random(seed), seed, ZERO, [], 0
         self.opt, self.loss, self.rate = opt or tuning(), loss, 20e6      # bytes a second, for what is bulky
+        self.fronts = fronts                     # do edge daemons take requests to be forwarded (15)?
         self.cores = tuple(d[0] for d in daemons if d[3])
         self.nodes = {d[0]: Node(world=self, name=d[0], zone=d[1], region=d[2], core=d[3], n=i + 1)
                       for i, d in enumerate(daemons)}
