--- a/silverglade/rehearsal/callers.py
+++ b/silverglade/rehearsal/callers.py
@@ -250,14 +250,14 @@
                     s.said(s.e.wake(w.now))
             if not [s for s in now if s.leaves is None]:
                 f.start(row)
-        for z in sorted(w.region):
-            self.empty(z, False)
+        for z in sorted(w.region):                       # an evacuation holds until it is taken back, through any loss
+            w.after(15 * SEC, self.empty, z, False)
 
     def finish(self, before=None):
         w = self.w
         self.peace()
         back = w.now
-        w.run(12 + 10)
+        w.run(12 + 12)
         if before:
             self.r.recover(w.now - 4 * SEC, before=before, back=back)
         self.open = False
--- a/silverglade/rehearsal/mishaps.py
+++ b/silverglade/rehearsal/mishaps.py
@@ -210,22 +210,39 @@
 
     # operators
     def ack_then_power(self):
-        p, n = self.primary(), len(self.s.taken)
-        if not p:
-            return
+        p = self.primary()
+
+        def lose():
+            if self.rng.random() < 0.5:
+                self.kill(p)
+            elif self.w.nodes[p].hub is not None and self.take(p, bare=True):
+                self.w.empty_disk(p)
+                self.later(self.rng.uniform(0.2, 4), self.back, p)
+        if p:
+            self.acknowledged(lose)
+
+    def acknowledged(self, then):
+        """A change is sent; in the moment of its acknowledgement something happens."""
+        n = len(self.s.taken)
         self.s.change()
 
-        def watch(k=200):
+        def watch(k=400):
             if len(self.s.taken) > n:
-                if self.rng.random() < 0.5:
-                    self.kill(p)
-                elif self.w.nodes[p].hub is not None and self.take(p, bare=True):
-                    self.w.empty_disk(p)
-                    self.later(self.rng.uniform(0.2, 4), self.back, p)
+                then()
             elif k:
                 self.w.after(5 * MS, watch, k - 1)
         watch()
 
+    def closing(self):
+        """Just acknowledged, all lose power, and one core its disk."""
+        def lose():
+            if not self.busy:
+                if self.rng.random() < 0.7 and self.w.now >= self.bare:
+                    self.bare = self.w.now + secs(20)
+                    self.w.empty_disk(self.rng.choice(self.w.cores))
+                self.blackout()
+        self.acknowledged(lose)
+
     def change(self):
         self.s.change()
 
@@ -277,8 +294,9 @@
 ALL = ("kill", "kill_holder", "kill_primary", "empty_disk", "ack_then_power", "freeze", "disk", "cut_machine", "cut_region",
        "cut_cores", "cut_replicas", "lose_region", "sleep", "blackout", "jump", "term", "roll_term", "crash", "crash", "dark",
        "dark", "release", "scale_in", "cold_return", "spoil", "spoil", "forget", "listing", "race", "quick", "change", "change",
-       "large", "invalid", "evacuate", "evacuate", "lose_emptied", "burst", "shift", "swing")
-LAST = ("blackout", "kill_primary", "lose_region", "sleep", "cut_cores", "freeze", "empty_disk", "disk", "cut_region")
+       "large", "invalid", "closing", "evacuate", "evacuate", "lose_emptied", "burst", "shift", "swing")
+LAST = ("closing", "closing", "closing", "blackout",
+        "kill_primary", "lose_region", "sleep", "cut_cores", "freeze", "empty_disk", "disk", "cut_region")
 
 
 def run(*, town, seed, kinds=ALL, secs_=40, gap=2.0, most=0, **scene):
