--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -1,36 +1,40 @@
-"""A core's control part (design 5): witness, primary or backup, and the third.
+"""A core's control part (design 5): witness, primary or backup.
 
-Safety rests on four rules: a change is answered only when both members of the view have
+Safety rests on four rules: a change is answered only when all members of the view have
 synced it; a member seals its epoch on disk before it copies its store for a new view; the
-register lets one proposal of an epoch win; a new primary opens only after its backup has
+register lets one proposal of an epoch win; a new primary opens only after its backups have
 synced the whole store under the new epoch.
 """
 from ..part import ZERO, log, ms, send, span
 from . import book as bk
+from . import plan as pl
 from . import register as rg
+from .heartbeat import Peers
+from .heartbeat import sound as sound_hb
 from .seek import seeker
 
-HB = (tuple, object, tuple, bool, str, int, bool, int, int, int)
 
+def core(*, me, disk, cores, saved, opt, rng, place=("", ""), tolerance=(1, 1, 1), first=True):
+    """saved: tables "meta" and "book" as last synced. Generator; see part.py.
 
-def sound_hb(m):
-    return (len(m) == len(HB) and all(t is object or type(x) is t for x, t in zip(m, HB))
-            and rg.sound_ballot(m[0]) and rg.sound(m[1]) and bk.sound_version(m[2]))
-
-
-def core(*, me, disk, cores, saved, opt, rng):
-    """saved: tables "meta" and "book" as last synced. Generator; see part.py."""
+    cores: those that form the first view; others are met by the roll and by their heartbeats.
+    """
     meta, store = dict(saved.get("meta", {})), dict(saved.get("book", {}))
-    reg = meta.get("reg") or rg.blank()
-    vb, view = meta.get("view") or (rg.NONE, None)
+    reg = rg.read(meta)
+    view = reg["base"]                # the newest view known to be chosen
     sealed, recruited = meta.get("sealed", 0), meta.get("recruited", 0)
     served = meta.get("served", 0)    # the epoch whose opening copy this store began from
+    may_form = me in cores and (first or meta.get("first", False))
     book, shown = {}, bk.START        # what may be told to others
-    others = tuple(c for c in cores if c != me)
-    peer, wait, ops, asks, out = {}, {}, [], [], []
-    tok, fit, opened, fresh, due, probe = 0, True, 0, None, None, ZERO
+    peers, places, seen = Peers(opt=opt), {me: place}, set()
+    wait, ops, asks, out, proof, told = {}, [], [], [], {}, {}
+    tok, fit, opened, fresh, due, probe, awake = 0, True, 0, None, None, ZERO, ZERO
     pend = snap = None                # the change in flight; the copy in flight
-    seek, snapok = None, {}
+    whole_ok, wish = True, None       # is the store on disk as held; (since, a better view)
+    seek, snapok, given = None, {}, set()
+
+    def others():
+        return sorted(({*cores, *rg.disks(view)} | seen) - {me})
 
     def write(todo, then, now):
         nonlocal tok
@@ -47,35 +51,53 @@
     def is_primary():
         return view is not None and view[1] == me and rg.disks(view).get(me) == disk
 
-    def adopt(b, v, now):
+    def is_backup():
+        return view is not None and me in view[2] and rg.disks(view).get(me) == disk
+
+    def adopt(v, now):
         """Take a chosen view; lower epochs are refused from here on."""
-        nonlocal vb, view, pend, snap, opened, reg, seek
+        nonlocal view, snap, opened, reg, seek, wish, due, awake
         if rg.epoch(v) <= rg.epoch(view):
             return
-        vb, view = b, v
-        if b > reg["ballot"]:
-            reg = dict(promised=max(reg["promised"], b), ballot=b, view=v)
-        out.append(log("view", epoch=v[0], primary=v[1], backup=v[2]))
-        out.append(("post", "roster", ("extra", "view", (v[0], v[1], v[2]))))
-        write(keep(view=(vb, view), reg=reg), None, now)
-        seek, snap, opened = None, None, 0
+        reg = rg.based(reg, v)
+        view = reg["base"]
+        out.append(log("view", epoch=v[0], primary=v[1], backups=",".join(v[2])))
+        out.append(("post", "roster", ("extra", "view", (v[0], *rg.members(v)))))
+        write(keep(reg=reg), None, now)
+        seek, snap, opened, wish, due, awake = None, None, 0, None, now, now
         snapok.clear()
-        if not is_primary():
-            if pend and pend["cid"]:
-                answer(pend["cid"], ("unknown",))
-            pend = None
-            for cid, *_ in ops:
-                answer(cid, ("unknown",))
-            ops.clear()
+        proof.clear()
+        given.clear()
+        if is_primary():
+            rewrite(now)
+        else:
+            unsure()
+
+    def unsure():
+        """What waits may be settled under another view, or not."""
+        nonlocal pend
+        if pend:
+            answer(pend["cid"], ("unknown",))
+        pend = None
+        for cid, *_ in ops:
+            answer(cid, ("unknown",))
+        ops.clear()
+
+    def rewrite(now):
+        """A new primary's own store on disk, whole: an earlier write may have failed."""
+        nonlocal whole_ok
+        whole_ok, e = None, view[0]
+
+        def done(ok, now):
+            nonlocal whole_ok
+            if whole_ok is None and view[0] == e:
+                whole_ok = ok
+        write(whole(store), done, now)
 
     def answer(cid, res):
         if cid:
             out.append(send(cid[0], "opr", cid[1], res))
 
-    def up(c, now):
-        p = peer.get(c)
-        return bool(p and now - p["at"] <= opt["takeover"] and p["fit"])
-
     def show(items, v):
         nonlocal shown
         for k, iv, x in items:
@@ -86,20 +108,20 @@
         shown = max(shown, v)
 
     def commit(now):
-        """Both members have synced: show it, answer, tell the others."""
+        """All members have synced: show it, answer, tell the others."""
         nonlocal pend
         p, pend = pend, None
         if p["items"]:
             show(p["items"], p["at"])
-            tell = ("items", view[0], p["prev"], shown, p["items"])
-            out.extend(send(c, *tell) for c in others)
+            for c in others():                       # backups hold the items already
+                out.append(send(c, "items", view[0], p["prev"], shown, () if c in view[2] else p["items"]))
         answer(p["cid"], p["res"])
         serve(now)
 
     def begin(now):
         """Next op in line, one in flight (design 5.4)."""
         nonlocal pend
-        while ops and not pend and opened == view[0] > sealed:
+        while ops and not pend and opened == view[0] > sealed and whole_ok:
             cid, change, op, key = ops.pop(0)
             prev = bk.version(store)
             at = (view[0], prev[1] + 1 if prev[0] == view[0] else 1)
@@ -109,7 +131,7 @@
             else:
                 got = bk.decide(store, op, at)
             items = ()
-            if got[0] == "say":                  # told once the backup has confirmed it
+            if got[0] == "say":                  # told once the backups have confirmed it
                 got = ("ok", prev, got[1])
             if got[0] == "take":
                 items = tuple((k, at, x) for k, x in got[1])
@@ -117,25 +139,37 @@
                     items += (("change/" + change, at, (key, at)),)
                 got = ("ok", at)
             pend = dict(cid=cid, res=got, items=items, at=at if items else prev, prev=prev,
-                        mine=not items, n=rng.getrandbits(48))
+                        mine=not items, n=rng.getrandbits(48), done=set(), sent=now)
             if items:
                 p = pend
-                store.update({k: (v, x) for k, v, x in items})
-                gone = bk.pruned(store)
-                for k in gone:
-                    del store[k]
+                gone = take(items)
 
                 def synced(ok, now, p=p):
                     p["mine"] = ok
                     if pend is p and ok:
                         replicate()
-                write([("put", "book", k, (v, x)) for k, v, x in items]
-                      + [("del", "book", k) for k in gone], synced, now)
+                write_items(items, gone, synced, now)
             else:
                 replicate()
 
+    def take(items):
+        store.update({k: (v, x) for k, v, x in items})
+        gone = bk.pruned(store)
+        for k in gone:
+            del store[k]
+        return gone
+
+    def write_items(items, gone, then, now):
+        def done(ok, now):
+            nonlocal whole_ok
+            whole_ok = whole_ok and ok
+            then(ok, now)
+        write([("put", "book", k, (v, x)) for k, v, x in items] + [("del", "book", k) for k in gone], done, now)
+
     def replicate():
-        out.append(send(view[2], "repl", view[0], pend["n"], pend["prev"], pend["at"], pend["items"]))
+        for c in view[2]:
+            if c not in pend["done"]:
+                out.append(send(c, "repl", view[0], pend["n"], pend["prev"], pend["at"], pend["items"]))
 
     def serve(now):
         """Answer held asks that have news, or have been held long enough (design 5.7)."""
@@ -149,76 +183,113 @@
         return ms(now - fresh) if fresh is not None else -1
 
     def hb(c, now):
-        p, blank = peer.get(c), view is None and reg["view"] is None
-        out.append(send(c, "hb", vb, view, shown, fit, disk, sealed, blank, ms(now),
-                        p["stamp"] if p else -1, age(now)))
+        told[c] = now
+        out.append(send(c, "hb", rg.epoch(view), shown, fit, disk, sealed,
+                        view is None and reg["view"] is None and may_form, ms(now), peers.echo(c), age(now)))
 
     def beat(now):
-        for c in others:
-            hb(c, now)
-        if is_primary() and fit:
+        """To all from members, to members from the rest; who was told just now can wait."""
+        ms_ = rg.members(view)
+        near = me in ms_ or not any(peers.up(c, now) for c in ms_)
+        for c in others():
+            # a backup answers its primary at once; the primary tells the rest when its proof is new
+            late = is_backup() and c == view[1] or is_primary() and opened == view[0] and c not in view[2]
+            if (near or c in ms_) and now - told.get(c, -2 * opt["heartbeat"]) >= opt["heartbeat"] * (1.5 if late else 0.5):
+                hb(c, now)
+        if is_primary() and fit and sealed < view[0]:
             if opened != view[0]:
                 open_up(now)
-            elif pend and pend["mine"]:      # synced here first: the primary is never behind
+            elif pend and pend["mine"] and now - pend["sent"] >= opt["takeover"] / 2:
+                pend["sent"] = now               # synced here first: the primary is never behind
                 replicate()
 
     def open_up(now):
-        """The new primary's whole store, synced by its backup, before anything else."""
+        """The new primary's whole store, synced by itself and its backups, before anything else."""
         nonlocal snap
+        if whole_ok is False:
+            rewrite(now)
         if snap is None:
-            snap = rng.getrandbits(48)
-        out.append(send(view[2], "snap", view[0], snap, vb, view, tuple(sorted(
-            (k, v, x) for k, (v, x) in store.items()))))
-
-    def on_snap(frm, e, n, b, v, items, now):
-        nonlocal store, recruited, served
-        ok = e > rg.epoch(view) and e >= recruited
-        if v is not None and e == v[0] and v[1] == frm and v[2] == me:   # opens its view
-            if rg.disks(v).get(me) != disk or e < rg.epoch(view):
+            snap = (rng.getrandbits(48), now)
+        elif now - snap[1] < opt["takeover"] / 2:
+            return
+        snap = (snap[0], now)
+        items = tuple(sorted((k, v, x) for k, (v, x) in store.items()))
+        out.extend(send(c, "snap", view[0], snap[0], view, items) for c in view[2] if c not in given)
+
+    def opening(now):
+        """Open when all have synced the copy."""
+        nonlocal opened
+        if not (is_primary() and opened != view[0] > sealed and whole_ok and given >= set(view[2])):
+            return
+        opened = view[0]
+        out.append(log("primary-open", epoch=opened))
+        show([(k, v, x) for k, (v, x) in store.items()], bk.version(store))
+        if pend:                                 # now part of the synced store
+            commit(now)
+        for c in others():
+            hb(c, now)
+        serve(now)
+
+    def on_snap(frm, e, n, v, items, now):
+        nonlocal store, recruited, served, sealed, whole_ok
+        ok = v is None and e > rg.epoch(view) and e >= recruited
+        if v is not None and e == v[0] and v[1] == frm and me in v[2]:   # opens its view
+            if rg.disks(v).get(me) != disk or e < rg.epoch(view) or sealed >= e:
                 return
-            adopt(b, v, now)
+            adopt(v, now)
             ok = served != e or max((iv for _, iv, _ in items), default=bk.START) >= bk.version(store)
             served = e if ok else served        # a late copy never undoes synced changes
+        elif me in rg.members(view):            # a member recruited for a later view takes no more in this
+            sealed = max(sealed, rg.epoch(view)) if ok else sealed
         if not ok or not bk.sound(items):
             return
+        if v is None:
+            unsure()
         recruited, store = max(recruited, e), {k: (iv, x) for k, iv, x in items}
-        write(whole(store) + keep(recruited=recruited, served=served, view=(vb, view)),
-              lambda k, t: out.append(send(frm, "snapok", e, n, disk)) if k else None, now)
+
+        def done(good, now):
+            nonlocal whole_ok
+            whole_ok = good
+            if good:
+                out.append(send(frm, "snapok", e, n, disk))
+        write(whole(store) + keep(recruited=recruited, served=served, sealed=sealed, reg=reg), done, now)
 
     def on_repl(frm, e, n, prev, at, items, now):
-        if not (view and view[0] == e and view[1] == frm and view[2] == me and sealed < e
-                and rg.disks(view).get(me) == disk):
+        if not (is_backup() and view[0] == e and view[1] == frm and served == e and sealed < e):
             return
-        have = bk.version(store)
-        if have not in (prev, at):
+        if bk.version(store) not in (prev, at):
             return                      # the primary will copy afresh on its next opening
-        store.update({k: (v, x) for k, v, x in items})
-        gone = bk.pruned(store)                  # as its primary did
-        for k in gone:
-            del store[k]
-        write([("put", "book", k, (v, x)) for k, v, x in items] + [("del", "book", k) for k in gone]
-              or keep(last=n),
-              lambda k, t: out.append(send(frm, "repd", e, n)) if k else None, now)
+        if not items:                   # a question whether the view still holds
+            out.append(send(frm, "repd", e, n))
+            return
+        write_items(items, take(items), lambda k, t: out.append(send(frm, "repd", e, n)) if k else None, now)
 
     def on_hb(frm, m, now):
         nonlocal fresh
-        b, v, sh, ft, dk, sl, bl, stamp, echo, a = m
-        peer[frm] = dict(at=now, fit=ft, disk=dk, sealed=sl, blank=bl, stamp=stamp,
-                         epoch=rg.epoch(v))
-        if v and rg.epoch(v) > rg.epoch(view):
-            adopt(b, v, now)
-        if view and frm == view[1] and me == view[2]:
+        e, sh, _, _, sl, _, _, echo, a = m
+        peers.heard(frm, m, now)
+        seen.add(frm)
+        if e < rg.epoch(view):
+            out.append(send(frm, "view", view))
+        elif e > rg.epoch(view) and now - told.get(frm, ZERO) >= opt["beat"]:
+            hb(frm, now)                         # it will answer with its view
+        if is_backup() and frm == view[1]:
             hb(frm, now)                         # at once: the primary's proof that it still is
-        if not view or rg.epoch(v) != view[0] or echo < 0:
+        if not view or e != view[0] or echo < 0:
             return
-        if is_primary() and opened == view[0] and frm == view[2] and sl < view[0]:
-            fresh = max(fresh or ZERO, span(echo))
+        if is_primary() and opened == e and frm in view[2] and sl < e:
+            proof[frm] = max(proof.get(frm, ZERO), span(echo))
+            if len(proof) == len(view[2]):
+                fresh = max(fresh or ZERO, min(proof.values()))
+                for c in others():
+                    if c not in view[2] and now - told.get(c, ZERO) >= opt["heartbeat"] / 2:
+                        hb(c, now)
         if sh > shown:                           # what any core of this view shows was acknowledged
             out.append(send(frm, "pull", shown))
         elif a >= 0:
             fresh = max(fresh or ZERO, span(echo - a))
 
-    def witness(frm, b, now, new, ans):
+    def witness(frm, now, new, ans):
         nonlocal reg
         if new is reg:
             out.append(send(frm, *ans[:2], disk, *ans[2:]))
@@ -234,74 +305,83 @@
 
     def stuck(now):
         """Why a member should seek a new view, or None (design 5.4)."""
-        if not view or me not in rg.members(view) or not fit or rg.disks(view).get(me) != disk:
-            return None
-        o = view[2] if view[1] == me else view[1]
-        p = peer.get(o)
-        if not up(o, now):
-            return "silent"
-        if p["disk"] != rg.disks(view).get(o):
-            return "emptied"
-        if sealed >= view[0] or p["sealed"] >= view[0]:
-            return "sealed"
-        if view[1] == me and opened == view[0] and any(
-                up(c, now) and peer[c]["disk"] != rg.disks(view)[c] for c in others):
-            return "admit"
-        return None
+        bad = pl.why(me=me, disk=disk, view=view, peers=peers, sealed=sealed, fit=fit, now=now,
+                     torn=is_primary() and opened == view[0] and whole_ok is False,
+                     fair=now - awake > opt["takeover"])
+        return bad or ("better" if wish and now - wish[0] >= opt["settle"] else None)
+
+    def ponder(now):
+        """The primary of a view that works looks for a better spread (design 5.9)."""
+        nonlocal wish
+        new = None
+        if is_primary() and opened == view[0] and fit:
+            gone = {c for c in rg.disks(view) if c != me and peers.silent(c, now, awake, opt["core_forget"])}
+            here = pl.live(me=me, disk=disk, peers=peers, now=now, names=others(), t=opt["settle"])
+            calm = [c for c in rg.disks(view) if not peers.up(c, now)
+                    and not peers.silent(c, now, awake, opt["takeover"] * 2)]
+            new = None if calm else pl.better(me=me, view=view, here=here, gone=gone, places=places,
+                                              tolerance=tolerance)
+        if not new or not wish or wish[1] != new:
+            wish = new and (now, new)
 
     def plan(now):
-        """-> (basis, wanted view, recruit) or None."""
-        e = rg.epoch(view)
+        """-> (base, wanted view, recruits) or None."""
         if view is None:
             if reg["view"] is not None:          # a first forming broken off: complete it
-                return 0, reg["view"], None
-            if (me == min(cores) and reg["view"] is None
-                    and all(up(c, now) and peer[c]["blank"] for c in others)):
-                ds = tuple(sorted([(me, disk)] + [(c, peer[c]["disk"]) for c in others]))
-                return 0, (1, me, min(others), ds), None
-            return None
-        old = view[2] if view[1] == me else view[1]
-        third = next(c for c in others if c != old)
-        why = stuck(now)
-        pick = [c for c in ((old, third) if why in ("admit", "sealed") else (third, old)) if up(c, now)]
-        if not pick:
-            return None
-        ds = dict(rg.disks(view))
-        ds.update({c: peer[c]["disk"] for c in others if up(c, now)})
-        return e, (e + 1, me, pick[0], tuple(sorted(ds.items()))), pick[0]
+                return None, reg["view"], ()
+            new = may_form and pl.first(me=me, disk=disk, cores=cores, peers=peers, places=places,
+                                        tolerance=tolerance, now=now)
+            return (None, new, ()) if new else None
+        new = wish[1] if stuck(now) == "better" else pl.after(
+            me=me, view=view, places=places, tolerance=tolerance,
+            here=pl.live(me=me, disk=disk, peers=peers, now=now, names=others()))
+        return (view, new, new[2]) if new else None
+
+    def pulse(now):
+        nonlocal fit, probe, due, seek
+        slow = any(now - t > opt["disk_stall"] for t, _ in wait.values())
+        if slow and fit:
+            fit = False
+            out.append(log("disk-stalled"))
+        if not fit and not wait and now - probe > opt["disk_stall"]:
+            probe = now
+            write(keep(alive=ms(now)), None, now)
+        if now >= due:
+            due = now + opt["heartbeat"]
+            beat(now)
+            ponder(now)
+        if seek is None and (stuck(now) or view is None):
+            bad = stuck(now)                     # sealed by another: it seeks already
+            late = 0 if bad == "better" else rng.random() + (bad == "sealed" and sealed < rg.epoch(view))
+            seek = seeker(me=me, opt=opt, rng=rng, plan=plan, seal=seal, snapok=snapok,
+                          wait=opt["settle"] * late, copy=lambda: tuple(sorted(
+                              (k, v, x) for k, (v, x) in store.items())))
+            next(seek)
+        elif seek and view and not stuck(now):
+            seek = None
+        serve(now)
+        if seek:
+            seek.send((now, ("pulse",), reg["promised"], out))
 
     while True:
         now, ev = yield tuple(out)
         out = []
         if due is None:
-            due = now
+            due = awake = now
+            if may_form and view is None and not meta.get("first"):
+                write(keep(first=True), None, now)
             if view:                             # after a blackout nobody else says who is primary
-                out.append(("post", "roster", ("extra", "view", view[:3])))
+                out.append(("post", "roster", ("extra", "view", (view[0], *rg.members(view)))))
         match ev:
             case ("pulse",):
-                slow = any(now - t > opt["disk_stall"] for t, _ in wait.values())
-                if slow and fit:
-                    fit = False
-                    out.append(log("disk-stalled"))
-                if not fit and not wait and now - probe > opt["disk_stall"]:
-                    probe = now
-                    write(keep(alive=ms(now)), None, now)
-                if now >= due:
-                    due = now + opt["beat"]
-                    beat(now)
-                    if seek is None and (stuck(now) or view is None):
-                        seek = seeker(me=me, opt=opt, rng=rng, cores=cores, plan=plan,
-                                      seal=seal, snapok=snapok, copy=lambda: tuple(sorted(
-                                          (k, v, x) for k, (v, x) in store.items())))
-                        next(seek)
-                    elif seek and view and not stuck(now):
-                        seek = None
-                serve(now)
-                if seek:
-                    seek.send((now, ("pulse",), reg["promised"], out))
+                pulse(now)
+            case ("roll", r):
+                seen = {x[0] for x in r if x[8]} - {me}
+                places.update({x[0]: (x[4], x[5]) for x in r if x[8]})
             case ("froze",):
-                peer.clear()
-                fresh = None
+                peers.clear()
+                proof.clear()
+                fresh, awake = None, now
             case ("disk", ("control", n), ok, _):
                 t, then = wait.pop(n, (now, None))
                 if fit != ok and not (ok and wait):
@@ -309,37 +389,42 @@
                     out.append(log("disk-fit" if ok else "disk-fault"))
                 if then:
                     then(ok, now)
-            case ("msg", frm, ("hb", *m)) if frm in others and sound_hb(m):
+                opening(now)
+            case ("msg", frm, ("hb", *m)) if frm != me and sound_hb(m):
                 on_hb(frm, m, now)
-            case ("msg", frm, ("prep", b)) if frm in cores and rg.sound_ballot(b):
-                witness(frm, b, now, *rg.prepare(reg, b))
-            case ("msg", frm, ("acc", b, v)) if frm in cores and rg.sound_ballot(b) and rg.sound(v):
-                witness(frm, b, now, *rg.accept(reg, b, v))
-            case ("msg", frm, (("prom" | "accd" | "nack") as k, b, d, *r)) if frm in cores and seek:
+            case ("msg", frm, ("view", v)) if rg.sound(v):
+                adopt(v, now)
+            case ("msg", frm, ("prep", b)) if rg.sound_ballot(b) and b[1] == frm:
+                witness(frm, now, *rg.prepare(reg, b))
+            case ("msg", frm, ("acc", b, base, v)) if (
+                    rg.sound_ballot(b) and b[1] == frm and rg.sound(base) and v and rg.sound(v)):
+                adopt(base, now)
+                witness(frm, now, *rg.accept(reg, b, base, v))
+            case ("msg", frm, (("prom" | "accd" | "nack") as k, b, d, *r)) if seek:
                 seek.send((now, ("answer", frm, d, (k, b, *r)), reg["promised"], out))
-            case ("chosen", b, v):
-                adopt(b, v, now)
-            case ("msg", frm, ("snap", e, n, b, v, items)) if frm in others and rg.sound(v):
-                on_snap(frm, e, n, b, v, items, now)
-            case ("msg", frm, ("snapok", e, n, d)) if frm in others:
+            case ("chosen", v):
+                adopt(v, now)
+                out.extend(send(c, "view", v) for c in others())
+            case ("msg", frm, ("snap", e, n, v, items)) if frm != me and rg.sound(v):
+                on_snap(frm, e, n, v, items, now)
+            case ("msg", frm, ("snapok", e, n, d)):
                 snapok[(frm, e, n)] = d
-                if (is_primary() and n == snap and e == view[0] and frm == view[2]
-                        and d == rg.disks(view)[frm] and opened != e):
-                    opened = e
-                    at = bk.version(store)
-                    out.append(log("primary-open", epoch=e))
-                    show([(k, v, x) for k, (v, x) in store.items()], at)
-                    if pend:                     # now part of the synced store
-                        pend["items"] = ()
-                        commit(now)
-                    begin(now)
-            case ("msg", frm, ("repl", e, n, prev, at, items)) if frm in others and bk.sound(items):
-                on_repl(frm, e, n, prev, at, items, now)
-            case ("msg", frm, ("repd", e, n)) if pend and n == pend["n"] and view and e == view[0]:
-                if frm == view[2] and opened == e and pend["mine"]:
+                if (is_primary() and snap and n == snap[0] and e == view[0] and frm in view[2]
+                        and d == rg.disks(view)[frm]):
+                    given.add(frm)
+                    opening(now)
+            case ("msg", frm, ("repl", e, n, prev, at, items)):
+                if bk.sound(items):
+                    on_repl(frm, e, n, prev, at, items, now)
+            case ("msg", frm, ("repd", e, n)) if pend and is_primary() and e == view[0] and n == pend["n"]:
+                if frm in view[2]:
+                    pend["done"].add(frm)
+                if opened == e and pend["mine"] and pend["done"] >= set(view[2]):
                     commit(now)
-            case ("msg", frm, ("items", e, prev, at, items)) if view and frm in others and e == view[0]:
-                if bk.sound(items) and bk.sound_version(at) and shown >= prev:
+            case ("msg", frm, ("items", e, prev, at, items)) if view and e == view[0]:
+                if not items and is_backup() and bk.version(store) == at:
+                    items = tuple((k, iv, x) for k, (iv, x) in store.items() if iv > prev)
+                if items and bk.sound(items) and bk.sound_version(at) and shown >= prev:
                     show(items, at)
                     serve(now)
             case ("msg", frm, ("pull", v)) if bk.sound_version(v):
@@ -357,7 +442,7 @@
                     # asked again while it waits: once is enough. No room: no word, asked again
                     ops.append(((frm, n), change, op, key))
             case ("duties" | "drop" as what, *todo):
-                # only what was decided in touch with the backup: a cut-off roll is no ground
+                # only what was decided in touch with the backups: a cut-off roll is no ground
                 near = fresh is not None and now - fresh <= opt["takeover"]
                 if is_primary() and opened == view[0] and near and not ops and not pend:
                     ops.append((None, "", (what, *todo), ""))
--- a/silverglade/control/register.py
+++ b/silverglade/control/register.py
@@ -1,15 +1,27 @@
-"""The view register (design 5.2): one value, changed by majority under ballots.
+"""The view register (design 5.2): which view follows which, chosen by a majority under ballots.
 
-view = (epoch, primary, backup, ((core, disk), ...)). A witness's vote counts only while
-the newest accepted view names its disk, so that an emptied disk cannot vote twice.
+view = (epoch, primary, backups, ((core, disk), ...)). Each view is chosen by the witnesses that
+the view before it names, its base: an instance of single-value agreement for every epoch. A
+witness holds the newest base it knows to be chosen and what it has accepted to follow that one.
+A vote counts only while the base names its disk, so that an emptied disk cannot vote twice and a
+new core cannot vote itself in.
 """
 
 NONE = (0, "")
+MOST = 9            # witnesses in a view
 
 
 def blank():
-    """promised ballot, accepted ballot, accepted view."""
-    return {"promised": NONE, "ballot": NONE, "view": None}
+    """promised ballot; chosen base; accepted ballot and view, which would follow the base."""
+    return {"promised": NONE, "base": None, "ballot": NONE, "view": None}
+
+
+def based(reg, base):
+    """The register of one who learns that `base` is chosen."""
+    if epoch(base) <= epoch(reg["base"]):
+        return reg
+    keep = epoch(reg["view"]) == epoch(base) + 1
+    return dict(reg, base=base, **({} if keep else {"ballot": NONE, "view": None}))
 
 
 def prepare(reg, ballot, /):
@@ -17,13 +29,13 @@
     if ballot <= reg["promised"]:
         return reg, ("nack", ballot, reg["promised"])
     reg = dict(reg, promised=ballot)
-    return reg, ("prom", ballot, reg["ballot"], reg["view"])
+    return reg, ("prom", ballot, reg["ballot"], reg["view"], reg["base"])
 
 
-def accept(reg, ballot, view, /):
-    if ballot < reg["promised"]:
+def accept(reg, ballot, base, view, /):
+    if ballot < reg["promised"] or epoch(base) < epoch(reg["base"]):
         return reg, ("nack", ballot, reg["promised"])
-    return dict(promised=ballot, ballot=ballot, view=view), ("accd", ballot)
+    return dict(promised=ballot, base=base, ballot=ballot, view=view), ("accd", ballot)
 
 
 def epoch(view):
@@ -31,32 +43,54 @@
 
 
 def members(view):
-    return view[1:3] if view else ()
+    return (view[1], *view[2]) if view else ()
 
 
 def disks(view):
     return dict(view[3]) if view else {}
 
 
+def majority(n):
+    return n // 2 + 1
+
+
 def sound_ballot(b):
     return isinstance(b, tuple) and len(b) == 2 and type(b[0]) is int and isinstance(b[1], str)
 
 
+def texts(t, least, most):
+    return isinstance(t, tuple) and least <= len(t) <= most and all(isinstance(x, str) for x in t)
+
+
 def sound(v):
     return v is None or (
         isinstance(v, tuple) and len(v) == 4 and type(v[0]) is int and v[0] > 0
-        and isinstance(v[1], str) and isinstance(v[2], str) and v[1] != v[2]
-        and isinstance(v[3], tuple) and len(v[3]) == 3
-        and all(isinstance(p, tuple) and len(p) == 2 and all(isinstance(x, str) for x in p)
-                for p in v[3]) and {v[1], v[2]} <= {p[0] for p in v[3]})
+        and isinstance(v[1], str) and texts(v[2], 1, MOST - 1) and len({v[1], *v[2]}) == 1 + len(v[2])
+        and isinstance(v[3], tuple) and 3 <= len(v[3]) <= MOST and all(texts(p, 2, 2) for p in v[3])
+        and len(dict(v[3])) == len(v[3]) and {v[1], *v[2]} <= {p[0] for p in v[3]})
+
+
+def read(meta):
+    """The register on disk; one written before views had several backups is understood."""
+    reg = meta.get("reg") or blank()
+    if "base" in reg:
+        return reg
 
+    def view(v):
+        return v and (*v[:2], (v[2],) if isinstance(v[2], str) else v[2], v[3])
+    was = view((meta.get("view") or (NONE, None))[1])
+    new = view(reg["view"])
+    follows = epoch(new) == epoch(was) + 1
+    return dict(promised=reg["promised"], base=was, ballot=reg["ballot"] if follows else NONE,
+                view=new if follows else None)
 
-def round_(*, me, ballot, basis, want, cores):
+
+def round_(*, me, ballot, base, want):
     """One proposer's round, a generator (design 5.2).
 
-    Yields ("prep"|"acc"|"wait"|"chosen"|"lost", ...); is sent (core, disk, answer).
-    `want` replaces the register's value only where that value's epoch is `basis`; a
-    newer value found is completed instead.
+    Yields ("prep"|"acc"|"wait"|"chosen"|"lost"|"behind", ...); is sent (core, disk, answer).
+    `base` is the chosen view that `want` would follow; what another had accepted to follow it
+    is completed instead. First forming (no base): every witness of `want` must promise.
     """
     proms = {}
     step = ("prep", ballot)
@@ -70,32 +104,27 @@
             continue
         if ans[0] != "prom" or ans[1] != ballot:
             continue
+        if epoch(ans[4]) > epoch(base):           # a later view was chosen meanwhile
+            yield ("behind", ans[4])
+            return
         proms[frm] = (disk, ans[2], ans[3])
-        _, found = max(((b, v) for _, b, v in proms.values()), key=lambda t: t[0])
-        voters = disks(found or want)
+        _, found = max(((b, v) for _, b, v in proms.values() if epoch(v) == epoch(base) + 1),
+                       key=lambda t: t[0], default=(NONE, None))
+        voters = disks(base or found or want)
         good = [f for f, (d, _, _) in proms.items() if voters.get(f) == d]
-        need = 2 if found else 3            # first forming: all three (5.5)
-        if len(good) >= need:
+        if len(good) >= (majority(len(voters)) if base or found else len(voters)):
             break
-    if found and epoch(found) > basis:
-        value = found
-    elif found and epoch(found) < basis:
-        yield ("lost", ballot)
-        return
-    else:
-        value = want
-    old, new, acks = disks(found or value), disks(value), set()
-    # a disk that this very value admits does not vote for its own admission
-    firm = {f for f in cores if old.get(f) == new.get(f)}
-    step = ("acc", ballot, value)
+    value, acks = found or want, set()
+    voters = disks(base or value)
+    step = ("acc", ballot, base, value)
     while True:
         frm, disk, ans = yield step
         step = ("wait",)
         if ans[0] == "nack" and ans[1] == ballot:
             yield ("lost", ans[2])
             return
-        if ans[0] == "accd" and ans[1] == ballot and frm in firm and new.get(frm) == disk:
+        if ans[0] == "accd" and ans[1] == ballot and voters.get(frm) == disk:
             acks.add(frm)
-            if len(acks) >= 2:
+            if len(acks) >= majority(len(voters)):
                 yield ("chosen", ballot, value)
                 return
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -42,7 +42,8 @@
                        addr=s["advertise"] or s["listen"], http=s["http"], seeds=s["seeds"], cores=tuple(s["cores"]),
                        opt=self.opt, rng=random.Random(secrets.randbits(64)),
                        disk=self.store.id if self.store else "",
-                       saved=self.store.load() if self.store else None)
+                       saved=self.store.load() if self.store else None,
+                       tolerance=tuple(s["tolerance"][k] for k in ("machines", "zones", "regions")), first=s["first"])
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
         self.stopping, self.ready = anyio.Event(), anyio.Event()
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -29,7 +29,7 @@
     "path": ("grant", "deny", "moved", "hand", "left", "res", "more"),
     "news": ("news",),
     "desk": ("opr",),
-    "control": ("hb", "prep", "acc", "prom", "accd", "nack", "snap", "snapok", "repl", "repd",
+    "control": ("hb", "view", "prep", "acc", "prom", "accd", "nack", "snap", "snapok", "repl", "repd",
                 "items", "pull", "get", "op"),
     "follower": ("claim", "mark", "adopt", "copy"),
 }
@@ -39,7 +39,7 @@
 
 class Hub:
     def __init__(self, *, me, life, zone, region, addr, http, seeds, cores, opt, rng,
-                 disk="", saved=None):
+                 disk="", saved=None, tolerance=(1, 1, 1), first=True):
         self.me = me
         p = self.parts = {
             "roster": roster(me=me, life=life, place=(zone, region, addr, http, bool(disk)),
@@ -54,7 +54,8 @@
         }
         if disk:
             saved = saved or {}
-            p["control"] = core(me=me, disk=disk, cores=cores, saved=saved, opt=opt, rng=rng)
+            p["control"] = core(me=me, disk=disk, cores=cores, saved=saved, opt=opt, rng=rng,
+                                place=(zone, region), tolerance=tolerance, first=first)
             p["keeper"] = keeper(cores=cores, opt=opt)
             p["follower"] = follower(me=me, saved=saved, opt=opt)
         for g in p.values():
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -10,9 +10,9 @@
     "copied": "sii", "fin": "sis", "quit": "s",
     "grant": "sisisib...", "deny": "siis?", "moved": "si",
     "hand": "ssssbisiy", "left": "s", "more": "si", "res": "sis...",
-    "news": "ivtii", "opr": "it", "hb": "o?vbsibiii",
-    "prep": "o", "acc": "o?", "prom": "oso?", "accd": "os", "nack": "oso",
-    "snap": "iio?t", "snapok": "iis", "repl": "iivvt", "repd": "ii", "items": "ivvt",
+    "news": "ivtii", "opr": "it", "hb": "ivbsibiii", "view": "?",
+    "prep": "o", "acc": "o??", "prom": "oso??", "accd": "os", "nack": "oso",
+    "snap": "ii?t", "snapok": "iis", "repl": "iivvt", "repd": "ii", "items": "ivvt",
     "pull": "v", "get": "iv", "op": "ists",
     "claim": "sisssi", "mark": "sisss", "adopt": "si", "copy": "siit",
 }
@@ -70,7 +70,7 @@
         b[2][0] not in ("ok", "refuse", "elsewhere") or rows(
             (b[2],), {"ok": "svs" if len(b[2]) == 3 else "sv", "refuse": "sis", "elsewhere": "ss"}[b[2][0]])),
     "news": lambda b: rows(b[3], "sv?"),
-    "snap": lambda b: rows(b[5], "sv?"),
+    "snap": lambda b: rows(b[4], "sv?"),
     "repl": lambda b: rows(b[5], "sv?"),
     "items": lambda b: rows(b[4], "sv?"),
     "op": lambda b: sound_op(b[3]),
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -9,12 +9,14 @@
 # Times are seconds in files and flags, timedelta inside. docs/options.md explains each.
 TUNING = {
     "pulse": c.span(default=td(milliseconds=50)),
-    "beat": c.span(default=td(milliseconds=250)),        # roster, control heartbeats (4.3)
+    "beat": c.span(default=td(milliseconds=250)),        # roster (4.3)
     "doubt": c.span(default=td(milliseconds=1200)),      # silence before a watcher doubts
     "gone": c.span(default=td(seconds=4)),               # no news of a daemon from anyone
     "late": c.span(default=td(milliseconds=900)),        # a pulse this late means frozen
     "watch": c.whole(default=4, least=1, most=16),
     "takeover": c.span(default=td(milliseconds=1500)),   # control: silence of a member (5.4)
+    "heartbeat": c.span(default=td(milliseconds=500)),   # between cores (5.10); a third of takeover
+    "core_forget": c.span(default=td(seconds=180)),      # a core silent this long is no witness any more (5.9)
     "disk_stall": c.span(default=td(seconds=1)),
     "settle": c.span(default=td(milliseconds=600)),
     "op_wait": c.span(default=td(seconds=4)),            # operator call before "unknown"
@@ -48,6 +50,8 @@
     "scale_idle": c.number(default=0.5, most=1.0),
 }
 
+TOLERANCE = {k: c.whole(default=1, least=1, most=4) for k in ("machines", "zones", "regions")}
+
 SETTINGS = {
     "name": c.text(),
     "zone": c.text(),
@@ -58,6 +62,8 @@
     "seeds": c.each(c.address(), least=1),
     "cores": c.each(c.text(), least=3, unique=True),
     "data": c.text(default=""),
+    "tolerance": c.table(TOLERANCE, default=None),   # what may be lost at once (5.9)
+    "first": c.flag(default=True),  # may a core with an empty disk help to form the first view (5.5)
     **{f"{r}_{k}": c.text(default="") for r in ("operator", "replica", "platform") for k in ("key", "key_file")},
     "open": c.flag(default=False),  # listen beyond loopback without keys
     "orders_to": c.text(default=""),
@@ -79,16 +85,15 @@
 
 def checked(raw, /):
     out, bad = c.run(c.table(SETTINGS), raw)
-    if not bad and len(out["cores"]) != 3:
-        bad += (("cores", "wants three names"),)
-    if not bad and out["data"] and out["name"] not in out["cores"]:
-        bad += (("data", "only a daemon named in cores keeps data"),)
+    if not bad and not 3 <= len(out["cores"]) <= 9:
+        bad += (("cores", "wants three names, up to nine"),)
     if not bad and not out["data"] and out["name"] in out["cores"]:
         bad += (("data", "a core needs a data folder"),)
     bad += keyed(out) if not bad else ()
     if bad:
         raise Fault(701, said(bad))
     out["tuning"] = out["tuning"] or tuning()
+    out["tolerance"] = out["tolerance"] or {k: 1 for k in TOLERANCE}
     return out
 
 
--- a/silverglade/rehearsal/faults.py
+++ b/silverglade/rehearsal/faults.py
@@ -59,7 +59,7 @@
             if n.hub is None:
                 continue
             v = n.peek("desk", "primary")()
-            names |= {x for x in v[1:3] if x}
+            names |= {x for x in v[1:] if x}
             names |= {h for k, (_, x) in n.peek("desk", "book").items() if k.startswith("duty/") for h in x[1:] if h}
             break
         if names:
--- a/silverglade/tools/restore.py
+++ b/silverglade/tools/restore.py
@@ -21,13 +21,11 @@
 
 def plan(saved, *, name, disk, partner, third):
     """-> the writes that make this core primary of a new view."""
-    reg = saved["meta"].get("reg") or rg.blank()
-    view = (saved["meta"].get("view") or (None, None))[1]
-    e = max(rg.epoch(reg["view"]), rg.epoch(view), saved["meta"].get("recruited", 0)) + LEAP
-    new = (e, name, partner[0], tuple(sorted([(name, disk), partner, third])))
-    b = (reg["promised"][0] + LEAP, name)
-    reg = dict(promised=b, ballot=b, view=new)
-    return [("put", "meta", "reg", reg), ("put", "meta", "view", (b, new)), ("put", "meta", "recruited", e)], e
+    reg = rg.read(saved["meta"])
+    e = max(rg.epoch(reg["view"]), rg.epoch(reg["base"]), saved["meta"].get("recruited", 0)) + LEAP
+    new = (e, name, (partner[0],), tuple(sorted([(name, disk), partner, third])))
+    reg = dict(rg.blank(), promised=(reg["promised"][0] + LEAP, name), base=new)
+    return [("put", "meta", "reg", reg), ("put", "meta", "recruited", e)], e
 
 
 def run(a):
--- a/silverglade/wire.py
+++ b/silverglade/wire.py
@@ -5,13 +5,13 @@
 
 from .faults import Fault
 
-VERSION = 2
-SPOKEN = (2,)          # wire versions this program reads; in 1 no field could be added to a message
+VERSION = 3
+SPOKEN = (3,)          # wire versions this program reads; in 2 a view had one backup
 CAP = 8 * 1024 * 1024
 HEAD = struct.Struct(">I")
 
 # may be large; they take a connection of their own, and may so be overtaken by what is small (3.1)
-BULK = frozenset(("snap", "items", "news", "copy", "adopted"))
+BULK = frozenset(("snap", "repl", "items", "news", "copy", "adopted"))
 
 DEEP = (list, dict)
 
