--- a/silverglade/config.py
+++ b/silverglade/config.py
@@ -31,7 +31,7 @@
     "rank": c.whole(default=0, most=1000),
     "tries": c.whole(default=1, least=1, most=100),          # replicas to which one try may be sent
     "homes": c.each(c.text(), default=(), unique=True),      # regions; none: any
-    "affine": c.flag(default=False),
+    "by_prefix": c.flag(default=False),
     "resumable": c.flag(default=False),
     "shares": c.each(c.table({"service": c.text(), "weight": c.number()}), least=1),
 })
@@ -41,11 +41,18 @@
     "header_ms": c.whole(default=5000, least=1),
     "idle_ms": c.whole(default=30000, least=1),
 })
+
+
+def maybe(kind):
+    """A part that may be left out; what was kept of one left out is taken again."""
+    return Kind(lambda v, p, bad: None if v is None else kind.fn(v, p, bad), default=None)
+
+
 SPEC = c.table({
     "number": c.whole(default=0),           # the operator's own version; 0: told apart by control's alone
     "routes": c.each(ROUTE, default=()),
-    "services": c.named(SERVICE, default=None),
-    "limits": Kind(LIMITS.fn, default=None),
+    "services": maybe(c.named(SERVICE)),
+    "limits": maybe(LIMITS),
     "zones": c.named(c.table({
         "region": c.text(),
         "least": c.whole(default=1, least=0, most=10000),
