--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -31,6 +31,7 @@
     tok, fit, opened, fresh, due, probe, awake = 0, True, 0, None, None, ZERO, ZERO
     pend = snap = None                # the change in flight; the copy in flight
     whole_ok, wish = True, None       # is the store on disk as held; (since, a better view)
+    mine = 0                          # the epoch that I sealed to seek the next
     seek, snapok, given = None, {}, set()
 
     def others():
@@ -299,8 +300,8 @@
               if k else None, now)
 
     def seal(now, then):
-        nonlocal sealed
-        sealed = max(sealed, rg.epoch(view))
+        nonlocal sealed, mine
+        sealed = mine = rg.epoch(view)
         write(keep(sealed=sealed), lambda k, t: then() if k else None, now)
 
     def stuck(now):
@@ -317,7 +318,7 @@
         if is_primary() and opened == view[0] and fit:
             gone = {c for c in rg.disks(view) if c != me and peers.silent(c, now, awake, opt["core_forget"])}
             here = pl.live(me=me, disk=disk, peers=peers, now=now, names=others(), t=opt["settle"])
-            calm = [c for c in rg.disks(view) if not peers.up(c, now)
+            calm = [c for c in rg.disks(view) if c != me and not peers.up(c, now)
                     and not peers.silent(c, now, awake, opt["takeover"] * 2)]
             new = None if calm else pl.better(me=me, view=view, here=here, gone=gone, places=places,
                                               tolerance=tolerance)
@@ -352,7 +353,7 @@
             ponder(now)
         if seek is None and (stuck(now) or view is None):
             bad = stuck(now)                     # sealed by another: it seeks already
-            late = 0 if bad == "better" else rng.random() + (bad == "sealed" and sealed < rg.epoch(view))
+            late = 0 if bad == "better" else rng.random() + (bad == "sealed" and mine != rg.epoch(view))
             seek = seeker(me=me, opt=opt, rng=rng, plan=plan, seal=seal, snapok=snapok,
                           wait=opt["settle"] * late, copy=lambda: tuple(sorted(
                               (k, v, x) for k, (v, x) in store.items())))
--- a/silverglade/rehearsal/scene.py
+++ b/silverglade/rehearsal/scene.py
@@ -16,7 +16,7 @@
         self.t = TOWNS[town]()
         self.w = World(seed=seed, daemons=self.t["daemons"], config=self.t["config"],
                        delay_ms=self.t["delay"], replicas=self.t["replicas"],
-                       opt=opt or tuning(), loss=loss)
+                       opt=opt or tuning(), loss=loss, tolerance=self.t.get("tolerance", (1, 1, 1)))
         self.o, self.rng, self.pace, self.n, self.tag, self.open = self.w.oracle, self.w.rng, pace, 0, 0, True
         self.emptying = {}                       # zone -> is a call to empty it not settled yet?
         self.pairs = False                       # may two places fail at once here?
--- a/silverglade/rehearsal/towns.py
+++ b/silverglade/rehearsal/towns.py
@@ -76,4 +76,13 @@
                 mix=[("lookup", 6.0, "rules"), ("chat", 6.0, "")])
 
 
-TOWNS = {"navrang": navrang, "banyan": banyan, "hamlet": hamlet, "borough": borough, "parish": parish}
+def county():
+    """Five cores over five zones in three regions; two disks, a zone or a region may be lost at once."""
+    z = {"north": "n", "middle": "m", "south": "s", "north-2": "n", "middle-2": "m"}
+    zs, cls = list(z), dict(lookup=LOOKUP, chat=CHAT)
+    ts = {f"t{i}": tenant(f"t{i}", [zs[i], zs[(i + 1) % 5]], cls) for i in range(3)}
+    return dict(town(zones=z, edges=1, replicas=dict.fromkeys(z, 1), accounts={}, tenants=ts, delay=55.0,
+                     mix=[("lookup", 2.0, "rules"), ("chat", 1.0, "")]), tolerance=(2, 1, 1))
+
+
+TOWNS = {"navrang": navrang, "banyan": banyan, "hamlet": hamlet, "borough": borough, "parish": parish, "county": county}
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -62,9 +62,10 @@
         self.life = f"{self.name}.{self.lives}"
         saved = {t: dict(d) for t, d in self.disk.data.items()} if self.disk else None
         self.hub = Hub(me=self.name, life=self.life, zone=self.zone, region=self.region, addr=self.addr,
-                       http=self.http, seeds=w.seeds, cores=w.cores, opt=w.opt,
+                       http=self.http, seeds=w.seeds, cores=w.named, opt=w.opt,
                        rng=random.Random(w.rng.getrandbits(64)),
-                       disk=self.disk.id if self.disk else "", saved=saved)
+                       disk=self.disk.id if self.disk else "", saved=saved, tolerance=w.tolerance,
+                       first=self.lives == 1)
         self.frozen, self.held, self.since = None, [], w.now
         w.after(span(w.rng.randrange(50)), self.pulse, self.life)
         w.note("boot", self.name)
@@ -114,14 +115,16 @@
 
 
 class World:
-    def __init__(self, *, seed, daemons, config, delay_ms, replicas, opt=None, loss=0.0):
+    def __init__(self, *, seed, daemons, config, delay_ms, replicas, opt=None, loss=0.0,
+                 tolerance=(1, 1, 1)):
         """daemons: (name, zone, region, core); replicas: keyword tables for Replica."""
         self.rng, self.seed, self.now, self.heap, self.num = random.Random(seed), seed, ZERO, [], 0
         self.opt, self.loss, self.rate = opt or tuning(), loss, 20e6      # bytes a second, for what is bulky
         self.cores = tuple(d[0] for d in daemons if d[3])
         self.nodes = {d[0]: Node(world=self, name=d[0], zone=d[1], region=d[2], core=d[3], n=i + 1)
                       for i, d in enumerate(daemons)}
-        self.seeds = tuple(self.nodes[c].addr for c in self.cores)
+        self.named, self.tolerance = self.cores[:3], tolerance    # as in the settings
+        self.seeds = tuple(self.nodes[c].addr for c in self.named)
         self.by_addr = {n.addr: n for n in self.nodes.values()}
         self.delay, self.cuts, self.links, self.trace = delay_ms, set(), {}, []
         self.region = {z: d["region"] for z, d in config["zones"].items()}
--- a/silverglade/shards/owner.py
+++ b/silverglade/shards/owner.py
@@ -243,7 +243,7 @@
 
     def spare():
         """Cores that may follow my shards, in order: not in my zone where that can be."""
-        live = {r[0]: r for r in roll if r[9] == "ready" and r[0] in cores and r[0] != me}
+        live = {r[0]: r for r in roll if r[9] == "ready" and r[8] and r[0] != me}
         far = [i for i in live if live[i][4] != zone]
         near = {me} | {i for i in live if live[i][4] == zone} if far else set()
         return lambda t: ranked(f"follow/{t}", far or list(live)), near
