--- a/silverglade/control/book.py
+++ b/silverglade/control/book.py
@@ -33,6 +33,21 @@
     return tuple(k for t in (cs, ds) if len(t) > KEEP for _, k in t[:-KEEP])
 
 
+def outcome(book, *, change, op, key, at, prev):
+    """An op, or one whose change id was settled before -> (answer, items)."""
+    old = get(book, "change/" + change) if change else None
+    if old is not None:
+        return ("ok", old[1]) if old[0] == key else ("refuse", 506, "change id was used"), ()
+    match decide(book, op, at):
+        case ("say", value):                  # told once the backups have confirmed it
+            return ("ok", prev, value), ()
+        case ("take", pairs):
+            items = tuple((k, at, x) for k, x in pairs)
+            return ("ok", at), items + ((("change/" + change, at, (key, at)),) if change else ())
+        case refused:
+            return refused, ()
+
+
 def decide(book, op, at):
     """An operator's or the duty keeper's op -> ("take", items) | ("refuse", code, detail).
 
--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -7,6 +7,7 @@
 """
 from ..part import ZERO, log, ms, send, span
 from . import book as bk
+from . import copy as cp
 from . import plan as pl
 from . import register as rg
 from .heartbeat import Peers
@@ -27,8 +28,8 @@
     may_form = me in cores and (first or meta.get("first", False))
     book, shown = {}, bk.START        # what may be told to others
     peers, places, seen = Peers(opt=opt), {me: place}, set()
-    wait, ops, asks, out, proof, told = {}, [], [], [], {}, {}
-    tok, fit, opened, fresh, due, probe, awake = 0, True, 0, None, None, ZERO, ZERO
+    writes, ops, asks, out, proof, told = cp.Writes(opt=opt), [], [], [], {}, {}
+    opened, fresh, due, awake, behind = 0, None, None, ZERO, None
     pend = snap = None                # the change in flight; the copy in flight
     whole_ok, wish = True, None       # is the store on disk as held; (since, a better view)
     mine = 0                          # the epoch that I sealed to seek the next
@@ -38,16 +39,7 @@
         return sorted(({*cores, *rg.disks(view)} | seen) - {me})
 
     def write(todo, then, now):
-        nonlocal tok
-        tok += 1
-        wait[tok] = (now, then)
-        out.append(("disk", ("control", tok), tuple(todo)))
-
-    def keep(**kw):
-        return [("put", "meta", k, v) for k, v in kw.items()]
-
-    def whole(s):
-        return [("wipe", "book")] + [("put", "book", k, v) for k, v in s.items()]
+        out.append(writes.put(todo, then, now))
 
     def is_primary():
         return view is not None and view[1] == me and rg.disks(view).get(me) == disk
@@ -63,8 +55,8 @@
         reg = rg.based(reg, v)
         view = reg["base"]
         out.append(log("view", epoch=v[0], primary=v[1], backups=",".join(v[2])))
-        out.append(("post", "roster", ("extra", "view", (v[0], *rg.members(v)))))
-        write(keep(reg=reg), None, now)
+        known()
+        write(cp.keep(reg=reg), None, now)
         seek, snap, opened, wish, due, awake = None, None, 0, None, now, now
         snapok.clear()
         proof.clear()
@@ -74,6 +66,9 @@
         else:
             unsure()
 
+    def known():
+        out.append(("post", "roster", ("extra", "view", (view[0], *rg.members(view)))))
+
     def unsure():
         """What waits may be settled under another view, or not."""
         nonlocal pend
@@ -87,25 +82,27 @@
     def rewrite(now):
         """A new primary's own store on disk, whole: an earlier write may have failed."""
         nonlocal whole_ok
-        whole_ok, e = None, view[0]
+        whole_ok = None
+        write(cp.whole(store), on_disk(), now)
+
+    def on_disk(then=lambda: None):
+        e = rg.epoch(view)
 
         def done(ok, now):
             nonlocal whole_ok
-            if whole_ok is None and view[0] == e:
-                whole_ok = ok
-        write(whole(store), done, now)
+            whole_ok = ok if rg.epoch(view) == e else whole_ok
+            if ok:
+                then()
+        return done
 
     def answer(cid, res):
         if cid:
             out.append(send(cid[0], "opr", cid[1], res))
 
     def show(items, v):
-        nonlocal shown
-        for k, iv, x in items:
-            if iv > book.get(k, (bk.START,))[0]:
-                book[k] = (iv, x)
-        for k in bk.pruned(book):
-            del book[k]
+        nonlocal shown, behind
+        cp.show(book, items)
+        behind = None
         shown = max(shown, v)
 
     def commit(now):
@@ -126,24 +123,12 @@
             cid, change, op, key = ops.pop(0)
             prev = bk.version(store)
             at = (view[0], prev[1] + 1 if prev[0] == view[0] else 1)
-            old = bk.get(store, "change/" + change) if change else None
-            if old is not None:
-                got = ("ok", old[1]) if old[0] == key else ("refuse", 506, "change id was used")
-            else:
-                got = bk.decide(store, op, at)
-            items = ()
-            if got[0] == "say":                  # told once the backups have confirmed it
-                got = ("ok", prev, got[1])
-            if got[0] == "take":
-                items = tuple((k, at, x) for k, x in got[1])
-                if change:
-                    items += (("change/" + change, at, (key, at)),)
-                got = ("ok", at)
+            got, items = bk.outcome(store, change=change, op=op, key=key, at=at, prev=prev)
             pend = dict(cid=cid, res=got, items=items, at=at if items else prev, prev=prev,
                         mine=not items, n=rng.getrandbits(48), done=set(), sent=now)
             if items:
                 p = pend
-                gone = take(items)
+                gone = cp.take(store, items)
 
                 def synced(ok, now, p=p):
                     p["mine"] = ok
@@ -153,19 +138,12 @@
             else:
                 replicate()
 
-    def take(items):
-        store.update({k: (v, x) for k, v, x in items})
-        gone = bk.pruned(store)
-        for k in gone:
-            del store[k]
-        return gone
-
     def write_items(items, gone, then, now):
         def done(ok, now):
             nonlocal whole_ok
             whole_ok = whole_ok and ok
             then(ok, now)
-        write([("put", "book", k, (v, x)) for k, v, x in items] + [("del", "book", k) for k in gone], done, now)
+        write(cp.changed(items, gone), done, now)
 
     def replicate():
         for c in view[2]:
@@ -185,7 +163,7 @@
 
     def hb(c, now):
         told[c] = now
-        out.append(send(c, "hb", rg.epoch(view), shown, fit, disk, sealed,
+        out.append(send(c, "hb", rg.epoch(view), shown, writes.fit, disk, sealed,
                         view is None and reg["view"] is None and may_form, ms(now), peers.echo(c), age(now)))
 
     def beat(now):
@@ -197,7 +175,7 @@
             late = is_backup() and c == view[1] or is_primary() and opened == view[0] and c not in view[2]
             if (near or c in ms_) and now - told.get(c, -2 * opt["heartbeat"]) >= opt["heartbeat"] * (1.5 if late else 0.5):
                 hb(c, now)
-        if is_primary() and fit and sealed < view[0]:
+        if is_primary() and writes.fit and sealed < view[0]:
             if opened != view[0]:
                 open_up(now)
             elif pend and pend["mine"] and now - pend["sent"] >= opt["takeover"] / 2:
@@ -209,13 +187,10 @@
         nonlocal snap
         if whole_ok is False:
             rewrite(now)
-        if snap is None:
-            snap = (rng.getrandbits(48), now)
-        elif now - snap[1] < opt["takeover"] / 2:
+        if snap and now - snap[1] < opt["takeover"] / 2:
             return
-        snap = (snap[0], now)
-        items = tuple(sorted((k, v, x) for k, (v, x) in store.items()))
-        out.extend(send(c, "snap", view[0], snap[0], view, items) for c in view[2] if c not in given)
+        snap = (snap[0] if snap else rng.getrandbits(48), now)
+        out.extend(send(c, "snap", view[0], snap[0], view, cp.rows(store)) for c in view[2] if c not in given)
 
     def opening(now):
         """Open when all have synced the copy."""
@@ -224,7 +199,7 @@
             return
         opened = view[0]
         out.append(log("primary-open", epoch=opened))
-        show([(k, v, x) for k, (v, x) in store.items()], bk.version(store))
+        show(cp.rows(store), bk.version(store))
         if pend:                                 # now part of the synced store
             commit(now)
         for c in others():
@@ -232,7 +207,7 @@
         serve(now)
 
     def on_snap(frm, e, n, v, items, now):
-        nonlocal store, recruited, served, sealed, whole_ok
+        nonlocal store, recruited, served, sealed
         ok = v is None and e > rg.epoch(view) and e >= recruited
         if v is not None and e == v[0] and v[1] == frm and me in v[2]:   # opens its view
             if rg.disks(v).get(me) != disk or e < rg.epoch(view) or sealed >= e:
@@ -247,35 +222,28 @@
         if v is None:
             unsure()
         recruited, store = max(recruited, e), {k: (iv, x) for k, iv, x in items}
-
-        def done(good, now):
-            nonlocal whole_ok
-            whole_ok = good
-            if good:
-                out.append(send(frm, "snapok", e, n, disk))
-        write(whole(store) + keep(recruited=recruited, served=served, sealed=sealed, reg=reg), done, now)
+        write(cp.whole(store) + cp.keep(recruited=recruited, served=served, sealed=sealed, reg=reg),
+              on_disk(lambda: out.append(send(frm, "snapok", e, n, disk))), now)
 
     def on_repl(frm, e, n, prev, at, items, now):
         if not (is_backup() and view[0] == e and view[1] == frm and served == e and sealed < e):
-            return
+            return None
         if bk.version(store) not in (prev, at):
-            return                      # the primary will copy afresh on its next opening
+            return None                 # the primary will copy afresh on its next opening
+        tell = send(frm, "repd", e, n)
         if not items:                   # a question whether the view still holds
-            out.append(send(frm, "repd", e, n))
-            return
-        write_items(items, take(items), lambda k, t: out.append(send(frm, "repd", e, n)) if k else None, now)
+            return out.append(tell)
+        return write_items(items, cp.take(store, items), lambda k, t: out.append(tell) if k else None, now)
 
     def on_hb(frm, m, now):
-        nonlocal fresh
+        nonlocal fresh, behind
         e, sh, _, _, sl, _, _, echo, a = m
         peers.heard(frm, m, now)
         seen.add(frm)
         if e < rg.epoch(view):
             out.append(send(frm, "view", view))
-        elif e > rg.epoch(view) and now - told.get(frm, ZERO) >= opt["beat"]:
-            hb(frm, now)                         # it will answer with its view
-        if is_backup() and frm == view[1]:
-            hb(frm, now)                         # at once: the primary's proof that it still is
+        elif e > rg.epoch(view) and now - told.get(frm, ZERO) >= opt["beat"] or is_backup() and frm == view[1]:
+            hb(frm, now)                         # it will answer with its view; or: its proof that it still is
         if not view or e != view[0] or echo < 0:
             return
         if is_primary() and opened == e and frm in view[2] and sl < e:
@@ -286,27 +254,29 @@
                     if c not in view[2] and now - told.get(c, ZERO) >= opt["heartbeat"] / 2:
                         hb(c, now)
         if sh > shown:                           # what any core of this view shows was acknowledged
-            out.append(send(frm, "pull", shown))
+            if shown == bk.START or behind and now - behind >= opt["heartbeat"] / 2:
+                out.append(send(frm, "pull", shown))
+                behind = None                    # else it may be on its way
+            behind = behind or now
         elif a >= 0:
             fresh = max(fresh or ZERO, span(echo - a))
 
     def witness(frm, now, new, ans):
         nonlocal reg
+        tell = send(frm, *ans[:2], disk, *ans[2:])
         if new is reg:
-            out.append(send(frm, *ans[:2], disk, *ans[2:]))
-            return
+            return out.append(tell)
         reg = new
-        write(keep(reg=reg), lambda k, t: out.append(send(frm, *ans[:2], disk, *ans[2:]))
-              if k else None, now)
+        return write(cp.keep(reg=reg), lambda k, t: out.append(tell) if k else None, now)
 
     def seal(now, then):
         nonlocal sealed, mine
         sealed = mine = rg.epoch(view)
-        write(keep(sealed=sealed), lambda k, t: then() if k else None, now)
+        write(cp.keep(sealed=sealed), lambda k, t: then() if k else None, now)
 
     def stuck(now):
         """Why a member should seek a new view, or None (design 5.4)."""
-        bad = pl.why(me=me, disk=disk, view=view, peers=peers, sealed=sealed, fit=fit, now=now,
+        bad = pl.why(me=me, disk=disk, view=view, peers=peers, sealed=sealed, fit=writes.fit, now=now,
                      torn=is_primary() and opened == view[0] and whole_ok is False,
                      fair=now - awake > opt["takeover"])
         return bad or ("better" if wish and now - wish[0] >= opt["settle"] else None)
@@ -314,14 +284,8 @@
     def ponder(now):
         """The primary of a view that works looks for a better spread (design 5.9)."""
         nonlocal wish
-        new = None
-        if is_primary() and opened == view[0] and fit:
-            gone = {c for c in rg.disks(view) if c != me and peers.silent(c, now, awake, opt["core_forget"])}
-            here = pl.live(me=me, disk=disk, peers=peers, now=now, names=others(), t=opt["settle"])
-            calm = [c for c in rg.disks(view) if c != me and not peers.up(c, now)
-                    and not peers.silent(c, now, awake, opt["takeover"] * 2)]
-            new = None if calm else pl.better(me=me, view=view, here=here, gone=gone, places=places,
-                                              tolerance=tolerance)
+        new = pl.better(me=me, disk=disk, view=view, peers=peers, names=others(), places=places, now=now,
+                        tolerance=tolerance, awake=awake, opt=opt) if is_primary() and opened == view[0] and writes.fit else None
         if not new or not wish or wish[1] != new:
             wish = new and (now, new)
 
@@ -339,14 +303,8 @@
         return (view, new, new[2]) if new else None
 
     def pulse(now):
-        nonlocal fit, probe, due, seek
-        slow = any(now - t > opt["disk_stall"] for t, _ in wait.values())
-        if slow and fit:
-            fit = False
-            out.append(log("disk-stalled"))
-        if not fit and not wait and now - probe > opt["disk_stall"]:
-            probe = now
-            write(keep(alive=ms(now)), None, now)
+        nonlocal due, seek
+        out.extend(writes.look(now))
         if now >= due:
             due = now + opt["heartbeat"]
             beat(now)
@@ -355,8 +313,7 @@
             bad = stuck(now)                     # sealed by another: it seeks already
             late = 0 if bad == "better" else rng.random() + (bad == "sealed" and mine != rg.epoch(view))
             seek = seeker(me=me, opt=opt, rng=rng, plan=plan, seal=seal, snapok=snapok,
-                          wait=opt["settle"] * late, copy=lambda: tuple(sorted(
-                              (k, v, x) for k, (v, x) in store.items())))
+                          wait=opt["settle"] * late, copy=lambda: cp.rows(store))
             next(seek)
         elif seek and view and not stuck(now):
             seek = None
@@ -370,9 +327,9 @@
         if due is None:
             due = awake = now
             if may_form and view is None and not meta.get("first"):
-                write(keep(first=True), None, now)
+                write(cp.keep(first=True), None, now)
             if view:                             # after a blackout nobody else says who is primary
-                out.append(("post", "roster", ("extra", "view", (view[0], *rg.members(view)))))
+                known()
         match ev:
             case ("pulse",):
                 pulse(now)
@@ -384,10 +341,8 @@
                 proof.clear()
                 fresh, awake = None, now
             case ("disk", ("control", n), ok, _):
-                t, then = wait.pop(n, (now, None))
-                if fit != ok and not (ok and wait):
-                    fit = ok
-                    out.append(log("disk-fit" if ok else "disk-fault"))
+                then, more = writes.ended(n, ok, now)
+                out.extend(more)
                 if then:
                     then(ok, now)
                 opening(now)
@@ -414,9 +369,8 @@
                         and d == rg.disks(view)[frm]):
                     given.add(frm)
                     opening(now)
-            case ("msg", frm, ("repl", e, n, prev, at, items)):
-                if bk.sound(items):
-                    on_repl(frm, e, n, prev, at, items, now)
+            case ("msg", frm, ("repl", e, n, prev, at, items)) if bk.sound(items):
+                on_repl(frm, e, n, prev, at, items, now)
             case ("msg", frm, ("repd", e, n)) if pend and is_primary() and e == view[0] and n == pend["n"]:
                 if frm in view[2]:
                     pend["done"].add(frm)
@@ -424,19 +378,18 @@
                     commit(now)
             case ("msg", frm, ("items", e, prev, at, items)) if view and e == view[0]:
                 if not items and is_backup() and bk.version(store) == at:
-                    items = tuple((k, iv, x) for k, (iv, x) in store.items() if iv > prev)
+                    items = cp.rows(store, prev)
                 if items and bk.sound(items) and bk.sound_version(at) and shown >= prev:
                     show(items, at)
                     serve(now)
             case ("msg", frm, ("pull", v)) if bk.sound_version(v):
                 if view and (not is_primary() or opened == view[0]):
-                    its = tuple(sorted((k, iv, x) for k, (iv, x) in book.items() if iv > v))
-                    out.append(send(frm, "items", view[0], v, shown, its))
+                    out.append(send(frm, "items", view[0], v, shown, cp.rows(book, v)))
             case ("msg", frm, ("get", n, v)) if bk.sound_version(v):
                 asks.append((now, frm, n, v))
                 serve(now)
             case ("msg", frm, ("op", n, change, op, key)):
-                if not is_primary() or not fit:
+                if not is_primary() or not writes.fit:
                     out.append(send(frm, "opr", n, ("elsewhere", view[1] if view else "")))
                 elif len(ops) < 256 and not any(o[0] == (frm, n) for o in ops) and not (
                         pend and pend["cid"] == (frm, n)):
--- a/silverglade/control/plan.py
+++ b/silverglade/control/plan.py
@@ -55,9 +55,14 @@
     return (view[0] + 1, me, bs, tuple(sorted(ds.items())))
 
 
-def better(*, me, view, here, gone, places, tolerance):
+def better(*, me, disk, view, peers, names, places, tolerance, awake, opt, now):
     """What the primary of a view that works would rather have; None where it is content."""
     was = rg.disks(view)
+    far = [c for c in was if c != me and not peers.up(c, now)]
+    gone = {c for c in far if peers.silent(c, now, awake, opt["core_forget"])}
+    if any(not peers.silent(c, now, awake, opt["takeover"] * 2) for c in far):
+        return None                              # it may be back in a moment
+    here = live(me=me, disk=disk, peers=peers, now=now, names=names, t=opt["settle"])
     if sum(here.get(c) == d for c, d in was.items()) < rg.majority(len(was)):
         return None
     names = spread.witnesses(was=tuple(was), live=here, gone=gone, places=places, tolerance=tolerance)
