--- a/silverglade/forward/cold.py
+++ b/silverglade/forward/cold.py
@@ -28,30 +28,35 @@
     def __init__(self, *, opt, born=None):
         self.opt, self.born = opt, born
         self.names = {}                   # daemon -> when it was last known
+        self.all, self.last = frozenset(), None          # the same names; (when, members) looked at last
         self.sent = {}                    # replica -> times of the last second's requests
         self.was = {}                     # replica -> (per_s while it was cold, when it turned warm)
         self.held = {}                    # replica -> (per_s, members, share), worked out once
 
     def knew(self, now, members):
-        """The edge daemons known now; also to be called when the roll changes."""
+        """The edge daemons known now, none given: as before. Also to be called when the roll changes."""
         if self.born is None:
             self.born = now
-        for i in members:
-            self.names[i] = now
-        for i in [i for i, t in self.names.items() if now - t > self.opt["cold_recall"]]:
-            del self.names[i]
+        old = self.last
+        members = frozenset(members) or (old[1] if old else frozenset())
+        if old and now - old[0] < SEC and members == old[1]:
+            return
+        self.last = (now, members)
+        self.names.update(dict.fromkeys(members, now))
+        self.names = {i: t for i, t in self.names.items() if now - t <= self.opt["cold_recall"]}
+        self.all = frozenset(self.names)
 
     def froze(self, now):
         """Others may have forgotten this daemon: settle anew."""
         self.born = now
 
     def mine(self, replica, per_s, me):
-        all_ = frozenset(self.names)
-        if all_ == {me}:                  # alone, or cut off since the start: who can tell
+        if self.all == {me}:              # alone, or cut off since the start: who can tell
             return min(1, floor(per_s + 1e-9))
         old = self.held.get(replica)
-        if not old or old[:2] != (per_s, all_):
-            old = self.held[replica] = (per_s, all_, share(per_s=per_s, replica=replica, me=me, members=all_))
+        if not old or old[:2] != (per_s, self.all):
+            n = share(per_s=per_s, replica=replica, me=me, members=self.all)
+            old = self.held[replica] = (per_s, self.all, n)
         return old[2]
 
     def may(self, now, replica, *, per_s, me, members):
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -94,6 +94,9 @@
     q.add_argument("--tolerance", default="2,1,1", help="machines, zones, regions")
     for k, v in (("first", 1), ("count", 100), ("jobs", 2)):
         q.add_argument("--" + k, type=int, default=v)
+    q = sub.add_parser("need", help="a long day of replicas that nobody orders: what daemons say of it (simulated)")
+    q.add_argument("--secs", type=int, default=1200)
+    q.add_argument("--seed", type=int, default=1)
     q = sub.add_parser("measure", help="figures of recovery, isolation, prefixes, latency (simulated)")
     q.add_argument("--town", choices=TOWNS, default="navrang")
     q.add_argument("--count", type=int, default=6)
@@ -108,6 +111,9 @@
     if a.cmd == "days":
         from .longday import main as long
         return long(range(1, a.count + 1), a.secs)
+    if a.cmd == "need":
+        from .needday import main as unordered
+        return unordered(a.seed, a.secs)
     if a.cmd == "measure":
         from .measure import main as figures
         return figures(a.town, range(1, a.count + 1))
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -5,6 +5,7 @@
 from silverglade.control import spread
 from silverglade.part import span
 from silverglade.rehearsal import council, trials
+
 from .test_nevers import without
 
 CORE = "silverglade.control.core"
