--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -21,18 +21,17 @@
     cores: those that form the first view; others are met by the roll and by their heartbeats.
     """
     meta, store = dict(saved.get("meta", {})), dict(saved.get("book", {}))
-    reg = rg.read(meta)
-    view = reg["base"]                # the newest view known to be chosen
-    sealed, recruited = meta.get("sealed", 0), meta.get("recruited", 0)
-    served = meta.get("served", 0)    # the epoch whose opening copy this store began from
+    view = (reg := rg.read(meta))["base"]     # the newest view known to be chosen
+    # epochs: sealed; recruited for; the one whose opening copy this store began from
+    sealed, recruited, served = (meta.get(k, 0) for k in ("sealed", "recruited", "served"))
     may_form = me in cores and (first or meta.get("first", False))
     book, shown = {}, bk.START        # what may be told to others
     peers, places, seen = Peers(opt=opt), {me: place}, set()
     writes, ops, asks, out, proof, told = cp.Writes(opt=opt), [], [], [], {}, {}
     opened, fresh, due, awake, behind = 0, None, None, ZERO, None
     pend = snap = None                # the change in flight; the copy in flight
-    whole_ok, wish = True, None       # is the store on disk as held; (since, a better view)
-    mine = 0                          # the epoch that I sealed to seek the next
+    # is the store on disk as held; (since, a better view); the epoch that I sealed to seek the next
+    whole_ok, wish, mine = True, None, 0
     seek, snapok, given = None, {}, set()
 
     def others():
@@ -63,7 +62,8 @@
         rewrite(now) if is_primary() else unsure()
 
     def known():
-        out.append(("post", "roster", ("extra", "view", (view[0], *rg.members(view)))))
+        if view:
+            out.append(("post", "roster", ("extra", "view", (view[0], *rg.members(view)))))
 
     def unsure():
         """What waits may be settled under another view, or not."""
@@ -82,7 +82,6 @@
 
     def on_disk(then=lambda: None):
         e = rg.epoch(view)
-
         def done(ok, now):
             nonlocal whole_ok
             whole_ok = ok if rg.epoch(view) == e else whole_ok
@@ -141,9 +140,8 @@
         write(cp.changed(items, gone), done, now)
 
     def replicate():
-        for c in view[2]:
-            if c not in pend["done"]:
-                out.append(send(c, "repl", view[0], pend["n"], pend["prev"], pend["at"], pend["items"]))
+        body = ("repl", view[0], pend["n"], pend["prev"], pend["at"], pend["items"])
+        out.extend(send(c, *body) for c in view[2] if c not in pend["done"])
 
     def serve(now):
         """Answer held asks that have news, or have been held long enough (design 5.7)."""
@@ -161,14 +159,15 @@
         out.append(send(c, "hb", rg.epoch(view), shown, writes.fit, disk, sealed,
                         view is None and reg["view"] is None and may_form, ms(now), peers.echo(c), age(now)))
 
+    def watched(c, now):
+        """Who is told regularly: all by the primary, it by all; by one who misses it, or seeks, all (design 5.10)."""
+        return view is None or seek or me == view[1] or c == view[1] or not peers.up(view[1], now)
+
     def beat(now):
-        """To all from members, to members from the rest; who was told just now can wait."""
-        ms_ = rg.members(view)
-        near = me in ms_ or not any(peers.up(c, now) for c in ms_)
         for c in others():
             # a backup answers its primary at once; the primary tells the rest when its proof is new
             late = is_backup() and c == view[1] or is_primary() and opened == view[0] and c not in view[2]
-            if (near or c in ms_) and now - told.get(c, -2 * opt["heartbeat"]) >= opt["heartbeat"] * (0.5 + late):
+            if watched(c, now) and now - told.get(c, -2 * opt["heartbeat"]) >= opt["heartbeat"] * (0.5 + late):
                 hb(c, now)
         if is_primary() and writes.fit and sealed < view[0]:
             if opened != view[0]:
@@ -237,8 +236,9 @@
         seen.add(frm)
         if e < rg.epoch(view):
             out.append(send(frm, "view", view))
-        elif e > rg.epoch(view) and now - told.get(frm, ZERO) >= opt["beat"] or is_backup() and frm == view[1]:
-            hb(frm, now)                         # it will answer with its view; or: its proof that it still is
+        if is_backup() and frm == view[1] or (e > rg.epoch(view) or not watched(frm, now)) and (
+                now - told.get(frm, -opt["heartbeat"]) >= opt["heartbeat"] / 2):
+            hb(frm, now)                         # the primary's proof that it still is; or an answer to one who asks
         if not view or e != view[0] or echo < 0:
             return
         if is_primary() and opened == e and frm in view[2] and sl < e:
@@ -307,6 +307,7 @@
             ponder(now)
         if seek is None and (stuck(now) or view is None):
             bad = stuck(now)                     # sealed by another: it seeks already
+            due = now                            # so that all are heard before a plan is made
             late = 0 if bad == "better" else rng.random() + (bad == "sealed" and mine != rg.epoch(view))
             seek = seeker(me=me, opt=opt, rng=rng, plan=plan, seal=seal, snapok=snapok,
                           wait=opt["settle"] * late, copy=lambda: cp.rows(store))
@@ -324,8 +325,7 @@
             due = awake = now
             if may_form and view is None and not meta.get("first"):
                 write(cp.keep(first=True), None, now)
-            if view:                             # after a blackout nobody else says who is primary
-                known()
+            known()                              # after a blackout nobody else says who is primary
         match ev:
             case ("pulse",):
                 pulse(now)
--- a/silverglade/control/plan.py
+++ b/silverglade/control/plan.py
@@ -11,9 +11,7 @@
     if not view or me not in rg.members(view) or not fit or rg.disks(view).get(me) != disk:
         return None
     ds = rg.disks(view)
-    for c in rg.members(view):
-        if c == me:
-            continue
+    for c in view[2] if me == view[1] else view[1:2]:     # backups watch the primary alone
         if not peers.up(c, now):
             if fair:
                 return "silent"
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -70,7 +70,7 @@
     "cold_ramp": c.span(default=td(seconds=3)),
 }
 
-TOLERANCE = {k: c.whole(default=1, least=1, most=4) for k in ("machines", "zones", "regions")}
+TOLERANCE = {k: c.whole(default=1, most=4) for k in ("machines", "zones", "regions")}
 
 SETTINGS = {
     "name": c.text(),
