--- a/silverglade/daemon/disk.py
+++ b/silverglade/daemon/disk.py
@@ -11,7 +11,8 @@
 from ..faults import Fault
 from ..wire import tupled
 
-MARK, SHAPE = 0x51_76_6C_67, 1          # application_id, user_version
+MARK, SHAPE = 0x51_76_6C_67, 2          # application_id, user_version
+OLD = (1,)                              # layouts that are read and taken over: 1, before views had several backups
 FILE = "state.db"
 
 
@@ -37,12 +38,14 @@
                         os.path.join(self.folder, FILE)):
                     raise Fault(702, "the file is not silverglade's")
                 new = True
-            elif (v := q("PRAGMA user_version").fetchone()[0]) != SHAPE:
+            elif (v := q("PRAGMA user_version").fetchone()[0]) not in (SHAPE, *OLD):
                 raise Fault(702, f"the file has layout {v}, this program reads {SHAPE}: start the program that wrote"
                                  " it; or move the folder away, start empty, and let this core rejoin by a copy")
         q("PRAGMA locking_mode=EXCLUSIVE")
         q("PRAGMA journal_mode=DELETE")
         q("PRAGMA synchronous=EXTRA")
+        if not new and v in OLD:                 # a program that reads only that one now refuses the file
+            q(f"PRAGMA user_version={SHAPE}")
         if new:
             q("BEGIN EXCLUSIVE")
             q(f"PRAGMA application_id={MARK}")
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -64,3 +64,14 @@
     s.write([("put", "meta", "a", 1)])
     assert s.db.execute("PRAGMA journal_mode").fetchone()[0] == "delete"
     assert not [f for f in os.listdir(tmp_path) if f.endswith(("-shm", "-wal"))]
+
+
+def test_a_store_of_the_layout_before_is_taken_over_and_kept_from_the_program_that_wrote_it(tmp_path):
+    s = Store(folder=str(tmp_path), name="a")
+    s.write([("put", "meta", "sealed", 3)])
+    s.db.execute("PRAGMA user_version=1")
+    s.close()
+    s = Store(folder=str(tmp_path), name="a")
+    assert s.load()["meta"] == {"sealed": 3}
+    assert s.db.execute("PRAGMA user_version").fetchone()[0] == 2
+    s.close()
