--- a/silverglade/__main__.py
+++ b/silverglade/__main__.py
@@ -7,6 +7,10 @@
 from .tools import operator, place, restore
 
 
+def tolerance(s):
+    return dict(zip(("machines", "zones", "regions"), map(int, s.split(","))))
+
+
 def parser():
     p = argparse.ArgumentParser(prog="silverglade", description="Serving across regions for a language model.")
     p.add_argument("--version", action="version", version=__version__)
@@ -20,6 +24,8 @@
         r.add_argument("--" + k, type=lambda s: s.split(","), help="comma-separated")
     r.add_argument("--log-level", dest="log_level")
     r.add_argument("--open", dest="open", action="store_true", default=None, help="listen beyond loopback without keys")
+    r.add_argument("--not-first", dest="first", action="store_false", default=None, help="an empty core joins, it forms nothing")
+    r.add_argument("--tolerance", type=tolerance, help="machines,zones,regions that may be lost at once, as 2,1,1")
     r.add_argument("--check", action="store_true", help="check the settings and stop")
     operator.parsers(sub)
     place.parsers(sub)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -103,3 +103,12 @@
         with pytest.raises(Fault) as e:
             settings(**bad)
         assert e.value.code == 701 and why in e.value.detail
+
+
+def test_the_flags_of_a_daemon_cover_every_setting(capsys):
+    from silverglade.__main__ import main
+    base = ["run", "--name", "e", "--zone", "z", "--region", "r", "--listen", "127.0.0.1:1", "--http", "127.0.0.1:2",
+            "--seeds", "127.0.0.1:3", "--cores", "a,b,c", "--check"]
+    assert main(base) == 0 and "sound" in capsys.readouterr().out
+    assert main(base + ["--tolerance", "2,1,1", "--not-first", "--data", "x"]) == 0
+    assert main(base + ["--tolerance", "9,1,1"]) == 2 and "tolerance.machines" in capsys.readouterr().err
