--- a/silverglade/config.py
+++ b/silverglade/config.py
@@ -2,6 +2,7 @@
 from hashlib import blake2b
 
 from . import check as c
+from .check import Kind
 
 CLASS = c.table({
     "kind": c.text(default="model"),
@@ -34,17 +35,24 @@
     "resumable": c.flag(default=False),
     "shares": c.each(c.table({"service": c.text(), "weight": c.number()}), least=1),
 })
-LIMITS = c.table(default=None, spec={
+LIMITS = c.table({
     "header_bytes": c.whole(default=16384, least=256, most=1 << 20),
     "body_bytes": c.whole(default=4 * 1024 * 1024, most=64 * 1024 * 1024),
     "header_ms": c.whole(default=5000, least=1),
     "idle_ms": c.whole(default=30000, least=1),
 })
+
+
+def maybe(kind):
+    """A part that may be left out; what was kept of one left out is taken again."""
+    return Kind(lambda v, p, bad: None if v is None else kind.fn(v, p, bad), default=None)
+
+
 SPEC = c.table({
     "number": c.whole(default=0),           # the operator's own version; 0: told apart by control's alone
     "routes": c.each(ROUTE, default=()),
-    "services": c.named(SERVICE, default=None),
-    "limits": LIMITS,
+    "services": maybe(c.named(SERVICE)),
+    "limits": maybe(LIMITS),
     "zones": c.named(c.table({
         "region": c.text(),
         "least": c.whole(default=1, least=0, most=10000),
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -47,7 +47,8 @@
                        opt=self.opt, rng=random.Random(secrets.randbits(64)),
                        disk=self.store.id if self.store else "",
                        saved=self.store.load() if self.store else None, front=outer.front if outer else "",
-                       lists=bool(outer and outer.list_at))
+                       lists=bool(outer and outer.list_at),
+                       tolerance=tuple(s["tolerance"][k] for k in ("machines", "zones", "regions")), first=s["first"])
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
         self.early = anyio.Event()               # a pulse is wanted sooner than it seemed
--- a/silverglade/forward/catalog.py
+++ b/silverglade/forward/catalog.py
@@ -3,7 +3,7 @@
 The list that somebody else keeps is read by the first two live daemons in an agreed order, of two regions where it may
 be; each replica is asked how it does by one daemon of its region (16.4). What changes travels as soft state.
 """
-from ..part import ZERO, log, post
+from ..part import IDLE, ZERO, log, post
 from ..rank import ranked
 from ..roster import extra
 from . import replicas as rp
@@ -24,7 +24,7 @@
 
 def catalog(*, me, region, lists, opt):
     """Effects ("list",) and ("ask", id, address); events ("read", records or None), ("asked", id, state or None)."""
-    prober, roll, known, missed, out = Prober(me=me, opt=opt), (), {}, {}, []
+    prober, reads, known, missed, out = Prober(me=me, opt=opt), False, {}, {}, []
     own, busy, due, fails, loads, spoken, ranks = False, False, ZERO, 0, {}, {}, {}
 
     def publish(kind, rid, state, value, *scope):
@@ -124,8 +124,8 @@
         out = []
         match ev:
             case ("roll", r):
-                roll = r
-                prober.known(tuple((d[0], d[5]) for d in roll if not d[8] and d[9] == "ready"))
+                reads = me in readers(r)
+                prober.known(tuple((d[0], d[5]) for d in r if not d[8] and d[9] == "ready"))
             case ("read", rs):
                 busy = False
                 on_read(rs, now)
@@ -144,10 +144,11 @@
                 prober.froze()
                 busy = False
             case ("pulse",):
-                out.append(("due", now + opt["probe_every"] / 16))
                 if not lists:
+                    out.append(("due", IDLE))
                     continue
-                if now >= due and not busy and (not own or me in readers(roll)):
+                if now >= due and not busy and (reads or not own):
                     due, busy = now + opt["list_every"], True
                     out.append(("list",))
                 out.extend(("ask", i, known[i][rp.ADDR]) for i in prober.due(now) if known.get(i))
+                out.append(("due", min([due if reads or not own else IDLE, *prober.next.values(), now + 4 * opt["list_every"]])))
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -42,7 +42,7 @@
     """Events and effects: design 15.3. Generator; see part.py."""
     tab, cfg, evac, reqs, reps = {}, None, frozenset(), {}, {}
     peers, members, edges, out, short = 1, {}, FEWEST, [], frozenset()
-    budget, cold, listed, told, clock = Budget(opt=opt), Cold(opt=opt), False, False, ZERO
+    budget, cold, listed, told = Budget(opt=opt), Cold(opt=opt), False, False
 
     def answer(q, status, wait, code):
         end(q)
@@ -246,7 +246,7 @@
 
     while True:
         now, ev = yield tuple(out)
-        out, clock = [], now
+        out = []
         budget.born = budget.born or now
         match ev:
             case ("request", rid, f):
@@ -275,7 +275,7 @@
             case ("call", cid, "serving", _):
                 out.append(("reply", cid, 100, dict(ready=cfg is not None and listed and bool(members))))
             case ("pulse",):
-                out.append(("due", now + SECOND))
+                out.append(("due", now + (4 if told else 1) * SECOND))
                 if not told and cfg is not None and listed:
                     told = True
                     out.append(("post", "roster", ("extra", "serves", True)))
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -35,7 +35,7 @@
     "path": ("grant", "deny", "moved", "hand", "left", "res", "more"),
     "news": ("news",),
     "desk": ("opr",),
-    "control": ("hb", "prep", "acc", "prom", "accd", "nack", "snap", "snapok", "repl", "repd",
+    "control": ("hb", "view", "prep", "acc", "prom", "accd", "nack", "snap", "snapok", "repl", "repd",
                 "items", "pull", "get", "op"),
     "follower": ("claim", "mark", "adopt", "copy"),
 }
@@ -45,7 +45,7 @@
 
 class Hub:
     def __init__(self, *, me, life, zone, region, addr, http, seeds, cores, opt, rng,
-                 disk="", saved=None, front="", lists=False):
+                 disk="", saved=None, front="", lists=False, tolerance=(1, 1, 1), first=True):
         self.me = me
         p = self.parts = {
             "roster": roster(me=me, life=life, place=(zone, region, addr, http, bool(disk)),
@@ -64,7 +64,8 @@
         }
         if disk:
             saved = saved or {}
-            p["control"] = core(me=me, disk=disk, cores=cores, saved=saved, opt=opt, rng=rng)
+            p["control"] = core(me=me, disk=disk, cores=cores, saved=saved, opt=opt, rng=rng,
+                                place=(zone, region), tolerance=tolerance, first=first)
             p["table"] = table(me=me, life=life, addr=addr, seeds=tuple(seeds), opt=opt)
             p["keeper"] = keeper(cores=cores, opt=opt)
             p["follower"] = follower(me=me, saved=saved, opt=opt)
