--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -94,7 +94,7 @@
     born = last = due = None
     wanted = ZERO                                # the next pulse, as told to the hub
     roll, shown, dead, stale, out = (), None, frozenset(), True, []
-    old_roll = None                              # held while a snapshot is awaited
+    old_roll, retold = None, False               # held while a snapshot is awaited; was mine told again?
 
     def publish(kind, key, rank, value, scope=""):
         mine[kind, key] = (rank, value, scope)
@@ -166,7 +166,7 @@
 
     def take(now, frm, d):
         """A core's answer (4.3)."""
-        nonlocal contact, behind, dead, stale, joined, state, t, old_roll, at_core, teller
+        nonlocal contact, behind, dead, stale, joined, state, t, old_roll, at_core, teller, retold
         contact = now
         if len(d) < 4:
             return None if d else True
@@ -188,7 +188,7 @@
             ask_of_me()                          # perhaps they ask the wrong one after me
         dead, stale = frozenset(dead_), stale or frozenset(dead_) != dead
         if soft.covers(vec, {o: n for o, n in t.vec.items() if t.log.get(o)}):
-            t.vec, behind, old_roll = vec, None, None
+            t.vec, behind, old_roll, retold = vec, None, None, False
             if not core:
                 out.append(post("proxy", "spot", teller.move(dead_)))
             if not joined and own and own[VALUE] and own[VALUE][LIFE] == life:
@@ -197,7 +197,8 @@
             return token
         if behind is None:                       # it stands behind me: what is mine it hears again
             behind = now
-            at_core = frm
+        elif not retold and now - behind >= opt["beat"] / 2:
+            at_core, retold = frm, True
             tell(now, True)
         elif now - behind > opt["takeover"]:     # for good: it began anew, and so does this
             old_roll, behind, t, stale = roll, None, soft.Table(), True
--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -1,10 +1,12 @@
 """A core's table of soft state (design 4): takes what daemons tell, agrees with the other cores by
 deltas, works out who is dead, and answers askers with what changed since they asked last."""
 from . import soft
-from .part import ZERO, send
+from .part import ZERO, send, span
 from .roster import ADDR, CORE, INC, LIFE, STATE, fit, watchers
 from .soft import CORES, KEY, KIND, RANK, SCOPE, VALUE
 
+PATIENCE = span(2)      # for each daemon of the fleet
+
 
 def table(*, me, life, addr, seeds, opt):
     """Casts ("spot", token): where the table stands; control holds asks that stand there.
@@ -13,7 +15,7 @@
     """
     t = soft.Table(life=life)
     born = last = due = None
-    spot, stirred, out = None, False, []
+    spot, stirred, pressing, moved, out = None, False, False, ZERO, []
     teller = soft.Teller(t)
     peers, met = {}, False                       # core -> dict(at, told, sent, when)
     asked, probed, alive = {}, {}, {}            # daemon -> when: it asked here; doubt known; answered a probe
@@ -23,17 +25,19 @@
         return {k[1]: r[VALUE] for k, r in t.rows.items() if k[0] == "daemon" and r[VALUE] is not None}
 
     def put(kind, key, rank, value, scope, now):
-        nonlocal stirred
+        nonlocal stirred, pressing
         if t.take((kind, key, rank, value, scope), now):
-            stirred = True
+            stirred = pressing = True
 
     def silent(x, v, now):
         r = t.rows.get(("silent", x))
         put("silent", x, ((r[RANK][0] if r else 0) + 1,), v, CORES, now)
 
     def noted(rows, now):
-        """Addresses and doubts among new rows."""
+        """Addresses and doubts among new rows; what must not wait."""
+        nonlocal pressing
         for r in rows:
+            pressing |= r[KIND] not in ("extra", "status") or r[KEY].endswith(" view")
             if r[KIND] == "daemon" and r[VALUE] is not None:
                 out.append(("peer", r[KEY], r[VALUE][ADDR]))
             elif r[KIND] == "doubt" and r[VALUE] is not None:
@@ -128,17 +132,19 @@
 
     def move(now):
         """The table has changed: the other cores get what they lack, askers their answers."""
-        nonlocal spot, stirred, shown
+        nonlocal spot, stirred, pressing, shown, moved
         if not met and now - born <= opt["takeover"]:
             return
         d = tuple(sorted(dead))
         if not stirred and d == shown and spot is not None:
             return
+        if not pressing and d == shown and spot is not None and now - moved < len(t.of("daemon")) * PATIENCE:
+            return                               # counts and rates of a large fleet come together (4.5)
         if stirred:
             for c in sorted(peers):
                 if c in recs() and c not in dead:
                     push(c, now)
-        stirred, shown = False, d
+        stirred, pressing, shown, moved = False, False, d, now
         spot = teller.move(shown)
         out.append(("cast", ("spot", spot)))
 
