--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -3,7 +3,7 @@
 from bisect import bisect
 
 from . import soft
-from .part import ZERO, log, ms, post, send
+from .part import ZERO, log, ms, post, send, span
 from .rank import score
 from .soft import CORES, KIND, RANK, VALUE
 
@@ -12,7 +12,8 @@
 TYPES = (str, str, int, int, str, str, str, str, bool, str, tuple, tuple)
 STATES = ("joining", "ready", "leaving", "left")
 URGENT = ("version", "view")            # extras that do not wait
-WAIT = {"news": 1.0, "parts": 1.0, "pace": 0.5}   # seconds a change waits, at least (4.5)
+SECOND = span(1000)
+WAIT = {"news": SECOND, "parts": SECOND, "pace": SECOND / 2}     # a change waits so long, at least (4.5)
 
 
 PULSE, OVER, ANSWER = range(3)          # an "alive": of many, the last to you, asked for
@@ -140,16 +141,18 @@
         out.append(send(at_core, "told", (("daemon", me, rank, value, scope),)))
 
     def extras(now):
-        gap, waits = 0.05 * len(roll), False
+        """What changed and may be told now; -> when the rest may."""
+        waits = []
         for k, v in more.items():
             was = mine.get(("extra", f"{me} {k}"))
             if was and not differs(k, was[1], v):
                 continue
-            if k in URGENT or was is None or (now - lately.get(k, ZERO)).total_seconds() >= max(WAIT.get(k, 0.5), gap):
+            at = lately.get(k, ZERO) + max(WAIT.get(k, SECOND / 2), len(roll) * SECOND / 20)
+            if k in URGENT or was is None or now >= at:
                 lately[k] = now
                 publish("extra", f"{me} {k}", (inc, was[0][1] + 1 if was and was[0][0] == inc else 1), v)
             else:
-                waits = True
+                waits.append(at)
         return waits
 
     def outrank(row):
@@ -285,9 +288,8 @@
                 elif any(k not in sent for k in mine):
                     tell(now)
                 show(now)
-                wanted = min([due, *(at + opt["doubt"] for i, at in heard.items() if i not in doubted)])
-                if not waits:
-                    out.append(("due", wanted))
+                wanted = min([due, *waits, *(at + opt["doubt"] for i, at in heard.items() if i not in doubted)])
+                out.append(("due", wanted))
             case ("msg", frm, ("alive", _, what)):
                 out.append(post("table", "msg", frm, ("alive",)))
                 if what == OVER:
