--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -25,7 +25,7 @@
 HEARS = {
     "roster": ("alive", "doubted"),
     "table": ("told", "sync"),
-    "proxy": ("told", "get"),
+    "proxy": ("told", "get", "sync"),
     "ledger": ("lease", "release", "renew"),
     "owner": ("ask", "leased", "unleased", "offer", "claimed", "unclaimed", "adopted",
               "unadopted", "copied", "fin", "quit"),
@@ -63,7 +63,7 @@
             p["keeper"] = keeper(cores=cores, opt=opt)
             p["follower"] = follower(me=me, saved=saved, opt=opt)
         else:
-            p["proxy"] = proxy(opt=opt)
+            p["proxy"] = proxy(zone=zone, opt=opt)
         for g in p.values():
             start(g)
         self.hear = {k: n for n, ks in HEARS.items() for k in ks if n in p}
--- a/silverglade/proxy.py
+++ b/silverglade/proxy.py
@@ -15,9 +15,10 @@
     return first(f"ask/{zone}", [r[ID] for r in here if r[STATE] == "ready"])
 
 
-def proxy(*, opt):
+def proxy(*, zone, opt):
     """What news has brought here is told on, as a core would; what is told goes to the core that is asked."""
     items, held, fresh, core, spot, asks, out = {}, bk.START, None, "", None, [], []
+    mine = ()                                    # whom it answers: other regions are told other rows
 
     def serve(now):
         age = ms(now - fresh) if fresh is not None else -1
@@ -52,7 +53,9 @@
             case ("spot", at):
                 spot = at
                 serve(now)
-            case ("msg", frm, ("get", n, v, at)) if core:
+            case ("roll", r):
+                mine = {x[ID] for x in r if x[ZONE] == zone}
+            case ("msg", frm, ("get", n, v, at)) if core and frm in mine:
                 asks.append((now, frm, n, v, at))
                 serve(now)
             case ("msg", frm, ("told", rows)) if core:
--- a/silverglade/soft.py
+++ b/silverglade/soft.py
@@ -152,7 +152,7 @@
         return self.spot
 
     def answer(self, frm, at):
-        """-> the delta for an asker that stands at a token, or at a vector as pairs."""
+        """-> the delta for an asker that stands at a token, or at a vector as pairs; all of it for one unknown."""
         if self.spot is None or at == self.spot:
             return ()
         if type(at) is int and at not in self.past:
@@ -161,5 +161,5 @@
         k = (at, r[VALUE][5] if r and r[VALUE] else None)
         if k not in self.cache:
             self.cache[k] = self.t.since(self.past[at] if type(at) is int else dict(at),
-                                         lambda row: row[SCOPE] in ("", k[1]))
+                                         lambda row: row[SCOPE] in ("", k[1]) or k[1] is None and row[SCOPE] != CORES)
         return (self.spot, pairs(self.past[self.spot]), self.cache[k], self.dead)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -212,7 +212,7 @@
 def test_daemons_that_take_each_other_for_the_proxy_do_not_pass_rows_round():
     from silverglade.part import start
     from silverglade.proxy import proxy
-    p = start(proxy(opt=tuning()))
+    p = start(proxy(zone="z", opt=tuning()))
     row = ("thing", "k", (1,), 1, "")
     assert p.send((ZERO, ("msg", "x", ("told", (row,))))) == ()
     p.send((ZERO, ("core", "y", False)))
@@ -221,6 +221,17 @@
     assert p.send((ZERO, ("msg", "x", ("told", (row,))))) == (("send", "c", ("told", (row,))),)
 
 
+def test_a_seed_that_is_no_core_answers_no_stranger_and_is_passed_over():
+    s = hamlet()
+    n, edge = s.w.nodes["edge-south-0"], s.w.nodes["edge-north-0"]
+    n.kill()
+    s.w.run(3)
+    s.w.seeds = (edge.addr, s.w.nodes["core-middle"].addr)
+    n.boot()
+    assert until(s, lambda: n.peek("roster", "joined") and rolls(s) == {6}, 12) < 7
+    assert s.o.events["message-refused"] == 0
+
+
 # deltas against an oracle
 class Core:
     def __init__(self, i):
@@ -328,3 +339,27 @@
     without(monkeypatch, "silverglade.shards.owner", 'out.append(("due", turn if shards or budget.log else IDLE))', "pass",
             "silverglade.hub.owner")
     assert measure(daemons=12, secs=5)["woken_edge"] > 25
+
+
+def stood(n):
+    """How often a core of so many daemons stands elsewhere in 2 s, while a count is told at each pulse."""
+    from silverglade.part import start
+    from silverglade.table import table
+    t = start(table(me="c", life="c.1", addr="a", seeds=("a",), opt=tuning(takeover=0.01)))
+    rec = ("x", "l", 1, 1, "z", "r", "a", "h", False, "ready", (), ())
+    t.send((ZERO, ("pulse",)))
+    t.send((ZERO, ("msg", "x", ("told", tuple(("daemon", f"d{i}", (1, 1), (f"d{i}", *rec[1:]), "") for i in range(n))))))
+    got = 0
+    for k in range(40):
+        now = span(50 * (k + 1))
+        t.send((now, ("msg", "d1", ("told", (("extra", "d1 pace", (1, k + 1), (k, 0), ""),)))))
+        got += sum(e[:1] == ("cast",) for e in t.send((now, ("pulse",))))
+    return got
+
+
+def test_counts_of_a_large_fleet_come_together_and_news_of_who_lives_at_once(monkeypatch):
+    assert stood(6) == 40 and stood(400) <= 4
+    mod = "silverglade.table"
+    without(monkeypatch, mod, 'pressing |= r[KIND] not in ("extra", "status") or r[KEY].endswith(" view")', "pressing = True",
+            "silverglade.table.table")
+    assert stood(400) == 40
