--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -3,7 +3,7 @@
 from bisect import bisect
 
 from . import soft
-from .part import ZERO, log, ms, post, send
+from .part import ZERO, log, ms, post, send, span
 from .rank import score
 from .soft import CORES, KIND, RANK, VALUE
 
@@ -12,7 +12,8 @@
 TYPES = (str, str, int, int, str, str, str, str, bool, str, tuple, tuple)
 STATES = ("joining", "ready", "leaving", "left")
 URGENT = ("version", "view")            # extras that do not wait
-WAIT = {"news": 1.0, "parts": 1.0, "pace": 0.5}   # seconds a change waits, at least (4.5)
+SECOND = span(1000)
+WAIT = {"news": SECOND, "parts": SECOND, "pace": SECOND / 2}     # a change waits so long, at least (4.5)
 
 
 PULSE, OVER, ANSWER = range(3)          # an "alive": of many, the last to you, asked for
@@ -94,7 +95,7 @@
     born = last = due = None
     wanted = ZERO                                # the next pulse, as told to the hub
     roll, shown, dead, stale, out = (), None, frozenset(), True, []
-    old_roll = None                              # held while a snapshot is awaited
+    old_roll, retold = None, False               # held while a snapshot is awaited; was mine told again?
 
     def publish(kind, key, rank, value, scope=""):
         mine[kind, key] = (rank, value, scope)
@@ -140,16 +141,18 @@
         out.append(send(at_core, "told", (("daemon", me, rank, value, scope),)))
 
     def extras(now):
-        gap, waits = 0.05 * len(roll), False
+        """What changed and may be told now; -> when the rest may."""
+        waits = []
         for k, v in more.items():
             was = mine.get(("extra", f"{me} {k}"))
             if was and not differs(k, was[1], v):
                 continue
-            if k in URGENT or was is None or (now - lately.get(k, ZERO)).total_seconds() >= max(WAIT.get(k, 0.5), gap):
+            at = lately.get(k, ZERO) + max(WAIT.get(k, SECOND / 2), len(roll) * SECOND / 20)
+            if k in URGENT or was is None or now >= at:
                 lately[k] = now
                 publish("extra", f"{me} {k}", (inc, was[0][1] + 1 if was and was[0][0] == inc else 1), v)
             else:
-                waits = True
+                waits.append(at)
         return waits
 
     def outrank(row):
@@ -166,7 +169,7 @@
 
     def take(now, frm, d):
         """A core's answer (4.3)."""
-        nonlocal contact, behind, dead, stale, joined, state, t, old_roll, at_core, teller
+        nonlocal contact, behind, dead, stale, joined, state, t, old_roll, at_core, teller, retold
         contact = now
         if len(d) < 4:
             return None if d else True
@@ -188,7 +191,7 @@
             ask_of_me()                          # perhaps they ask the wrong one after me
         dead, stale = frozenset(dead_), stale or frozenset(dead_) != dead
         if soft.covers(vec, {o: n for o, n in t.vec.items() if t.log.get(o)}):
-            t.vec, behind, old_roll = vec, None, None
+            t.vec, behind, old_roll, retold = vec, None, None, False
             if not core:
                 out.append(post("proxy", "spot", teller.move(dead_)))
             if not joined and own and own[VALUE] and own[VALUE][LIFE] == life:
@@ -197,7 +200,8 @@
             return token
         if behind is None:                       # it stands behind me: what is mine it hears again
             behind = now
-            at_core = frm
+        elif not retold and now - behind >= opt["beat"] / 2:
+            at_core, retold = frm, True
             tell(now, True)
         elif now - behind > opt["takeover"]:     # for good: it began anew, and so does this
             old_roll, behind, t, stale = roll, None, soft.Table(), True
@@ -284,9 +288,8 @@
                 elif any(k not in sent for k in mine):
                     tell(now)
                 show(now)
-                wanted = min([due, *(at + opt["doubt"] for i, at in heard.items() if i not in doubted)])
-                if not waits:
-                    out.append(("due", wanted))
+                wanted = min([due, *waits, *(at + opt["doubt"] for i, at in heard.items() if i not in doubted)])
+                out.append(("due", wanted))
             case ("msg", frm, ("alive", _, what)):
                 out.append(post("table", "msg", frm, ("alive",)))
                 if what == OVER:
