--- a/silverglade/wire.py
+++ b/silverglade/wire.py
@@ -1,5 +1,6 @@
 """Frames between daemons: length-prefixed ormsgpack tuples (design 3)."""
 import struct
+import zlib
 
 import ormsgpack
 
@@ -8,11 +9,15 @@
 VERSION = 3
 SPOKEN = (3,)          # wire versions this program reads; in 2 a view had one backup
 CAP = 8 * 1024 * 1024
+PRESS = 16 * 1024      # a body above this travels compressed (3.1): configurations shrink to a tenth and less
+WIDE = 4 * CAP         # what a compressed body may unfold to
 HEAD = struct.Struct(">I")
 
 # may be large; they take a connection of their own, and may so be overtaken by what is small (3.1)
 BULK = frozenset(("snap", "repl", "items", "news", "copy", "adopted"))
 
+PRESSED = BULK | {"op", "opr"}
+
 DEEP = (list, dict)
 
 
@@ -26,11 +31,24 @@
 
 def pack(*, frm, life, body, cap=CAP, version=VERSION):
     b = ormsgpack.packb((version, frm, life, body))
+    if len(b) > PRESS and body[0] in PRESSED:
+        b = ormsgpack.packb((version, frm, life, ("pressed", zlib.compress(ormsgpack.packb(body), 1))))
     if len(b) > cap:
         raise Fault(602, f"{len(b)} bytes")
     return HEAD.pack(len(b)) + b
 
 
+def unfolded(b):
+    z = zlib.decompressobj()
+    try:
+        got = z.decompress(b, WIDE)
+        if not z.eof:
+            raise Fault(602, f"more than {WIDE} bytes, or cut short")
+        return tupled(ormsgpack.unpackb(got))
+    except (zlib.error, ValueError, TypeError, RecursionError) as e:
+        raise Fault(601, "a compressed body that does not unfold") from e
+
+
 def unpack(b):
     """One frame's payload -> (sender, life, body)."""
     try:
@@ -42,6 +60,8 @@
     if t[0] not in SPOKEN:
         raise Fault(603, f"version {t[0]}")
     _, frm, life, body = t[:4]
+    if isinstance(body, tuple) and len(body) == 2 and body[0] == "pressed" and isinstance(body[1], bytes):
+        body = unfolded(body[1])
     if not isinstance(frm, str) or not isinstance(life, str):
         raise Fault(601, "bad sender")
     if not isinstance(body, tuple) or not body or not isinstance(body[0], str):
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -74,3 +74,22 @@
     for bad in (("get", 1, (0,)), ("get", "1", (0, 0)), ("get", 1), ("nothing", 1),
                 ("op", 1, "", ("evac", "z"), ""), ("news", 1, (1, 1), (("k", (1,), 0),), 5, 0)):
         assert not messages.checked(bad)
+
+
+def test_what_is_large_travels_small_and_unfolds_to_itself_or_is_refused():
+    items = tuple((f"route-{i}", (1, i), {"host": "h", "prefix": f"/{i}/"}) for i in range(3000))
+    raw = wire.pack(frm="a", life="l", body=("news", 1, (1, 2), items, 0, 0))[4:]
+    assert len(raw) < len(repr(items)) / 5
+    assert wire.unpack(raw) == ("a", "l", ("news", 1, (1, 2), items, 0, 0))
+    rng, codes = random.Random(3), set()
+    for _ in range(200):
+        b = bytearray(raw)
+        b[rng.randrange(20, len(b))] ^= 1 << rng.randrange(8)
+        try:
+            assert wire.unpack(bytes(b)) == ("a", "l", ("news", 1, (1, 2), items, 0, 0))
+        except Fault as f:
+            codes.add(f.code)
+    assert codes <= {601, 602} and codes
+    with pytest.raises(Fault) as e:                    # a little that unfolds to very much
+        wire.unpack(wire.pack(frm="a", life="l", body=("news", b"0" * (wire.WIDE + 1)))[4:])
+    assert e.value.code == 602
