--- a/silverglade/rehearsal/courier.py
+++ b/silverglade/rehearsal/courier.py
@@ -147,8 +147,14 @@
 
     # the part
     def act(self, e):
-        way = self.ways.get(e[1])
+        way = self.ways.get(e[1]) if len(e) > 1 else None
         match e:
+            case ("list",):
+                self.f.read(self)
+            case ("ask", rid, addr):
+                self.f.report(self, rid, addr)
+            case ("limits", _):
+                return
             case ("forget", replica):
                 for k in [k for k in self.idle if k[1] == replica]:
                     for c in self.idle.pop(k):
--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -178,23 +178,26 @@
         self.w.note("list", mode)
 
     def read(self, c):
-        """A daemon reads the list, again and again."""
-        if not c.alive():
-            return
-        gap = self.w.opt["list_every"]
-        self.w.after(gap, self.read, c)
-        if self.mode in ("down", "busy") or not (self.w.open(c.n.name, LIST) and self.w.open(LIST, c.n.name)):
-            return
+        """A daemon reads the list: whole, or not at all."""
         seen = next((r for t, r in reversed(self.history) if self.w.now - t >= LAG * self.w.rng.random()), ())
-        if self.mode == "part" and self.w.rng.random() < 0.5:
-            return                                        # a page of it did not come: the reader takes it whole or not
-        if seen:
-            self.w.after(2 * SEC if self.mode == "slow" else 2 * MS, c.do, c.told, ("listed", seen))
+        part = self.mode == "part" and self.w.rng.random() < 0.5
+        shut = self.mode in ("down", "busy") or not (self.w.open(c.n.name, LIST) and self.w.open(LIST, c.n.name))
+        took = SEC if shut else 2 * SEC if self.mode == "slow" else 2 * MS
+        self.w.after(took, c.do, c.told, ("read", None if shut or part or not seen else seen))
+
+    def report(self, c, rid, addr):
+        """A daemon asks a replica how it does."""
+        seat = self.at(addr)
+        ok = seat and seat.id == rid and seat.e.up and self.w.open(c.n.name, rid) and self.w.open(rid, c.n.name)
+        state = None
+        if ok:
+            waiting = seat.e.report(self.w.now)[0]
+            state = (len(seat.e.running), waiting, seat.spec.capacity)
+        self.w.after(2 * self.w.hop(c.n.zone, seat.zone) + MS if ok else SEC, c.do, c.told, ("asked", rid, state))
 
     # daemons
     def boot(self, n):
-        c = self.couriers[n.name] = Courier(self, n)
-        self.w.after(timedelta(milliseconds=self.w.rng.randrange(20, 300)), self.read, c)
+        self.couriers[n.name] = Courier(self, n)
 
     def died(self, n):
         c = self.couriers.get(n.name)
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -67,7 +67,8 @@
                        http=self.http, seeds=w.seeds, cores=w.named, opt=w.opt,
                        rng=random.Random(w.rng.getrandbits(64)),
                        disk=self.disk.id if self.disk else "", saved=saved, tolerance=w.tolerance,
-                       first=self.lives == 1, front=self.name if w.fronts and not self.core else "")
+                       first=self.lives == 1, front=self.name if w.fronts and not self.core else "",
+                       lists=w.fronts and not self.core)
         self.frozen, self.held, self.since = None, [], w.now
         w.after(span(w.rng.randrange(50)), self.pulse, self.life)
         w.note("boot", self.name)
@@ -235,7 +236,7 @@
                 r = next((r for r in self.replicas.values() if r.addr == addr), None)
                 if r and self.open(n.name, rid):
                     self.after(self.hop(n.zone, r.zone) * 2, r.probe, n, n.life, rid, inc)
-            case ("try" | "pass" | "drop" | "answer" | "break" | "forget", *_) if self.field:
+            case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "list" | "ask" | "limits", *_) if self.field:
                 self.field.effect(n, e)
             case ("result", oid, *r):
                 self.oracle.result(oid, r)
