--- a/silverglade/rehearsal/bylaws.py
+++ b/silverglade/rehearsal/bylaws.py
@@ -40,16 +40,22 @@
         r = routes.find(p["table"], host, path)
         return frozenset(s["service"] for s in r["shares"] if s["weight"] > 0) if r else frozenset()
 
-    def homes(self, host, path):
-        """Regions in which it may be served under some configuration; None: any."""
+    def homes(self, host, path, least=None):
+        """Regions in which it may be served under some configuration of that number or above; None: any."""
         out = set()
         for p in self.sound():
+            if least is not None and p["number"] < least:
+                continue
             r = routes.find(p["table"], host, path)
             if r and not r["homes"]:
                 return None
             out |= set(r["homes"]) if r else set()
         return out
 
+    def tries(self, host, path):
+        """To how many replicas one try may be sent at most."""
+        return max((r["tries"] for p in self.sound() if (r := routes.find(p["table"], host, path))), default=1)
+
     def newest(self, by):
         """The highest number acknowledged by then."""
         return max((p["number"] for p in self.puts if p["acked"] is not None and p["acked"] <= by), default=None)
--- a/silverglade/rehearsal/callers.py
+++ b/silverglade/rehearsal/callers.py
@@ -76,7 +76,7 @@
     def change(self, how=""):
         """Moves, splits, times; routes added and taken out; many at once."""
         raw, rng = self.raw(), self.rng
-        how = how or rng.choice(["move", "split", "times", "add", "add", "drop"])
+        how = how or rng.choice(["move", "split", "times", "add", "add", "drop", "homes"])
         rs = [dict(r) for r in raw["routes"]]
         r = rng.choice(rs)
         like = [s for s in raw["services"] if any(x["service"] == s and bool(x["spec"].work) == self.plain(r) for x in self.f.rows)]
@@ -87,6 +87,9 @@
             r["shares"][0]["weight"] = 5
         elif how == "times":
             r.update(due_ms=rng.choice([1500, 4000, 9000]), tries=rng.randint(1, 3))
+        elif how == "homes":
+            gs = sorted(set(self.w.region.values()))
+            r["homes"] = rng.sample(gs, rng.randint(0, len(gs) - 1))
         elif how in ("add", "grow"):
             pure = next(x for x in rs if self.plain(x)) if any(map(self.plain, rs)) else rs[0]
             for _ in range(1 if how == "add" else 300):
--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -40,7 +40,7 @@
         calm = f.touch(trip.conn.c.n) and now - trip.sent < SEC / 2
         f.rules.arrived(now, s.attempt, rep=self.id, service=self.service, zone=self.zone, region=self.region,
                         sent=trip.sent, touch=calm, status=421 if other else None,
-                        cold_per_s=self.spec.cold_per_s if self.e.cold(now) else 0.0)
+                        left=t["deadline_ms"] * MS, cold_per_s=self.spec.cold_per_s if self.e.cold(now) else 0.0)
         self.said(self.e.ask(now, trip.key, Ask(
             attempt=s.attempt, body=s.body, parts=trip.way.parts, tokens=s.tokens, urgency=t["urgency"],
             left=t["deadline_ms"] * MS, last=int(t["last_event"] or 0), expect=t["replica"] if t["expect"] else None,
--- a/silverglade/rehearsal/mishaps.py
+++ b/silverglade/rehearsal/mishaps.py
@@ -34,7 +34,13 @@
     def again(self, s, *, same=False):
         """A new life of it, unless there is one; at the old address only when that is free."""
         if not any(x.name == s.name and x.e.up and x.leaves is None for x in self.f.seats.values()):
-            self.f.start(self.row(s), addr=s.addr if same and not s.e.up else None)
+            self.f.start(self.row(s), addr=s.addr if same and not s.e.up else self.spare(s.zone))
+
+    def spare(self, z):
+        """Now and then an address that another replica of the zone had, of whatever service; or None: a new one."""
+        old = [x.addr for x in self.f.seats.values() if x.zone == z and x.ended is not None and self.f.at(x.addr) is x
+               and self.w.now - x.ended >= self.f.reuse]
+        return self.rng.choice(old) if old and self.rng.random() < 0.6 else None
 
     # machines and links
     def cut_machine(self):
--- a/silverglade/rehearsal/rules.py
+++ b/silverglade/rehearsal/rules.py
@@ -31,6 +31,7 @@
     cold_slack: float = 5.0
     evacuate: timedelta = 5 * SEC
     recovery: timedelta = 12 * SEC
+    due: timedelta = 450 * MS             # what a replica is told to have may be older by a connection's coming up
 
 
 class Sent(NamedTuple):
@@ -141,10 +142,11 @@
             self.bad(now, "ORDER", s.attempt, "complete before its last piece", len(g["events"]), most)
 
     # replicas
-    def arrived(self, now, attempt, *, rep, service, zone, region, sent, touch, status=None, cold_per_s=0.0):
+    def arrived(self, now, attempt, *, rep, service, zone, region, sent, touch, status=None, cold_per_s=0.0, left=None):
         """A request reached a replica: sent by a daemon then; touch: that daemon was in touch.
 
         status: 421 when it was meant for another life. cold_per_s: what the replica bears, 0 while it is warm.
+        left: the time that the replica was told it has.
         """
         s = self.sent.get(attempt)
         if s is None:
@@ -153,7 +155,11 @@
             self.extras[service].append(now)
             self.budget(now, service)
         self.reached[attempt].append(rep)
-        homes = self.laws.homes(s.host, s.path)
+        if len(self.reached[attempt]) > self.laws.tries(s.host, s.path):
+            self.bad(now, "TRIES", attempt, *self.reached[attempt])
+        if left is not None and left > s.due - (sent - s.at) + self.b.due:
+            self.bad(now, "DUE", attempt, left / SEC, (s.due - (sent - s.at)) / SEC)
+        homes = self.laws.homes(s.host, s.path, self.laws.newest(s.at - self.b.apply) if touch else None)
         if homes is not None and homes and region not in homes:
             self.bad(now, "HOME", attempt, rep, region)
         if status == 421:
--- a/tests/test_forward_seeds.py
+++ b/tests/test_forward_seeds.py
@@ -114,7 +114,23 @@
     return () if e[0] == "answer" and e[2] in (502, 503, 504) else (e,)
 
 
+def tries_on(mp):
+    """The part takes a route for one that lets it try nine replicas."""
+    real = part.routes
+
+    class Routes:
+        table, service = real.table, real.service
+
+        @staticmethod
+        def find(*a):
+            r = real.find(*a)
+            return r and dict(r, tries=9)
+    mp.setattr(part, "routes", Routes)
+
+
 PLANTED = [
+    ("TRIES", tries_on, ("spoil",), dict(gap=0.2, town="navrang")),
+    ("DUE", effects(lambda now, e: (("try", *e[1:3], dict(e[3], deadline_ms=60000)),) if e[0] == "try" else (e,)), (), {}),
     ("DRAIN", usable(leaving=False), ("release",), {}),
     ("EVAC", usable(evac=frozenset()), ("evacuate",), {}),
     ("HOME", usable(homes=()), (), {}),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,7 +17,7 @@
         number=number, zones={"a1": {"region": "a"}, "b1": {"region": "b"}}, tenants={},
         services=dict.fromkeys({s for _, s, *_ in routes}, {}),
         routes=[dict(name=p, host="h", prefix=p, kind="streaming", due_ms=4000, homes=(r or [[]])[0],
-                     shares=[dict(service=s, weight=1)]) for p, s, *r in routes], **kw))
+                     tries=3, shares=[dict(service=s, weight=1)]) for p, s, *r in routes], **kw))
     assert not bad, bad
     return got
 
@@ -392,6 +392,28 @@
     p.arrive(region="a" if good else "b", zone="b1")
 
 
+@breach("HOME")
+def homes_that_were_changed(p, good):
+    p.put(cfg(2, ("/r/", "s", ["a"])), base=1, ok=True)
+    p.later(2.9 if good else 3.1)
+    p.ask()
+    p.arrive(region="b", zone="b1")
+
+
+@breach("TRIES")
+def more_tries_than_the_route_has(p, good):
+    p.ask(again=True)
+    for i in range(3 if good else 4):
+        p.arrive(rep=f"r{i}")
+
+
+@breach("DUE")
+def more_time_than_the_client_has(p, good):
+    p.ask()
+    p.later(1)
+    p.arrive(left=9.4 * SEC if good else 9.5 * SEC)
+
+
 @breach("EVAC")
 def work_in_an_emptied_zone(p, good):
     p.r.empty(p.now, "a1", True)
