--- a/tests/test_forward_seeds.py
+++ b/tests/test_forward_seeds.py
@@ -146,6 +146,7 @@
     ("RECOVER", effects(lambda now, e: (("answer", e[1], 502, None, 1),) if e[0] == "try" and now.total_seconds() > 14 else (e,)), (), {}),
     ("DENIED", effects(nth(20, lambda e: (("answer", e[1], 403, None, 1),))), (), {}),
     ("SILENT", effects(keeps), ("spoil",), {}),
+    ("LEAK", lambda mp: warped(mp, lambda now, e: (e,), ev=lambda now, e: None if e[0] == "tried" and e[3] == "done" else e), (), {}),
 ]
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -414,6 +414,13 @@
     p.arrive(left=9.4 * SEC if good else 9.5 * SEC)
 
 
+@breach("DUE")
+def more_time_than_the_client_has_from_one_in_touch(p, good):
+    p.ask()
+    p.later(5)                               # a daemon that was frozen cannot know how long the request lay there
+    p.arrive(left=9 * SEC, touch=not good)
+
+
 @breach("EVAC")
 def work_in_an_emptied_zone(p, good):
     p.r.empty(p.now, "a1", True)
