--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -16,14 +16,14 @@
     "late": c.span(default=td(milliseconds=900)),        # a pulse this late means frozen
     "watch": c.whole(default=4, least=1, most=16),
     "takeover": c.span(default=td(milliseconds=1500)),   # control: silence of a member (5.4)
-    "heartbeat": c.span(default=td(milliseconds=500)),   # between cores (5.10); a third of takeover
+    "heartbeat": c.span(default=td(milliseconds=250)),   # between cores (5.10); a third of takeover
     "core_forget": c.span(default=td(seconds=180)),      # a core silent this long is no witness any more (5.9)
     "disk_stall": c.span(default=td(seconds=1)),
     "settle": c.span(default=td(milliseconds=600)),
     "op_wait": c.span(default=td(seconds=4)),            # operator call before "unknown"
     "ask_wait": c.span(default=td(seconds=1)),   # news long-ask
     "alone": c.span(default=td(seconds=4)),              # no confirmed news: start nothing
-    "aged": c.span(default=td(seconds=2)),               # a core whose proof is older is passed over for another (5.7)
+    "aged": c.span(default=td(seconds=1.5)),             # a core whose proof is older is passed over for another (5.7)
     "trust": c.flag(default=False),                      # start with news that nobody has proved newer than this life
     "probe": c.span(default=td(milliseconds=500)),
     "stale": c.span(default=td(seconds=3)),              # a replica's status too old
--- a/silverglade/replicas/registry.py
+++ b/silverglade/replicas/registry.py
@@ -95,11 +95,11 @@
 
     def steady(now):
         """A replica was heard of while the holder of its ledger lives and says nothing else (7.1)."""
-        if sure is not None and now - sure <= opt["stale"] / 2:
+        if sure is not None:                     # as of the proof of one's own news, no later
             for rid, s in stats.items():
                 e, who = holds.get(rid, (0, ""))
                 if who in live and e == s[S_EPOCH] and s[S_INC] == recs.get(rid, (rid, 0))[INC]:
-                    heard[rid] = now
+                    heard[rid] = max(heard.get(rid, sure), sure)
 
     def leave(rid, inc, why):
         if marks.get(rid, 0) >= inc:
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -137,12 +137,12 @@
 
 
 def large(own_way, monkeypatch):
-    """A large configuration, which travels compressed, over links of 20 kB a second, with and without a connection for what is bulky."""
+    """A large configuration, which travels compressed, over links of 8 kB a second, with and without a connection for what is bulky."""
     if not own_way:
         monkeypatch.setattr(world, "lane", lambda kind: "bulk")
     s = Scene(town="hamlet")
     s.settle()
-    s.w.rate, n = 20e3, dict(s.o.events)
+    s.w.rate, n = 8e3, dict(s.o.events)
     s.put(grow=2000)
     s.w.run(5)
     return sum(s.o.events[k] - n.get(k, 0) for k in ("daemon-dead", "seek", "frozen")), s.o.acked[-1][2]
