--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -203,10 +203,15 @@
                     peers[frm] = dict(at=now, told={}, sent=0, when=ZERO)
                 p = peers[frm]
                 p.update(at=now, told=vec if all_ else {**p["told"], **vec})
+                if all_ and vec.get(life, 0) < p["sent"]:
+                    p["sent"] = 0                # its own word goes before what was sent to it
                 if soft.covers(t.vec, {**vec, **lacks}):
                     stirred |= not soft.covers(t.vec, vec)
                     t.adopt(vec)
                     met = True
+                    if all_ and any(vec.get(o, 0) < n for o, n in t.vec.items()
+                                    if o != life or now - p["when"] > opt["settle"]):
+                        sync(frm, now)           # it lacks what nobody will push to it
                 else:                            # it takes me to hold more: this is where I stand
                     sync(frm, now)
             case ("msg", frm, ("alive", *_)):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -232,6 +232,25 @@
     assert s.o.events["message-refused"] == 0
 
 
+def test_a_core_that_begins_anew_agrees_with_the_others_while_rows_change_all_the_time():
+    s = Scene(town="navrang")
+    s.settle(5)
+    for k in range(160):
+        s.w.after(span(50 * k), s.w.nodes["edge-surat-0"].hub.queue.append, ("roster", ("publish", "thing", "k", (k + 1,), k)))
+        s.w.after(span(50 * k), s.w.nodes["core-surat"].hub.queue.append, ("roster", ("publish", "thing", "c", (k + 1,), k)))
+    s.w.run(1)
+    s.w.empty_disk("core-ahmedabad")
+    s.w.run(0.3)
+    n = s.w.nodes["core-ahmedabad"]
+    n.boot()
+    s.w.run(2.5)
+    t, other = n.peek("table", "t"), s.w.nodes["core-vadodara"].peek("table", "t")
+    assert len(t.vec) == len(other.vec) > 3
+    s.w.run(6)
+    assert rolls(s) == {12} and n.peek("table", "t").of("thing")["k"][3] == 159
+    assert s.o.events["table-anew"] == 0
+
+
 # deltas against an oracle
 class Core:
     def __init__(self, i):
