--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -250,7 +250,7 @@
     def __init__(self, field, sent, parts, node, over):
         self.f, self.w, self.sent, self.parts, self.node, self.over = field, field.w, sent, parts, node, over
         self.started, self.last, self.trip, self.held, self.rid = False, str(sent.last) if sent.last else None, None, None, ""
-        self.status, self.wait, self.ended = None, None, False
+        self.status, self.wait, self.ended, self.closing = None, None, False, False     # closing: the end is on its way
         field.rules.asked(sent)
         c = field.couriers[node.name]
         if node.hub is None:
@@ -273,6 +273,7 @@
         self.w.after(CLIENT, self.f.rules.data, self.sent.attempt, b)
 
     def end(self, whole, own=False):
+        self.closing = True
         self.w.after(CLIENT, self.close, whole, own)
 
     def close(self, whole, own):
@@ -285,7 +286,7 @@
 
     def patience(self, c):
         """The client waits no longer."""
-        if not self.ended:
+        if not self.ended and not self.closing:
             left = self.trip is None or self.trip.over      # nothing is under way for it, and no answer came
             if left and c.alive() and not c.box and self.node.steady(self.sent.at):
                 self.f.rules.forgotten(self.w.now, self.sent.attempt)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -8,8 +8,10 @@
 from silverglade import config
 from silverglade.dialect import OWN
 from silverglade.rehearsal.asks import MS, SEC, Spec, pieces
-from silverglade.rehearsal.engines import Listing, Names, Server
+from silverglade.rehearsal.engines import Server
+from silverglade.rehearsal.listing import Listing
 from silverglade.rehearsal.rules import Rules, Sent
+from silverglade.rehearsal.talk import Names
 from tests.scripted import SEAL, front, play, simple
 
 FAST = Spec(step=MS, per_slot=0 * MS, stride=4, cache_tokens=100000)
