--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -23,7 +23,7 @@
         self.f, self.w, self.id, self.name, self.service = field, field.w, id, name, service
         self.zone, self.region, self.addr, self.spec = zone, region, addr, spec
         self.e = Engine(rid=id, spec=spec, seed=seed, warm=warm, now=field.w.now)
-        self.conns, self.trips, self.num, self.leaves, self.at, self.ended = set(), {}, 0, None, None, None
+        self.conns, self.trips, self.num, self.leaves, self.at, self.ended = {}, {}, 0, None, None, None     # conns in order
 
     def record(self, now):
         """As the list shows it; see forward/replicas.py."""
@@ -253,7 +253,7 @@
     def __init__(self, field, sent, parts, node, over):
         self.f, self.w, self.sent, self.parts, self.node, self.over = field, field.w, sent, parts, node, over
         self.started, self.last, self.trip, self.held, self.rid = False, str(sent.last) if sent.last else None, None, None, ""
-        self.status, self.wait, self.ended = None, None, False
+        self.status, self.wait, self.ended, self.closing = None, None, False, False     # closing: the end is on its way
         field.rules.asked(sent)
         c = field.couriers[node.name]
         if node.hub is None:
@@ -276,6 +276,7 @@
         self.w.after(CLIENT, self.f.rules.data, self.sent.attempt, b)
 
     def end(self, whole, own=False):
+        self.closing = True
         self.w.after(CLIENT, self.close, whole, own)
 
     def close(self, whole, own):
@@ -288,7 +289,7 @@
 
     def patience(self, c):
         """The client waits no longer."""
-        if not self.ended:
+        if not self.ended and not self.closing:
             left = self.trip is None or self.trip.over      # nothing is under way for it, and no answer came
             if left and c.alive() and not c.box and self.node.steady(self.sent.at):
                 self.f.rules.forgotten(self.w.now, self.sent.attempt)
--- a/tests/plants.py
+++ b/tests/plant.py
@@ -1,4 +1,4 @@
-"""The rules of the forwarding path: each reports a planted breach, and is silent of the like done right."""
+"""Rules of the forwarding path that are fed by hand, for planted breaches."""
 from datetime import timedelta
 
 from silverglade import config
@@ -71,12 +71,21 @@
         self.now += timedelta(seconds=secs)
 
 
-BREACHES = []
-
-
-def breach(rule):
-    """A function (plant, good): with good it does the like of the breach rightly."""
-    def keep(fn):
-        BREACHES.append((rule, fn))
-        return fn
-    return keep
+def kept(into):
+    def breach(rule):
+        """A function (plant, good): with good it does the like of the breach rightly."""
+        def keep(fn):
+            into.append((rule, fn))
+            return fn
+        return keep
+    return breach
+
+
+def judged(rule, plant):
+    """Is a planted breach caught, as this rule alone, and the like done right passed over?"""
+    p = Plant()
+    plant(p, False)
+    assert {f[1] for f in p.r.faults} == {rule}
+    p = Plant()
+    plant(p, True)
+    assert p.r.faults == []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,11 +1,15 @@
-"""The rules of the forwarding path: each reports a planted breach, and is silent of the like done right."""
+"""Rules about answers: each reports a planted breach, and is silent of the like done right."""
+import inspect
+import re
+
 import pytest
 
 from silverglade.rehearsal import rules
 from silverglade.rehearsal.asks import Ask, answer
+from tests.plant import judged, kept
 
-from . import breaches  # noqa: F401  the second half of what is planted
-from .plants import BREACHES, Plant, breach
+BREACHES = []
+breach = kept(BREACHES)
 
 
 @breach("TWICE")
@@ -150,67 +154,12 @@
     p.end()
 
 
-@breach("ROUTE")
-def service_of_no_configuration(p, good):
-    p.ask()
-    p.run(service="s" if good else "other")
-
-
-@breach("DRAIN")
-def work_for_one_that_leaves(p, good):
-    p.r.leaving(p.now, "r1")
-    p.later(4.9 if good else 5.1)
-    p.ask()
-    p.arrive()
-
-
-@breach("DRAIN")
-def work_for_one_that_leaves_by_a_list_out_of_order(p, good):
-    p.r.leaving(p.now, "r1")
-    p.r.listing(p.now, False)
-    p.later(2 if good else 0.5)
-    p.r.listing(p.now, True)
-    p.later(4 if good else 5.1)
-    p.ask()
-    p.arrive()
-
-
-@breach("LOST")
-def broken_off_in_calm_times(p, good):
-    p.ask()
-    p.run()
-    p.end(whole=False, calm=not good)
-
-
-@breach("LOST")
-def broken_off_though_the_replica_did_not(p, good):
-    p.ask()
-    run = p.run()
-    if good:
-        p.r.broke.add("a")
-    p.head(run)
-    p.end(whole=False, calm=True)
-
-
-@breach("LOST")
-def closed_unanswered(p, good):
-    p.ask()
-    p.later(0.1 if good else 0.3)
-    p.end(whole=False, calm=True)
-
-
 @pytest.mark.parametrize("rule,plant", BREACHES, ids=[fn.__name__ for _, fn in BREACHES])
 def test_a_planted_breach_is_caught_and_the_like_done_right_passes(rule, plant):
-    p = Plant()
-    plant(p, False)
-    assert {f[1] for f in p.r.faults} == {rule}
-    p = Plant()
-    plant(p, True)
-    assert p.r.faults == []
+    judged(rule, plant)
 
 
 def test_every_rule_has_a_planted_breach():
-    import inspect
-    import re
+    from tests.test_rules_fleet import BREACHES as fleet
     named = set(re.findall(r'bad\(now, "([A-Z]+)"', inspect.getsource(rules)))
-    assert named == {r for r, _ in BREACHES} and len(named) > 14
+    assert named == {r for r, _ in (*BREACHES, *fleet)} and len(named) > 14
--- a/tests/breaches.py
+++ b/tests/test_rules_fleet.py
@@ -1,12 +1,60 @@
-"""Breaches of the rules of configuration, repeats, cold replicas, homes, zones and recovery, each with the like done right."""
-from datetime import timedelta
+"""Rules about configurations, replicas and the whole fleet: each reports a planted breach, not the like done right."""
+import pytest
 
 from silverglade.rehearsal.asks import answer
-from silverglade.rehearsal.rules import Bounds, Rules, Sent  # noqa: F401
+from tests.plant import SEC, cfg, judged, kept
 
-from .plants import BREACHES, Plant, breach, cfg  # noqa: F401
+BREACHES = []
+breach = kept(BREACHES)
 
-SEC = timedelta(seconds=1)
+
+@breach("ROUTE")
+def service_of_no_configuration(p, good):
+    p.ask()
+    p.run(service="s" if good else "other")
+
+
+@breach("DRAIN")
+def work_for_one_that_leaves(p, good):
+    p.r.leaving(p.now, "r1")
+    p.later(4.9 if good else 5.1)
+    p.ask()
+    p.arrive()
+
+
+@breach("DRAIN")
+def work_for_one_that_leaves_by_a_list_out_of_order(p, good):
+    p.r.leaving(p.now, "r1")
+    p.r.listing(p.now, False)
+    p.later(2 if good else 0.5)
+    p.r.listing(p.now, True)
+    p.later(4 if good else 5.1)
+    p.ask()
+    p.arrive()
+
+
+@breach("LOST")
+def broken_off_in_calm_times(p, good):
+    p.ask()
+    p.run()
+    p.end(whole=False, calm=not good)
+
+
+@breach("LOST")
+def broken_off_though_the_replica_did_not(p, good):
+    p.ask()
+    run = p.run()
+    if good:
+        p.r.broke.add("a")
+    p.head(run)
+    p.end(whole=False, calm=True)
+
+
+@breach("LOST")
+def closed_unanswered(p, good):
+    p.ask()
+    p.later(0.1 if good else 0.3)
+    p.end(whole=False, calm=True)
 
 
 @breach("CONFIG")
@@ -201,3 +249,8 @@
     if good:
         p.own(503)
     p.r.forgotten(p.now, "a")
+
+
+@pytest.mark.parametrize("rule,plant", BREACHES, ids=[fn.__name__ for _, fn in BREACHES])
+def test_a_planted_breach_is_caught_and_the_like_done_right_passes(rule, plant):
+    judged(rule, plant)
