--- a/silverglade/control/copy.py
+++ b/silverglade/control/copy.py
@@ -4,10 +4,17 @@
 
 
 class Writes:
-    """A core's writes under way, and whether its disk takes them: slow, full or failing it does not."""
+    """A core's writes under way, and whether its disk takes them: slow, full or failing it does not.
+
+    A core that leaves (SIGTERM) says the same of itself, so that it is replaced before it is gone.
+    """
 
     def __init__(self, *, opt):
-        self.opt, self.n, self.wait, self.fit, self.probe = opt, 0, {}, True, ZERO
+        self.opt, self.n, self.wait, self.able, self.leaving, self.probe = opt, 0, {}, True, False, ZERO
+
+    @property
+    def fit(self):
+        return self.able and not self.leaving
 
     def put(self, todo, then, now):
         self.n += 1
@@ -16,19 +23,19 @@
 
     def look(self, now):
         """-> effects: a log line when a write has taken too long, a trial write of a disk that was unfit."""
-        if self.fit and any(now - t > self.opt["disk_stall"] for t, _ in self.wait.values()):
-            self.fit = False
+        if self.able and any(now - t > self.opt["disk_stall"] for t, _ in self.wait.values()):
+            self.able = False
             yield log("disk-stalled")
-        if not self.fit and not self.wait and now - self.probe > self.opt["disk_stall"]:
+        if not self.able and not self.wait and now - self.probe > self.opt["disk_stall"]:
             self.probe = now
             yield self.put(keep(alive=ms(now)), None, now)
 
     def ended(self, n, ok, now):
         """-> what was to follow, and effects."""
         _, then = self.wait.pop(n, (now, None))
-        if self.fit == ok or ok and self.wait:
+        if self.able == ok or ok and self.wait:
             return then, ()
-        self.fit = ok
+        self.able = ok
         return then, (log("disk-fit" if ok else "disk-fault"),)
 
 
--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -258,10 +258,9 @@
 
     def witness(frm, now, new, ans):
         nonlocal reg
-        tell = send(frm, *ans[:2], disk, *ans[2:])
-        if new is reg:
+        tell, was, reg = send(frm, *ans[:2], disk, *ans[2:]), reg, new
+        if new is was:
             return out.append(tell)
-        reg = new
         return write(cp.keep(reg=reg), lambda k, t: out.append(tell) if k else None, now)
 
     def seal(now, then):
@@ -332,6 +331,8 @@
             case ("roll", r):
                 seen = {x[0] for x in r if x[8]} - {me}
                 places.update({x[0]: (x[4], x[5]) for x in r if x[8]})
+            case ("state", s):
+                writes.leaving, due = s != "ready", now
             case ("froze",):
                 peers.clear()
                 proof.clear()
@@ -339,8 +340,7 @@
             case ("disk", ("control", n), ok, _):
                 then, more = writes.ended(n, ok, now)
                 out.extend(more)
-                if then:
-                    then(ok, now)
+                then and then(ok, now)
                 opening(now)
             case ("msg", frm, ("hb", *m)) if frm != me and sound_hb(m):
                 on_hb(frm, m, now)
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -271,7 +271,7 @@
         except Fault as e:
             self.lg.error(line("settings-refused", [("code", e.code), ("why", e.detail)]))
             return
-        fixed = [k for k in new if k not in ("tuning", "log_level") and new[k] != self.s[k]]
+        fixed = [k for k in new if k not in ("tuning", "log_level", "first") and new[k] != self.s[k]]
         if fixed:
             self.lg.error(line("settings-refused", [("why", "needs a restart: " + ",".join(fixed))]))
             return
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -85,7 +85,7 @@
             case ("call", _, op, _):
                 return (CALLS.get(op, "desk"),)
             case ("state", _):
-                return ("roster",)
+                return ("roster", "control")
         return ()
 
     def feed(self, now, ev):
--- a/silverglade/rehearsal/trials.py
+++ b/silverglade/rehearsal/trials.py
@@ -135,6 +135,20 @@
     return lambda: None
 
 
+def all_leave_in_turn(c):
+    """Upgraded one after the other: each says that it leaves, ends a moment later and comes back."""
+    for x in c.rng.sample(list(c.cores.values()), len(c.cores)):
+        x.feed(("state", "leaving"))
+        c.run(1.5)
+        x.power()
+        c.run(1)
+        x.boot()
+        if served(c, 1.0) is None:               # nobody waits for a takeover: it was before it ended
+            break
+        c.run(4)
+    return lambda: None
+
+
 def a_disk_is_lost(c):
     x = c.rng.choice(list(c.cores.values()))
     x.empty()
@@ -156,7 +170,7 @@
 TRIALS = (primary_loses_power, backup_loses_power, primary_freezes, primary_blinks, primarys_disk_stalls,
           primarys_disk_is_full, primarys_disk_is_slow, backups_disk_stalls, backups_disk_is_full, primary_is_mute,
           primary_is_deaf, primary_is_cut_off, link_breaks, core_is_cut_in_two, a_region_is_lost, blackout,
-          all_are_rolled, a_disk_is_lost, a_core_is_replaced)
+          all_are_rolled, all_leave_in_turn, a_disk_is_lost, a_core_is_replaced)
 
 
 def one(trial, *, seed, **kw):
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -132,6 +132,8 @@
      '("source", source)', '("source", source + "?")', BOOK + ".decide"),
     ("nobody takes over", one(trials.primary_loses_power), {"not-back"}, CORE,
      "        return bad or (", "        return None if bad == 'silent' else bad or (", USED),
+    ("nobody steps aside when it leaves", one(trials.all_leave_in_turn), {"not-back"}, CORE,
+     'writes.leaving, due = s != "ready", now', "due = now", USED),
     ("nobody is admitted", one(trials.a_disk_is_lost), {"not-whole", "not-formed"}, CORE,
      "wish = new and (now, new)", "wish = None", USED),
 ]
