--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -195,8 +195,7 @@
         show(cp.rows(store), bk.version(store), now)
         if pend:                                 # now part of the synced store
             commit(now)
-        for c in others():
-            hb(c, now)
+        any(hb(c, now) for c in others())        # all are told
         serve(now)
 
     def on_snap(frm, e, n, v, items, now):
@@ -251,7 +250,8 @@
                 out.append(send(frm, "pull", shown))
                 behind = None                    # else it may be on its way
             behind = behind or now
-        elif a >= 0:
+        elif a >= 0:                             # an only backup that has not sealed is itself the proof
+            a *= not (frm == view[1] and view[2] == (me,) and is_backup() and max(sl, sealed) < e)
             fresh = max(fresh or ZERO, span(echo - a))
 
     def witness(frm, now, new, ans):
