--- a/silverglade/faults.py
+++ b/silverglade/faults.py
@@ -48,6 +48,7 @@
     703: ("bad-constraints", 0, "The constraints file has faults."),
     704: ("no-placement", 0, "The constraints cannot all be met."),
     705: ("unreachable", 0, "No daemon answers at this address."),
+    706: ("address-taken", 0, "Another program holds an address that this one wants."),
     801: ("not-serving", 503, "This daemon has no configuration or no list of replicas yet."),
     802: ("no-route", 404, "No route of this host begins the path."),
     803: ("no-attempt", 400, "The request names no attempt."),
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -5,6 +5,7 @@
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
 
+from ..faults import Fault
 from . import mishaps
 from . import seeds as days
 from .towns import SITES, TOWNS
@@ -72,6 +73,14 @@
 
 
 def main(argv=None):
+    try:
+        return command(argv)
+    except Fault as e:
+        print(f"silverglade: {e}", file=sys.stderr)
+        return 2
+
+
+def command(argv):
     p = argparse.ArgumentParser(prog="python -m silverglade.rehearsal")
     sub = p.add_subparsers(dest="cmd", required=True)
     q = sub.add_parser("seeds", help="seeded runs in the simulator")
--- a/silverglade/rehearsal/fleet.py
+++ b/silverglade/rehearsal/fleet.py
@@ -3,6 +3,7 @@
 import os
 import secrets
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -10,6 +11,7 @@
 import anyio
 import httpcore
 
+from ..faults import Fault
 from ..options import ROLES
 from .relay import Relay
 from .towns import TOWNS
@@ -17,6 +19,17 @@
 SLOW = {"connect": 2.0, "read": 40.0, "write": 5.0, "pool": 5.0}
 
 
+def free(addr):
+    """Raises Fault 706 where another rehearsal, or anything else, holds the address."""
+    ip, port = addr.rsplit(":", 1)
+    with socket.socket() as s:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            s.bind((ip, int(port)))
+        except OSError as e:
+            raise Fault(706, f"{addr}: {e.strerror}; does another rehearsal run?") from e
+
+
 class Fleet:
     def __init__(self, *, town, folder, tuning=None, keys=False, other=""):
         """keys: does each role have a key, in a file, as in a deployment?
@@ -37,6 +50,8 @@
             n = f"{zs.index(r['zone']) + 1}.{i + 1}"
             self.reps[r["rid"]] = dict(r, real=f"127.3.{n}", told=f"127.4.{n}")
             self.relay.region[f"127.3.{n}"] = self.t["config"]["zones"][r["zone"]]["region"]
+        for d in self.daemons.values():
+            free(d["http"])
         self.cores = [d["name"] for d in self.daemons.values() if d["core"]]
         os.makedirs(os.path.join(folder, "log"), exist_ok=True)
         self.keys = {r: f"{r}-{secrets.token_hex(8)}" for r in ROLES} if keys else {}
--- a/silverglade/rehearsal/scale.py
+++ b/silverglade/rehearsal/scale.py
@@ -66,7 +66,8 @@
         return sum(count[i] for i in of) / len(of) / secs
     edges = [i for i in names if i.startswith("edge")]
     return dict(daemons=daemons, rolls=sorted(rolls), mean=per(c.sent), most=max(c.sent.values()) / secs,
-                edges=sorted(c.sent[i] / secs for i in edges), edge=per(c.sent, edges), most_edge=max(c.sent[i] for i in edges) / secs, far=per(c.far),
+                edges=sorted(c.sent[i] / secs for i in edges),
+                edge=per(c.sent, edges), most_edge=max(c.sent[i] for i in edges) / secs, far=per(c.far),
                 woken=per(c.woken), woken_edge=per(c.woken, edges),
                 kinds={k: n / secs / daemons for k, n in c.kinds.most_common()})
 
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -69,3 +69,18 @@
     s.put()
     w.run(3)
     assert s.o.acked[-1][2] == 100
+
+
+def test_a_rehearsal_beside_another_ends_in_one_clear_line(tmp_path, capsys):
+    import socket
+
+    from silverglade.rehearsal.__main__ import main
+    from silverglade.rehearsal.fleet import Fleet, free
+    addr = next(iter(Fleet(town="hamlet", folder=str(tmp_path)).daemons.values()))["http"]
+    free(addr)
+    with socket.socket() as s:
+        s.bind((addr.rsplit(":", 1)[0], int(addr.rsplit(":", 1)[1])))
+        s.listen()
+        assert main(["hamlet", "--secs", "1", "--folder", str(tmp_path)]) == 2
+    err = capsys.readouterr().err
+    assert "706 address-taken" in err and err.count("\n") == 1
