--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -308,3 +308,12 @@
     first = one(es, "try")[3]["replica"]
     es = [e for e in b.tried(rid, 1, "not-run", 421, None) if e[0] != "forget"]
     assert one(es, "try")[3]["replica"] != first
+
+
+def test_what_goes_on_after_another_lifes_word_is_paid_for_like_any_arrival_beyond_the_first(monkeypatch):
+    from silverglade.forward import part
+    monkeypatch.setattr(part.Budget, "spend", lambda *a, **kw: False)      # nothing is left
+    b = Bench(route(kind="effectful", tries=2), reps=(rep("1"), rep("2")))
+    rid, es = b.ask()
+    one(es, "try")
+    assert one(b.tried(rid, 1, "not-run", 421, None), "answer")[2] == 503
