--- a/silverglade/__main__.py
+++ b/silverglade/__main__.py
@@ -1,4 +1,5 @@
 """The command line (design 8.5)."""
+
 import argparse
 import sys
 
@@ -17,8 +18,22 @@
     sub = p.add_subparsers(dest="cmd", required=True)
     r = sub.add_parser("run", help="run a daemon")
     r.add_argument("--settings", help="a JSON file of settings; flags go before it")
-    for k in ("name", "zone", "region", "listen", "advertise", "http", "data", "operator_key", "operator_key_file", "replica_key",
-              "replica_key_file", "platform_key", "platform_key_file", "orders_to"):
+    for k in (
+        "name",
+        "zone",
+        "region",
+        "listen",
+        "advertise",
+        "http",
+        "data",
+        "operator_key",
+        "operator_key_file",
+        "replica_key",
+        "replica_key_file",
+        "platform_key",
+        "platform_key_file",
+        "orders_to",
+    ):
         r.add_argument("--" + k.replace("_", "-"), dest=k)
     for k in ("seeds", "cores"):
         r.add_argument("--" + k, type=lambda s: s.split(","), help="comma-separated")
@@ -38,11 +53,13 @@
 
     def reread():
         return options.read(path=a.settings, flags=flags)
+
     s = reread()
     if a.check:
         print("settings are sound")
         return 0
     from .daemon.run import start
+
     start(settings=s, lg=log.setup(level=s["log_level"]), reread=reread)
     return 0
 
--- a/silverglade/check.py
+++ b/silverglade/check.py
@@ -1,4 +1,5 @@
 """The small checker of typed dictionaries (design 8): every fault with its path."""
+
 import ipaddress
 from datetime import timedelta
 
@@ -17,14 +18,16 @@
         if not isinstance(v, str) or not least <= len(v) <= most:
             bad.append((p, f"wants text of {least} to {most} letters"))
         return v
+
     return Kind(f, default=default)
 
 
-def whole(*, default=MISSING, least=0, most=2 ** 53):
+def whole(*, default=MISSING, least=0, most=2**53):
     def f(v, p, bad):
         if type(v) is not int or not least <= v <= most:
             bad.append((p, f"wants a whole number from {least} to {most}"))
         return v
+
     return Kind(f, default=default)
 
 
@@ -34,11 +37,13 @@
             bad.append((p, f"wants a number from {least} to {most}"))
             return v
         return float(v)
+
     return Kind(f, default=default)
 
 
 def span(*, default=MISSING, most=86400.0):
     """Seconds in, timedelta kept."""
+
     def f(v, p, bad):
         if isinstance(v, timedelta):
             return v
@@ -46,6 +51,7 @@
             bad.append((p, f"wants seconds above 0, at most {most:g}"))
             return v
         return timedelta(seconds=v)
+
     return Kind(f, default=default)
 
 
@@ -54,6 +60,7 @@
         if type(v) is not bool:
             bad.append((p, "wants true or false"))
         return v
+
     return Kind(f, default=default)
 
 
@@ -67,6 +74,7 @@
         except (ValueError, AttributeError):
             bad.append((p, "wants an address IP:PORT"))
         return v
+
     return Kind(f, default=default)
 
 
@@ -75,6 +83,7 @@
         if v not in words:
             bad.append((p, "wants one of " + ", ".join(words)))
         return v
+
     return Kind(f, default=default)
 
 
@@ -89,11 +98,13 @@
         if unique and len({repr(x) for x in out}) < len(out):
             bad.append((p, "has the same entry twice"))
         return out
+
     return Kind(f, default=default)
 
 
 def named(kind, *, default=MISSING, least=0):
     """A dictionary from names to values of one kind."""
+
     def f(v, p, bad):
         if not isinstance(v, dict):
             bad.append((p, "wants a table"))
@@ -104,6 +115,7 @@
             if not isinstance(k, str) or not 0 < len(k) <= 100 or "/" in k:
                 bad.append((f"{p}.{k}", "wants a name of 1 to 100 letters without /"))
         return {k: kind.fn(x, f"{p}.{k}", bad) for k, x in v.items()}
+
     return Kind(f, default=default)
 
 
@@ -125,6 +137,7 @@
             else:
                 out[k] = kind.default
         return out
+
     return Kind(f, default=default)
 
 
--- a/silverglade/config.py
+++ b/silverglade/config.py
@@ -1,46 +1,55 @@
 """The operator's configuration (design 8.2): whole, typed, refused whole."""
+
 from hashlib import blake2b
 
 from . import check as c
 from .check import Kind
 
-CLASS = c.table({
-    "kind": c.text(default="model"),
-    "stream": c.flag(default=False),
-    "resumable": c.flag(default=False),
-    "aim_ms": c.whole(least=1),
-    "due_ms": c.whole(default=30000, least=1, most=600000),
-})
-SERVICE = c.table({                     # what routes lead to (design 15.2)
-    "health": c.text(default="", least=0),
-    "conns": c.whole(default=256, least=1, most=100000),     # connections that one replica takes from all daemons
-    "cold_ms": c.whole(default=0, most=3600000),             # a replica that was started is slow so long
-    "cold_per_s": c.number(default=0.0, most=1e6),           # requests that it bears meanwhile; 0: no bound
-    "slots": c.whole(default=0, most=100000),                # requests at once; 0: as each replica declares
-    "keeps": c.whole(default=0),                             # tokens of prompts and runs that it holds
-    "stride": c.whole(default=1, least=1, most=100000),      # tokens in one event of a stream
-})
-ROUTE = c.table({
-    "name": c.text(),
-    "host": c.text(most=255),
-    "prefix": c.text(most=2000),
-    "kind": c.oneof("pure", "effectful", "streaming"),
-    "due_ms": c.whole(least=1, most=86400000),
-    "aim_ms": c.number(default=1000.0, least=0.001),
-    "gap_ms": c.number(default=0.0),                         # longest pause between events that is in time; 0: none set
-    "rank": c.whole(default=0, most=1000),
-    "tries": c.whole(default=1, least=1, most=100),          # replicas to which one try may be sent
-    "homes": c.each(c.text(), default=(), unique=True),      # regions; none: any
-    "by_prefix": c.flag(default=False),
-    "resumable": c.flag(default=False),
-    "shares": c.each(c.table({"service": c.text(), "weight": c.number()}), least=1),
-})
-LIMITS = c.table({
-    "header_bytes": c.whole(default=16384, least=256, most=1 << 20),
-    "body_bytes": c.whole(default=4 * 1024 * 1024, most=64 * 1024 * 1024),
-    "header_ms": c.whole(default=5000, least=1),
-    "idle_ms": c.whole(default=30000, least=1),
-})
+CLASS = c.table(
+    {
+        "kind": c.text(default="model"),
+        "stream": c.flag(default=False),
+        "resumable": c.flag(default=False),
+        "aim_ms": c.whole(least=1),
+        "due_ms": c.whole(default=30000, least=1, most=600000),
+    }
+)
+SERVICE = c.table(
+    {  # what routes lead to (design 15.2)
+        "health": c.text(default="", least=0),
+        "conns": c.whole(default=256, least=1, most=100000),  # connections that one replica takes from all daemons
+        "cold_ms": c.whole(default=0, most=3600000),  # a replica that was started is slow so long
+        "cold_per_s": c.number(default=0.0, most=1e6),  # requests that it bears meanwhile; 0: no bound
+        "slots": c.whole(default=0, most=100000),  # requests at once; 0: as each replica declares
+        "keeps": c.whole(default=0),  # tokens of prompts and runs that it holds
+        "stride": c.whole(default=1, least=1, most=100000),  # tokens in one event of a stream
+    }
+)
+ROUTE = c.table(
+    {
+        "name": c.text(),
+        "host": c.text(most=255),
+        "prefix": c.text(most=2000),
+        "kind": c.oneof("pure", "effectful", "streaming"),
+        "due_ms": c.whole(least=1, most=86400000),
+        "aim_ms": c.number(default=1000.0, least=0.001),
+        "gap_ms": c.number(default=0.0),  # longest pause between events that is in time; 0: none set
+        "rank": c.whole(default=0, most=1000),
+        "tries": c.whole(default=1, least=1, most=100),  # replicas to which one try may be sent
+        "homes": c.each(c.text(), default=(), unique=True),  # regions; none: any
+        "by_prefix": c.flag(default=False),
+        "resumable": c.flag(default=False),
+        "shares": c.each(c.table({"service": c.text(), "weight": c.number()}), least=1),
+    }
+)
+LIMITS = c.table(
+    {
+        "header_bytes": c.whole(default=16384, least=256, most=1 << 20),
+        "body_bytes": c.whole(default=4 * 1024 * 1024, most=64 * 1024 * 1024),
+        "header_ms": c.whole(default=5000, least=1),
+        "idle_ms": c.whole(default=30000, least=1),
+    }
+)
 
 
 def maybe(kind):
@@ -48,22 +57,33 @@
     return Kind(lambda v, p, bad: None if v is None else kind.fn(v, p, bad), default=None)
 
 
-SPEC = c.table({
-    "number": c.whole(default=0),           # the operator's own version; 0: told apart by control's alone
-    "routes": c.each(ROUTE, default=()),
-    "services": maybe(c.named(SERVICE)),
-    "limits": maybe(LIMITS),
-    "zones": c.named(c.table({
-        "region": c.text(),
-        "least": c.whole(default=1, least=0, most=10000),
-    }), least=1),
-    "tenants": c.named(c.table({
-        "homes": c.each(c.text(), least=1, unique=True),
-        "keys": c.each(c.text(least=32, most=64), least=1, unique=True),
-        "classes": c.named(CLASS, least=1),
-    })),
-    "body_cap": c.whole(default=1024 * 1024, least=1, most=4 * 1024 * 1024),
-})
+SPEC = c.table(
+    {
+        "number": c.whole(default=0),  # the operator's own version; 0: told apart by control's alone
+        "routes": c.each(ROUTE, default=()),
+        "services": maybe(c.named(SERVICE)),
+        "limits": maybe(LIMITS),
+        "zones": c.named(
+            c.table(
+                {
+                    "region": c.text(),
+                    "least": c.whole(default=1, least=0, most=10000),
+                }
+            ),
+            least=1,
+        ),
+        "tenants": c.named(
+            c.table(
+                {
+                    "homes": c.each(c.text(), least=1, unique=True),
+                    "keys": c.each(c.text(least=32, most=64), least=1, unique=True),
+                    "classes": c.named(CLASS, least=1),
+                }
+            )
+        ),
+        "body_cap": c.whole(default=1024 * 1024, least=1, most=4 * 1024 * 1024),
+    }
+)
 
 
 def digest(s, /):
--- a/silverglade/control/book.py
+++ b/silverglade/control/book.py
@@ -6,10 +6,11 @@
 epoch is kept in the kind's floor, above which every new duty begins (5.6).
 A version is (epoch, number); (0, 0) is before everything.
 """
+
 from .. import config
 
 START = (0, 0)
-KEEP = 256          # outcomes of change ids kept
+KEEP = 256  # outcomes of change ids kept
 
 
 def version(book):
@@ -18,8 +19,7 @@
 
 def since(book, v):
     """The items that news brings to someone who holds version v."""
-    return tuple(sorted((k, iv, x) for k, (iv, x) in book.items()
-                        if iv > v and not k.startswith("change/") and k != "source"))
+    return tuple(sorted((k, iv, x) for k, (iv, x) in book.items() if iv > v and not k.startswith("change/") and k != "source"))
 
 
 def get(book, key, d=None):
@@ -39,7 +39,7 @@
     if old is not None:
         return ("ok", old[1]) if old[0] == key else ("refuse", 506, "change id was used"), ()
     match decide(book, op, at):
-        case ("say", value):                  # told once the backups have confirmed it
+        case ("say", value):  # told once the backups have confirmed it
             return ("ok", prev, value), ()
         case ("take", pairs):
             items = tuple((k, at, x) for k, x in pairs)
@@ -62,7 +62,7 @@
             if bad:
                 return ("refuse", 502, "; ".join(f"{p}: {s}" for p, s in bad))
             return ("take", (("config", cfg),))
-        case ("table", base, number, raw, source):   # told apart by the operator's own numbers (15.2)
+        case ("table", base, number, raw, source):  # told apart by the operator's own numbers (15.2)
             held = (get(book, "config") or {}).get("number", 0)
             if base != held:
                 return ("refuse", 501, f"in force is {held}")
@@ -89,9 +89,8 @@
             olds = {n: get(book, f"duty/{kind}/{n}") for n in names}
             olds = {n: d for n, d in olds.items() if d}
             floor = max([get(book, f"floor/{kind}", 0)] + [d[0] for d in olds.values()])
-            return ("take", ((f"floor/{kind}", floor), *((f"duty/{kind}/{n}", None) for n in sorted(olds)))
-                    if olds else ())
-        case ("reopen", name):                # an operator accepts that its claims are lost (6.4)
+            return ("take", ((f"floor/{kind}", floor), *((f"duty/{kind}/{n}", None) for n in sorted(olds))) if olds else ())
+        case ("reopen", name):  # an operator accepts that its claims are lost (6.4)
             old = get(book, f"duty/shard/{name}")
             if old is None:
                 return ("refuse", 507, name)
@@ -108,6 +107,5 @@
 
 def sound(items):
     return isinstance(items, tuple) and all(
-        isinstance(i, tuple) and len(i) == 3 and isinstance(i[0], str) and sound_version(i[1])
-        for i in items)
-
+        isinstance(i, tuple) and len(i) == 3 and isinstance(i[0], str) and sound_version(i[1]) for i in items
+    )
--- a/silverglade/control/copy.py
+++ b/silverglade/control/copy.py
@@ -1,4 +1,5 @@
 """What a core writes and sends of its store (design 5.4)."""
+
 from ..part import ZERO, log, ms
 from . import book as bk
 
--- a/silverglade/control/heartbeat.py
+++ b/silverglade/control/heartbeat.py
@@ -5,6 +5,7 @@
 primary is still primary (-1: none); all in ms. So a core knows not only whom it hears but who
 hears it: one that is deaf is of no use as a member.
 """
+
 from ..part import span
 from . import book as bk
 
@@ -25,14 +26,19 @@
     def heard(self, c, m, now):
         e, _, fit, disk, sealed, blank, stamp, echo, _ = m
         was = self.table.get(c)
-        p = self.table[c] = dict(at=now, epoch=e, fit=fit, disk=disk, sealed=sealed, blank=blank, stamp=stamp,
-                                 back=span(echo) if echo >= 0 else None, since=now)
+        p = self.table[c] = dict(
+            at=now, epoch=e, fit=fit, disk=disk, sealed=sealed, blank=blank, stamp=stamp, back=span(echo) if echo >= 0 else None, since=now
+        )
         if was and was["disk"] == disk and fit and self.steady(was, now):
             p["since"] = was["since"]
 
     def steady(self, p, now):
-        return (p["fit"] and now - p["at"] <= self.opt["takeover"] and p["back"] is not None
-                and now - p["back"] <= self.opt["takeover"] + self.opt["heartbeat"])
+        return (
+            p["fit"]
+            and now - p["at"] <= self.opt["takeover"]
+            and p["back"] is not None
+            and now - p["back"] <= self.opt["takeover"] + self.opt["heartbeat"]
+        )
 
     def up(self, c, now):
         """Heard of late, hearing us, and with a disk that takes writes."""
--- a/silverglade/control/plan.py
+++ b/silverglade/control/plan.py
@@ -1,4 +1,5 @@
 """When a member seeks a new view, and which (design 5.4, 5.9). Pure: what is known comes in."""
+
 from . import register as rg
 from . import spread
 
@@ -11,7 +12,7 @@
     if not view or me not in rg.members(view) or not fit or rg.disks(view).get(me) != disk:
         return None
     ds = rg.disks(view)
-    for c in view[2] if me == view[1] else view[1:2]:     # backups watch the primary alone
+    for c in view[2] if me == view[1] else view[1:2]:  # backups watch the primary alone
         if not peers.up(c, now):
             if fair:
                 return "silent"
@@ -26,8 +27,7 @@
 
 def live(*, me, disk, peers, now, names, t=None):
     """Cores that may be named in a view now: name -> disk. t: steady for so long."""
-    return {me: disk, **{c: peers.get(c, "disk") for c in names
-                         if (peers.up(c, now) if t is None else peers.long(c, now, t))}}
+    return {me: disk, **{c: peers.get(c, "disk") for c in names if (peers.up(c, now) if t is None else peers.long(c, now, t))}}
 
 
 def first(*, me, disk, cores, peers, places, tolerance, now):
@@ -46,8 +46,13 @@
     """
     was = rg.disks(view)
     ds = {c: here.get(c, was.get(c)) for c in names or was}
-    bs = spread.backups(me=me, names=[c for c in here if c in ds], places=places, tolerance=tolerance,
-                        was=[c for c in rg.members(view) if here.get(c) == was.get(c)])
+    bs = spread.backups(
+        me=me,
+        names=[c for c in here if c in ds],
+        places=places,
+        tolerance=tolerance,
+        was=[c for c in rg.members(view) if here.get(c) == was.get(c)],
+    )
     if bs is None or len(bs) < min(spread.count(tolerance), len(ds) // 2):
         return None
     return (view[0] + 1, me, bs, tuple(sorted(ds.items())))
@@ -59,7 +64,7 @@
     far = [c for c in was if c != me and not peers.up(c, now)]
     gone = {c for c in far if peers.silent(c, now, awake, opt["core_forget"])}
     if any(not peers.silent(c, now, awake, opt["takeover"] * 2) for c in far):
-        return None                              # it may be back in a moment
+        return None  # it may be back in a moment
     here = live(me=me, disk=disk, peers=peers, now=now, names=names, t=opt["settle"])
     if sum(here.get(c) == d for c, d in was.items()) < rg.majority(len(was)):
         return None
@@ -70,4 +75,5 @@
 
     def worth(bs):
         return sum(spread.bears((me, *bs), need=1, places=places, tolerance=tolerance)), len(bs)
+
     return new if new[3] != view[3] or worth(new[2]) > worth(view[2]) else None
--- a/silverglade/control/register.py
+++ b/silverglade/control/register.py
@@ -8,7 +8,7 @@
 """
 
 NONE = (0, "")
-MOST = 9            # witnesses in a view
+MOST = 9  # witnesses in a view
 
 
 def blank():
@@ -64,10 +64,19 @@
 
 def sound(v):
     return v is None or (
-        isinstance(v, tuple) and len(v) == 4 and type(v[0]) is int and v[0] > 0
-        and isinstance(v[1], str) and texts(v[2], 1, MOST - 1) and len({v[1], *v[2]}) == 1 + len(v[2])
-        and isinstance(v[3], tuple) and 3 <= len(v[3]) <= MOST and all(texts(p, 2, 2) for p in v[3])
-        and len(dict(v[3])) == len(v[3]) and {v[1], *v[2]} <= {p[0] for p in v[3]})
+        isinstance(v, tuple)
+        and len(v) == 4
+        and type(v[0]) is int
+        and v[0] > 0
+        and isinstance(v[1], str)
+        and texts(v[2], 1, MOST - 1)
+        and len({v[1], *v[2]}) == 1 + len(v[2])
+        and isinstance(v[3], tuple)
+        and 3 <= len(v[3]) <= MOST
+        and all(texts(p, 2, 2) for p in v[3])
+        and len(dict(v[3])) == len(v[3])
+        and {v[1], *v[2]} <= {p[0] for p in v[3]}
+    )
 
 
 def read(meta):
@@ -78,11 +87,11 @@
 
     def view(v):
         return v and (*v[:2], (v[2],) if isinstance(v[2], str) else v[2], v[3])
+
     was = view((meta.get("view") or (NONE, None))[1])
     new = view(reg["view"])
     follows = epoch(new) == epoch(was) + 1
-    return dict(promised=reg["promised"], base=was, ballot=reg["ballot"] if follows else NONE,
-                view=new if follows else None)
+    return dict(promised=reg["promised"], base=was, ballot=reg["ballot"] if follows else NONE, view=new if follows else None)
 
 
 def round_(*, me, ballot, base, want):
@@ -104,12 +113,11 @@
             continue
         if ans[0] != "prom" or ans[1] != ballot:
             continue
-        if epoch(ans[4]) > epoch(base):           # a later view was chosen meanwhile
+        if epoch(ans[4]) > epoch(base):  # a later view was chosen meanwhile
             yield ("behind", ans[4])
             return
         proms[frm] = (disk, ans[2], ans[3])
-        _, found = max(((b, v) for _, b, v in proms.values() if epoch(v) == epoch(base) + 1),
-                       key=lambda t: t[0], default=(NONE, None))
+        _, found = max(((b, v) for _, b, v in proms.values() if epoch(v) == epoch(base) + 1), key=lambda t: t[0], default=(NONE, None))
         voters = disks(base or found or want)
         good = [f for f, (d, _, _) in proms.items() if voters.get(f) == d]
         if len(good) >= (majority(len(voters)) if base or found else len(voters)):
--- a/silverglade/control/seek.py
+++ b/silverglade/control/seek.py
@@ -1,4 +1,5 @@
 """Seeking a new view (design 5.4): seal, copy to the recruits, then the register's round."""
+
 from ..part import log, send, span
 from . import register as rg
 
@@ -50,8 +51,7 @@
             _, frm, disk, ans = ev
             if ans[0] == "nack" and len(ans) == 3 and rg.sound_ballot(ans[2]):
                 top = max(top, ans[2])
-            if ans[0] == "prom" and not (len(ans) == 5 and rg.sound_ballot(ans[2]) and rg.sound(ans[3])
-                                         and rg.sound(ans[4])):
+            if ans[0] == "prom" and not (len(ans) == 5 and rg.sound_ballot(ans[2]) and rg.sound(ans[3]) and rg.sound(ans[4])):
                 continue
             got = rnd.send((frm, disk, ans))
             match got[0]:
--- a/silverglade/control/spread.py
+++ b/silverglade/control/spread.py
@@ -2,6 +2,7 @@
 
 places: {core: (zone, region)}. tolerance = (machines, zones, regions) that may be lost at once.
 """
+
 from collections import Counter
 from itertools import combinations
 
@@ -15,6 +16,7 @@
 
     -1: even without a loss there are too few.
     """
+
     def most(sizes, top):
         left = len(names)
         for k in range(top + 1):
@@ -22,8 +24,8 @@
                 return k - 1
             left -= sizes[k] if k < len(sizes) else 0
         return top
-    zones, regions = (sorted(Counter(places.get(n, NOWHERE)[i:] for n in names).values(), reverse=True)
-                      for i in (0, 1))
+
+    zones, regions = (sorted(Counter(places.get(n, NOWHERE)[i:] for n in names).values(), reverse=True) for i in (0, 1))
     return (most([1] * len(names), tolerance[0]), most(zones, tolerance[1]), most(regions, tolerance[2]))
 
 
@@ -41,8 +43,9 @@
     k = min(count(tolerance), len(pool))
     if not k:
         return None
-    return max(combinations(pool, k), key=lambda c: (
-        sum(bears((me, *c), need=1, places=places, tolerance=tolerance)), sum(n in was for n in c)))
+    return max(
+        combinations(pool, k), key=lambda c: (sum(bears((me, *c), need=1, places=places, tolerance=tolerance)), sum(n in was for n in c))
+    )
 
 
 def witnesses(*, was, live, gone, places, tolerance):
@@ -51,13 +54,18 @@
     Nobody who is silent leaves unless a live core takes its place or it is `gone` for long; a live
     core comes in where that makes the set bear no less. Fewer changes go before more.
     """
+
     def worth(s):
         here = [n for n in s if n in live]
-        return (sum(bears(here, need=rg.majority(len(s)), places=places, tolerance=tolerance)),
-                len(here), -len(s), sum(n in was for n in s))
+        return (
+            sum(bears(here, need=rg.majority(len(s)), places=places, tolerance=tolerance)),
+            len(here),
+            -len(s),
+            sum(n in was for n in s),
+        )
+
     kept = [n for n in was if n not in gone]
     least = max(3, len(kept)) if len([n for n in kept if n in live]) >= 2 else len(was)
-    pool = sorted(set(kept) | set(live))[:rg.MOST + 3]
-    best = max((c for k in range(least, min(rg.MOST, len(pool)) + 1) for c in combinations(pool, k)),
-               key=worth, default=None)
+    pool = sorted(set(kept) | set(live))[: rg.MOST + 3]
+    best = max((c for k in range(least, min(rg.MOST, len(pool)) + 1) for c in combinations(pool, k)), key=worth, default=None)
     return best if best and worth(best) > worth(tuple(was)) else tuple(was)
--- a/silverglade/daemon/ask.py
+++ b/silverglade/daemon/ask.py
@@ -1,4 +1,5 @@
 """One client's request under way (design 15.3), the way back to it, and what may come of it."""
+
 import asyncio
 import json
 from collections import deque
@@ -7,8 +8,20 @@
 
 from ..faults import CODES
 
-HOP = frozenset((b"connection", b"keep-alive", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-                 b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"proxy-authentication-info"))
+HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-authentication-info",
+    )
+)
 
 
 class Limits(NamedTuple):
@@ -22,8 +35,11 @@
     @classmethod
     def of(cls, d):
         """From a configuration's table, or none."""
-        return cls(d["header_bytes"], d["body_bytes"], timedelta(milliseconds=d["header_ms"]),
-                   timedelta(milliseconds=d["idle_ms"])) if d else cls()
+        return (
+            cls(d["header_bytes"], d["body_bytes"], timedelta(milliseconds=d["header_ms"]), timedelta(milliseconds=d["idle_ms"]))
+            if d
+            else cls()
+        )
 
 
 def kept(headers, fields):
--- a/silverglade/daemon/callout.py
+++ b/silverglade/daemon/callout.py
@@ -1,4 +1,5 @@
 """Calls to replicas (design 7.6): dispatches and probes, over HTTP/1.1 by library."""
+
 import json
 
 import anyio
@@ -10,8 +11,7 @@
 
 def pool(*, local=None):
     # no connection is kept: a dispatch that cannot connect was surely not received
-    return httpcore.AsyncConnectionPool(max_connections=None, max_keepalive_connections=0,
-                                        local_address=local)
+    return httpcore.AsyncConnectionPool(max_connections=None, max_keepalive_connections=0, local_address=local)
 
 
 def header(rsp, name):
@@ -45,15 +45,20 @@
 
 async def dispatch(*, pool, did, addr, meta, body, tell, room):
     """Run one dispatch; `tell` gets ("ran", did, ...) tuples; `room` waits for the visitor."""
-    head = [("Host", addr), ("Content-Type", "application/json"), ("Content-Length", str(len(body))),
-            ("Silverglade-Dispatch", did), ("Silverglade-Tenant", meta["tenant"]),
-            ("Silverglade-Class", meta["cls"]), ("Silverglade-Due", str(meta["due"]))]
+    head = [
+        ("Host", addr),
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        ("Silverglade-Dispatch", did),
+        ("Silverglade-Tenant", meta["tenant"]),
+        ("Silverglade-Class", meta["cls"]),
+        ("Silverglade-Due", str(meta["due"])),
+    ]
     if meta["prefix"]:
         head.append(("Silverglade-Prefix", meta["prefix"]))
     try:
         with anyio.fail_after(meta["due"] / 1000 + 1):
-            async with pool.stream("POST", f"http://{addr}/v1/run", headers=head, content=body,
-                                   extensions={"timeout": SLOW}) as r:
+            async with pool.stream("POST", f"http://{addr}/v1/run", headers=head, content=body, extensions={"timeout": SLOW}) as r:
                 if r.status == 503 and header(r, b"silverglade-ran") == "no":
                     return await tell("refused")
                 if r.status != 200 or header(r, b"silverglade-dispatch") != did:
@@ -63,8 +68,7 @@
                 return await whole(r, tell)
     except (httpcore.ConnectError, httpcore.ConnectTimeout):
         return await tell("refused")
-    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError,
-            ValueError):
+    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError, ValueError):
         return await tell("fault", "maybe")
 
 
@@ -75,7 +79,7 @@
         if size > CAP:
             return await tell("fault", "yes")
         got.append(b)
-    if not n.isdigit() or int(n) != size:           # length and dispatch checked, then success
+    if not n.isdigit() or int(n) != size:  # length and dispatch checked, then success
         return await tell("fault", "yes")
     return await tell("whole", b"".join(got))
 
@@ -91,7 +95,7 @@
             if name == "fault":
                 return await tell("fault", "yes")
             await tell("piece", n, data)
-    return await tell("fault", "yes")               # ended without its mark of success
+    return await tell("fault", "yes")  # ended without its mark of success
 
 
 async def tell(*, pool, addr, data):
@@ -99,8 +103,12 @@
     b = json.dumps(data).encode()
     try:
         with anyio.fail_after(2):
-            r = await pool.request("PUT", f"http://{addr}/v1/orders", content=b, headers=[
-                ("Host", addr), ("Content-Type", "application/json"), ("Content-Length", str(len(b)))])
+            r = await pool.request(
+                "PUT",
+                f"http://{addr}/v1/orders",
+                content=b,
+                headers=[("Host", addr), ("Content-Type", "application/json"), ("Content-Length", str(len(b)))],
+            )
         return r.status < 300
     except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError):
         return False
@@ -120,13 +128,10 @@
     """-> (incarnation, state, use, served, running, warm) or None."""
     try:
         with anyio.fail_after(1):
-            r = await pool.request("GET", f"http://{addr}/v1/state", headers=[("Host", addr)],
-                                   extensions={"timeout": SLOW})
+            r = await pool.request("GET", f"http://{addr}/v1/state", headers=[("Host", addr)], extensions={"timeout": SLOW})
         d = json.loads(r.content)
         if r.status != 200 or d["state"] not in ("starting", "ready", "leaving"):
             return None
-        return (int(d["incarnation"]), d["state"], float(d["use"]), float(d["served"]),
-                int(d["running"]), d.get("warm") is True)
-    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError,
-            ValueError, KeyError, TypeError):
+        return (int(d["incarnation"]), d["state"], float(d["use"]), float(d["served"]), int(d["running"]), d.get("warm") is True)
+    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, TimeoutError, ValueError, KeyError, TypeError):
         return None
--- a/silverglade/daemon/disk.py
+++ b/silverglade/daemon/disk.py
@@ -2,6 +2,7 @@
 
 No shared memory: never WAL; the file is locked whole, so two daemons cannot share a folder.
 """
+
 import os
 import secrets
 import sqlite3
@@ -11,8 +12,8 @@
 from ..faults import Fault
 from ..wire import tupled
 
-MARK, SHAPE = 0x51_76_6C_67, 2          # application_id, user_version
-OLD = (1,)                              # layouts that are read and taken over: 1, before views had several backups
+MARK, SHAPE = 0x51_76_6C_67, 2  # application_id, user_version
+OLD = (1,)  # layouts that are read and taken over: 1, before views had several backups
 FILE = "state.db"
 
 
@@ -34,26 +35,29 @@
         q = self.db.execute
         if not new:
             if q("PRAGMA application_id").fetchone()[0] != MARK:
-                if q("SELECT count(*) FROM sqlite_master").fetchone()[0] or os.path.getsize(
-                        os.path.join(self.folder, FILE)):
+                if q("SELECT count(*) FROM sqlite_master").fetchone()[0] or os.path.getsize(os.path.join(self.folder, FILE)):
                     raise Fault(702, "the file is not silverglade's")
                 new = True
             elif (v := q("PRAGMA user_version").fetchone()[0]) not in (SHAPE, *OLD):
-                raise Fault(702, f"the file has layout {v}, this program reads {SHAPE}: start the program that wrote"
-                                 " it; or move the folder away, start empty, and let this core rejoin by a copy")
+                raise Fault(
+                    702,
+                    f"the file has layout {v}, this program reads {SHAPE}: start the program that wrote"
+                    " it; or move the folder away, start empty, and let this core rejoin by a copy",
+                )
         q("PRAGMA locking_mode=EXCLUSIVE")
         q("PRAGMA journal_mode=DELETE")
         q("PRAGMA synchronous=EXTRA")
-        if not new and v in OLD:                 # a program that reads only that one now refuses the file
+        if not new and v in OLD:  # a program that reads only that one now refuses the file
             q(f"PRAGMA user_version={SHAPE}")
         if new:
             q("BEGIN EXCLUSIVE")
             q(f"PRAGMA application_id={MARK}")
             q(f"PRAGMA user_version={SHAPE}")
-            q("CREATE TABLE kv (tab TEXT NOT NULL, key TEXT NOT NULL, val BLOB NOT NULL,"
-              " PRIMARY KEY (tab, key)) WITHOUT ROWID")
-            q("INSERT INTO kv VALUES ('ident', 'name', ?), ('ident', 'disk', ?)",
-              (ormsgpack.packb(self.name), ormsgpack.packb(secrets.token_hex(8))))
+            q("CREATE TABLE kv (tab TEXT NOT NULL, key TEXT NOT NULL, val BLOB NOT NULL, PRIMARY KEY (tab, key)) WITHOUT ROWID")
+            q(
+                "INSERT INTO kv VALUES ('ident', 'name', ?), ('ident', 'disk', ?)",
+                (ormsgpack.packb(self.name), ormsgpack.packb(secrets.token_hex(8))),
+            )
             q("COMMIT")
             fd = os.open(self.folder, os.O_RDONLY)
             try:
@@ -70,8 +74,7 @@
 
     def table(self, tab):
         try:
-            return {k: tupled(ormsgpack.unpackb(v)) for k, v in
-                    self.db.execute("SELECT key, val FROM kv WHERE tab = ?", (tab,))}
+            return {k: tupled(ormsgpack.unpackb(v)) for k, v in self.db.execute("SELECT key, val FROM kv WHERE tab = ?", (tab,))}
         except ValueError as e:
             raise Fault(702, f"damaged: table {tab}") from e
 
--- a/silverglade/daemon/events.py
+++ b/silverglade/daemon/events.py
@@ -2,6 +2,7 @@
 
 An event ends with an empty line; a line ends with CR, LF or both.
 """
+
 CAP = 1024 * 1024
 ENDS = b"\r\n"
 
@@ -12,8 +13,8 @@
     for pair in (b"\n\n", b"\n\r", b"\r\r"):
         i = b.rfind(pair, start)
         if i >= 0:
-            at = max(at, i + 2 + (pair[1] == 13 and b[i + 2:i + 3] == b"\n"))
-    if not at and b[:1] in (b"\r", b"\n"):           # the rest of an empty line that came in two parts
+            at = max(at, i + 2 + (pair[1] == 13 and b[i + 2 : i + 3] == b"\n"))
+    if not at and b[:1] in (b"\r", b"\n"):  # the rest of an empty line that came in two parts
         at = 2 if b[:2] == b"\r\n" else 1
     return at
 
@@ -71,7 +72,7 @@
         if c not in ENDS:
             empty = False
             continue
-        if c == 13 and b[at:at + 1] == b"\n":
+        if c == 13 and b[at : at + 1] == b"\n":
             at += 1
         if empty:
             return at
--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -3,6 +3,7 @@
 A request's task takes the part's effects from the box of its `Ask` and runs one try at a time; a new
 try, or an end, that comes meanwhile ends the one that runs.
 """
+
 import asyncio
 import time
 from datetime import timedelta
@@ -17,12 +18,12 @@
 from .events import Splitter, beyond, last_id
 from .upstream import SECOND, Pool, Stale, Unsent
 
-HOLD = 1024 * 1024                 # bytes of an answer held until it is whole
-PROBES = 1 << 16                   # a probe takes what connection there is
-LOOK = 0.1                         # seconds between looks for silence
-SKIP = 4                           # surplus answers read past in the place of ours
-SLACK = timedelta(seconds=2)       # behind the deadline the shell ends a request that the part forgot
-LONGEST = timedelta(seconds=60)    # until the part has named a deadline
+HOLD = 1024 * 1024  # bytes of an answer held until it is whole
+PROBES = 1 << 16  # a probe takes what connection there is
+LOOK = 0.1  # seconds between looks for silence
+SKIP = 4  # surplus answers read past in the place of ours
+SLACK = timedelta(seconds=2)  # behind the deadline the shell ends a request that the part forgot
+LONGEST = timedelta(seconds=60)  # until the part has named a deadline
 BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, OSError)
 
 
@@ -32,16 +33,16 @@
     replica: str
     addr: str
     service: str
-    expect: bool                   # only this replica may run it
+    expect: bool  # only this replica may run it
     urgency: int | None
     deadline_ms: int
     last_event: str | None
     connect: timedelta
-    cap: int                       # most connections of this daemon to this replica
-    stream: bool                   # events are passed on as they come; else the answer is held until it is whole
-    resume: bool                   # goes on with a stream whose head was passed on
-    patience: timedelta | None = None      # silence of the replica, on all connections, that the part is told
-    pause: timedelta | None = None         # the same once events come
+    cap: int  # most connections of this daemon to this replica
+    stream: bool  # events are passed on as they come; else the answer is held until it is whole
+    resume: bool  # goes on with a stream whose head was passed on
+    patience: timedelta | None = None  # silence of the replica, on all connections, that the part is told
+    pause: timedelta | None = None  # the same once events come
 
 
 class Shell:
@@ -49,8 +50,8 @@
         self.d, self.dialect = daemon, dialect
         self.pool = pool or Pool(local=local)
         self.limits, self.asks, self.n = Limits(), {}, 0
-        self.words = set()                 # of silence, on their way to the part
-        self.live, self.timer = {}, None   # ask -> (n, try, connection, when silence is told)
+        self.words = set()  # of silence, on their way to the part
+        self.live, self.timer = {}, None  # ask -> (n, try, connection, when silence is told)
 
     def act(self, e):
         """Effects of the part; one for a request that is gone changes nothing."""
@@ -87,7 +88,7 @@
                 told = True
                 return await small(a.send, 503, e.code, wait=1.0, close=self.closing())
             told = await self.serve(a)
-        except Exception as e:                        # noqa: BLE001  a fault in here ends this request alone
+        except Exception as e:  # noqa: BLE001  a fault in here ends this request alone
             self.d.lg.error(line("forward-fell", [("why", repr(e))]))
             a.client.cut()
         finally:
@@ -126,7 +127,8 @@
                 a.guard.cancel()
             a.until = until
             a.guard = asyncio.get_running_loop().call_at(
-                asyncio.get_running_loop().time() + (left + SLACK) / SECOND, a.put, ("forgotten", a.rid))
+                asyncio.get_running_loop().time() + (left + SLACK) / SECOND, a.put, ("forgotten", a.rid)
+            )
 
     async def serve(self, a):
         """-> whether the part knows that the request is over."""
@@ -184,8 +186,7 @@
         due = time.monotonic() + t.deadline_ms / 1000
         while True:
             try:
-                c = await self.pool.take(addr=t.addr, replica=t.replica, cap=t.cap, timeout=t.connect,
-                                         attempt=a.attempt)
+                c = await self.pool.take(addr=t.addr, replica=t.replica, cap=t.cap, timeout=t.connect, attempt=a.attempt)
             except Unsent as e:
                 return ("unsent", e.why)
             keep = None
@@ -194,8 +195,8 @@
             try:
                 what, keep = await self.exchange(a, n, t, c, due)
                 return what
-            except Stale as e:                        # ended between `take` and the first byte
-                if not c.until:                       # a new one: this replica has no place for it
+            except Stale as e:  # ended between `take` and the first byte
+                if not c.until:  # a new one: this replica has no place for it
                     return ("unsent", e.why)
             finally:
                 self.live.pop(a, None)
@@ -214,8 +215,11 @@
         names = {k for k, _ in ours}
         ip, port = c.key[0].rsplit(":", 1)
         return httpcore.Request(
-            a.method, httpcore.URL(scheme=b"http", host=ip.encode(), port=int(port), target=a.target),
-            headers=[h for h in a.headers if h[0] not in names] + ours, content=a.body or None)
+            a.method,
+            httpcore.URL(scheme=b"http", host=ip.encode(), port=int(port), target=a.target),
+            headers=[h for h in a.headers if h[0] not in names] + ours,
+            content=a.body or None,
+        )
 
     async def exchange(self, a, n, t, c, due):
         """-> (the last word, seconds that the connection may be kept or None)."""
@@ -232,7 +236,7 @@
                 break
             if not h.get(d.attempt) or await self.whole(r) is None or not c.http.is_idle():
                 return (("lost", "not-ours"), None)
-            c.tcp.mute = True                         # a surplus answer; ours comes behind it
+            c.tcp.mute = True  # a surplus answer; ours comes behind it
         else:
             return (("lost", "not-ours"), None)
         if r.status > 599:
@@ -308,6 +312,7 @@
             if first:
                 first = False
                 await self.tell(a, n, "first")
+
         c.tcp.pause = push
         try:
             async for b in r.stream:
@@ -349,8 +354,9 @@
     async def get(self, *, replica, addr, path, wait=timedelta(seconds=1)):
         """A plain GET of a replica on a connection of its pool -> the body of a 200, else None."""
         ip, port = addr.rsplit(":", 1)
-        req = httpcore.Request(b"GET", httpcore.URL(scheme=b"http", host=ip.encode(), port=int(port), target=path.encode()),
-                               headers=[(b"host", addr.encode())])
+        req = httpcore.Request(
+            b"GET", httpcore.URL(scheme=b"http", host=ip.encode(), port=int(port), target=path.encode()), headers=[(b"host", addr.encode())]
+        )
         c = keep = None
         try:
             with anyio.fail_after(wait / SECOND):
@@ -371,8 +377,7 @@
 
     def framed(self, a, r, h):
         """Does the answer tell where it ends?"""
-        return (b"content-length" in h or b"transfer-encoding" in h or a.method == "HEAD"
-                or r.status in (204, 304))
+        return b"content-length" in h or b"transfer-encoding" in h or a.method == "HEAD" or r.status in (204, 304)
 
     def back(self, a, r, h, body):
         """Headers of a whole answer for the client."""
--- a/silverglade/daemon/lanes.py
+++ b/silverglade/daemon/lanes.py
@@ -6,6 +6,7 @@
 door    orders that visitors bring; full, it refuses at once
 A sender waits for room in its own lane only. Four of `work` go for one of `door`.
 """
+
 import anyio
 
 from ..faults import Fault
--- a/silverglade/daemon/links.py
+++ b/silverglade/daemon/links.py
@@ -3,6 +3,7 @@
 Three connections to each peer, so that a heartbeat waits neither behind a body nor behind a
 copy of the whole book: what keeps the system together, what concerns orders, what is bulky.
 """
+
 import contextlib
 
 import anyio
@@ -25,7 +26,7 @@
     def __init__(self, *, me, life, addr, heard, lg):
         self.me, self.life, self.addr, self.heard, self.lg = me, life, addr, heard, lg
         self.at, self.out, self.group, self.lost = {}, {}, None, 0
-        self.up = anyio.Event()              # from here on messages go out
+        self.up = anyio.Event()  # from here on messages go out
 
     def peer(self, name, addr):
         self.at[name] = addr
@@ -55,7 +56,7 @@
                     s = await anyio.connect_tcp(*split(addr), local_host=split(self.addr)[0])
             except (OSError, TimeoutError):
                 while queue.statistics().current_buffer_used > 64:
-                    queue.receive_nowait()           # stale news to a dead peer
+                    queue.receive_nowait()  # stale news to a dead peer
                 await anyio.sleep(wait)
                 wait = min(0.5, wait * 2)
                 continue
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -1,4 +1,5 @@
 """The daemon (design 1.3): tasks round one hub, each owning its socket or its file."""
+
 import contextlib
 import random
 import secrets
@@ -23,7 +24,7 @@
 from .tree import keep
 
 RELAY, DISK, GROUP = 256, 4096, 256
-BODIES = 64 * 1024 * 1024          # bytes of visitors' bodies held at once
+BODIES = 64 * 1024 * 1024  # bytes of visitors' bodies held at once
 DRAIN, SECOND = timedelta(seconds=30), timedelta(seconds=1)
 
 
@@ -35,23 +36,34 @@
     def __init__(self, *, settings, lg, reread=None, outer=None):
         s = self.s = settings
         self.outer, self.draining, self.closing = outer, False, anyio.Event()
-        self.open = ()                               # connections of the HTTP server
+        self.open = ()  # connections of the HTTP server
         self.lg, self.reread, self.opt = lg, reread, s["tuning"]
         self.store = Store(folder=s["data"], name=s["name"]) if s["data"] else None
         self.life = secrets.token_hex(6)
         self.lanes, self.bodies, self.held = Lanes(), 0, set()
         self.disk_put, self.disk_get = anyio.create_memory_object_stream(DISK)
         self.links = Links(me=s["name"], life=self.life, addr=s["listen"], heard=self.lanes.heard, lg=lg)
-        self.hub = Hub(me=s["name"], life=self.life, zone=s["zone"], region=s["region"],
-                       addr=s["advertise"] or s["listen"], http=s["http"], seeds=s["seeds"], cores=tuple(s["cores"]),
-                       opt=self.opt, rng=random.Random(secrets.randbits(64)),
-                       disk=self.store.id if self.store else "",
-                       saved=self.store.load() if self.store else None, front=outer.front if outer else "",
-                       lists=bool(outer and outer.list_at),
-                       tolerance=tuple(s["tolerance"][k] for k in ("machines", "zones", "regions")), first=s["first"])
+        self.hub = Hub(
+            me=s["name"],
+            life=self.life,
+            zone=s["zone"],
+            region=s["region"],
+            addr=s["advertise"] or s["listen"],
+            http=s["http"],
+            seeds=s["seeds"],
+            cores=tuple(s["cores"]),
+            opt=self.opt,
+            rng=random.Random(secrets.randbits(64)),
+            disk=self.store.id if self.store else "",
+            saved=self.store.load() if self.store else None,
+            front=outer.front if outer else "",
+            lists=bool(outer and outer.list_at),
+            tolerance=tuple(s["tolerance"][k] for k in ("machines", "zones", "regions")),
+            first=s["first"],
+        )
         self.pool, self.group, self.jobs = callout.pool(local=s["http"].rsplit(":", 1)[0]), None, {}
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
-        self.early = anyio.Event()               # a pulse is wanted sooner than it seemed
+        self.early = anyio.Event()  # a pulse is wanted sooner than it seemed
         self.stopping, self.ready = anyio.Event(), anyio.Event()
         self.shell = Shell(daemon=self, dialect=outer.dialect if outer else OWN, local=s["http"].rsplit(":", 1)[0])
 
@@ -115,7 +127,7 @@
             case ("disk", token, ops):
                 try:
                     self.disk_put.send_nowait((token, ops))
-                except anyio.WouldBlock:            # its waiter hears that it is not on disk
+                except anyio.WouldBlock:  # its waiter hears that it is not on disk
                     self.lg.error(line("disk-queue-full", []))
                     self.group.start_soon(self.lanes.send, ("disk", token, False, None))
             case ("dispatch", did, rid, addr, meta, body):
@@ -150,7 +162,7 @@
             return
         try:
             w.send_nowait((kind, *r))
-        except (anyio.WouldBlock, anyio.BrokenResourceError):   # a visitor too slow, or gone
+        except (anyio.WouldBlock, anyio.BrokenResourceError):  # a visitor too slow, or gone
             self.relays.pop(oid)
             w.close()
             self.group.start_soon(self.lanes.send, ("gone", oid), "door")
@@ -168,14 +180,13 @@
             await self.lanes.send(("ran", did, *what), "work")
 
         async def room():
-            while oid in self.held or (
-                    (w := self.relays.get(oid)) and w.statistics().current_buffer_used > RELAY // 2):
+            while oid in self.held or ((w := self.relays.get(oid)) and w.statistics().current_buffer_used > RELAY // 2):
                 await anyio.sleep(0.01)
+
         with anyio.CancelScope() as scope:
             self.jobs[did] = scope
             try:
-                await callout.dispatch(pool=self.pool, did=did, addr=addr, meta=meta, body=body,
-                                       tell=tell, room=room)
+                await callout.dispatch(pool=self.pool, did=did, addr=addr, meta=meta, body=body, tell=tell, room=room)
             finally:
                 self.jobs.pop(did, None)
                 self.held.discard(oid)
@@ -194,12 +205,12 @@
                 self.early.set()
             self.fed += 1
             if self.fed % 64 == 0:
-                await anyio.lowlevel.checkpoint()    # sockets and pulse get their turn in a crowd
+                await anyio.lowlevel.checkpoint()  # sockets and pulse get their turn in a crowd
 
     async def pulse(self):
         """As often as some part wants it, at most each `pulse` (1.5)."""
         sec = timedelta(seconds=1)
-        await self.links.up.wait()           # what the first pulse sends would be lost, and is asked again late
+        await self.links.up.wait()  # what the first pulse sends would be lost, and is asked again late
         while True:
             self.lanes.pulse()
             await anyio.sleep(self.opt["pulse"] / sec)
@@ -220,9 +231,8 @@
             ok = True
             await anyio.sleep(self.opt["drill_disk"])
             try:
-                await anyio.to_thread.run_sync(self.store.write, [op for _, ops in got for op in ops],
-                                               abandon_on_cancel=True)
-            except Exception as e:                    # noqa: BLE001  full, failing, gone
+                await anyio.to_thread.run_sync(self.store.write, [op for _, ops in got for op in ops], abandon_on_cancel=True)
+            except Exception as e:  # noqa: BLE001  full, failing, gone
                 ok = False
                 self.lg.error(line("disk-write", [("why", e), ("writes", len(got))]))
             for token, _ in got:
@@ -262,7 +272,7 @@
         await self.lanes.send(("drain",))
         await self.lanes.send(("state", "leaving"))
         end, calm = begun + DRAIN, begun
-        if self.outer and self.outer.front:           # clients come for as long as they hold the address (15.9)
+        if self.outer and self.outer.front:  # clients come for as long as they hold the address (15.9)
             end = begun + self.outer.grace - SECOND
             calm = min(end - SECOND, begun + self.outer.linger)
         half = end - (end - begun) / 2
@@ -270,7 +280,7 @@
             await anyio.sleep(0.1)
         await self.lanes.send(("state", "left"))
         await anyio.sleep(0.3)
-        self.closing.set()                           # no new connections; idle ones end, the others with their answers
+        self.closing.set()  # no new connections; idle ones end, the others with their answers
         while clock() < end and (self.shell.asks or self.open):
             await anyio.sleep(0.05)
         self.stopping.set()
@@ -303,17 +313,26 @@
 
     async def run(self):
         from ..front.serve import serve
+
         s = self.s
-        self.lg.info(line("start", [("daemon", s["name"]), ("zone", s["zone"]), ("life", self.life),
-                                    ("disk", self.store.id if self.store else "none")]))
+        self.lg.info(
+            line(
+                "start",
+                [("daemon", s["name"]), ("zone", s["zone"]), ("life", self.life), ("disk", self.store.id if self.store else "none")],
+            )
+        )
         async with anyio.create_task_group() as tg:
             self.group = tg
             tg.start_soon(self.think)
             if self.store:
                 tg.start_soon(self.write)
-            for name, run in (("links", self.links.run), ("pulse", self.pulse),
-                              ("platform", self.platform),
-                              ("front", lambda: serve(self)), ("signals", self.signals)):
+            for name, run in (
+                ("links", self.links.run),
+                ("pulse", self.pulse),
+                ("platform", self.platform),
+                ("front", lambda: serve(self)),
+                ("signals", self.signals),
+            ):
                 tg.start_soon(lambda n=name, r=run: keep(name=n, run=r, lg=self.lg))
             await self.stopping.wait()
             self.lg.info(line("stop", [("daemon", s["name"])]))
@@ -325,5 +344,3 @@
 def start(*, settings, lg, reread, outer=None):
     d = Daemon(settings=settings, lg=lg, reread=reread, outer=outer)
     anyio.run(d.run)
-
-
--- a/silverglade/daemon/tree.py
+++ b/silverglade/daemon/tree.py
@@ -1,4 +1,5 @@
 """The supervisor tree (design 1.3): a child that fails is started again, a few times."""
+
 import time
 from datetime import timedelta
 
@@ -16,7 +17,7 @@
         try:
             await run()
             return
-        except Exception as e:                       # noqa: BLE001  a child's any fault
+        except Exception as e:  # noqa: BLE001  a child's any fault
             t = timedelta(seconds=time.monotonic())
             falls = [x for x in falls if t - x < WITHIN] + [t]
             lg.error(line("child-fell", [("child", name), ("why", repr(e)), ("falls", len(falls))]))
--- a/silverglade/daemon/upstream.py
+++ b/silverglade/daemon/upstream.py
@@ -4,6 +4,7 @@
 is used again only while it is surely idle: within the time that the replica gave, less a margin for
 what is on the way, with nothing to be read on it. Whatever arrives on an idle connection belongs to no request and closes it.
 """
+
 import asyncio
 import select
 import socket
@@ -14,15 +15,19 @@
 import httpcore
 
 SECOND = timedelta(seconds=1)
-NEAR = 0.01                        # seconds that a connection takes to come up in the same region, at most
-MARGIN, MOST = 0.05, 0.5           # seconds before a replica's own time is up: at least, at most
-HIGH = 64 * 1024                   # bytes held unread: above it the replica is held up
-FAR = 4.0                          # seconds that one without a time is kept, elsewhere
-IDLE = 512                         # idle connections of the daemon in all
+NEAR = 0.01  # seconds that a connection takes to come up in the same region, at most
+MARGIN, MOST = 0.05, 0.5  # seconds before a replica's own time is up: at least, at most
+HIGH = 64 * 1024  # bytes held unread: above it the replica is held up
+FAR = 4.0  # seconds that one without a time is kept, elsewhere
+IDLE = 512  # idle connections of the daemon in all
 # TCP_NODELAY is set by asyncio on sockets that name their protocol. A dead machine says nothing: these end the wait (seconds, and ms)
-OPTIONS = ((socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
-           (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2), (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-           (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 8000))
+OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 8000),
+)
 
 
 class Unsent(Exception):
@@ -48,9 +53,9 @@
         self.got, self.size, self.out = deque(), 0, []
         self.ended, self.why, self.waits, self.held = False, None, None, False
         self.wrote, self.mute, self.idle = False, False, None
-        self.t = self.pause = None                   # pause: awaited before more is read
-        self.heard, self.peer = 0.0, [0.0]           # when bytes came last: here, from this replica at all
-        self.trip = 0.0                              # seconds that it took to come up: there and back once
+        self.t = self.pause = None  # pause: awaited before more is read
+        self.heard, self.peer = 0.0, [0.0]  # when bytes came last: here, from this replica at all
+        self.trip = 0.0  # seconds that it took to come up: there and back once
 
     def begin(self):
         self.wrote, self.mute, self.idle, self.pause = False, False, None, None
@@ -62,7 +67,7 @@
     def data_received(self, data):
         self.heard = self.peer[0] = time.monotonic()
         if self.idle:
-            return self.idle()                       # belongs to no request
+            return self.idle()  # belongs to no request
         self.got.append(data)
         self.size += len(data)
         if self.size > HIGH and not self.held:
@@ -165,6 +170,7 @@
 
 class Conn:
     """A connection of a pool: busy from `take` to `release`."""
+
     __slots__ = ("key", "peer", "tcp", "http", "until", "last", "leaving")
 
     def __init__(self, key, peer):
@@ -175,8 +181,7 @@
         ip, port = self.key[0].rsplit(":", 1)
         self.tcp = tcp
         tcp.peer = self.peer
-        self.http = httpcore.AsyncHTTP11Connection(
-            origin=httpcore.Origin(b"http", ip.encode(), int(port)), stream=tcp)
+        self.http = httpcore.AsyncHTTP11Connection(origin=httpcore.Origin(b"http", ip.encode(), int(port)), stream=tcp)
 
     def surplus(self):
         """Bytes that came behind a whole answer."""
@@ -187,7 +192,7 @@
     def __init__(self, *, local=None, keep=timedelta(seconds=15), most=IDLE):
         self.local, self.keep, self.most = local, keep / SECOND, most
         self.all, self.idle, self.waiting, self.timer = {}, {}, 0, None
-        self.heard = {}                    # (address, replica) -> [when bytes came last]
+        self.heard = {}  # (address, replica) -> [when bytes came last]
 
     async def take(self, *, addr, replica, cap, timeout, attempt=None):
         """A usable connection, the one used last first; raises Unsent. One that carried this very attempt
--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -1,4 +1,5 @@
 """The desk (design 2.3, 5.4): control calls, taken by every daemon, settled by the primary."""
+
 from . import __version__, wire
 from .config import digest
 from .control import book as bk
@@ -28,8 +29,7 @@
 
     def begin(cid, change, op, now):
         n = rng.getrandbits(48)
-        pend[n] = dict(cid=cid, change=change, op=op, key=digest(repr(op)), sent=False, born=now,
-                       at=now, to="")
+        pend[n] = dict(cid=cid, change=change, op=op, key=digest(repr(op)), sent=False, born=now, at=now, to="")
         push(n, now)
 
     def settle(n, res):
@@ -37,8 +37,7 @@
         if p["cid"] is None:
             return
         if res[0] == "ok":
-            out.append(reply(p["cid"], 100, version=list(res[1]), change=p["change"],
-                             **({"source": res[2]} if len(res) > 2 else {})))
+            out.append(reply(p["cid"], 100, version=list(res[1]), change=p["change"], **({"source": res[2]} if len(res) > 2 else {})))
         elif res[0] == "refuse":
             out.append(reply(p["cid"], res[1], detail=res[2], change=p["change"]))
         else:
@@ -47,26 +46,56 @@
     def status(now):
         mine = next((r for r in roll if r[0] == me), None)
         return dict(
-            daemon=me, version=__version__, wire=wire.VERSION, zone=mine and mine[4], state=mine and mine[9],
-            view=list(primary()), news=list(held), age_ms=ms(now - fresh) if fresh is not None else None,
+            daemon=me,
+            version=__version__,
+            wire=wire.VERSION,
+            zone=mine and mine[4],
+            state=mine and mine[9],
+            view=list(primary()),
+            news=list(held),
+            age_ms=ms(now - fresh) if fresh is not None else None,
             config=list(book.get("config", (bk.START,))[0]),
             evacuated=sorted(k[5:] for k, (_, on) in book.items() if k.startswith("evac/") and on),
-            **notes)
+            **notes,
+        )
 
     def fleet():
-        return {r[0]: dict(zone=r[4], region=r[5], wire=r[6], http=r[7], core=r[8], state=r[9],
-                           incarnation=r[2], view=list(extra(r, "view", ())),
-                           news=list(extra(r, "news", ())), version=extra(r, "version", ""))
-                for r in roll}
+        return {
+            r[0]: dict(
+                zone=r[4],
+                region=r[5],
+                wire=r[6],
+                http=r[7],
+                core=r[8],
+                state=r[9],
+                incarnation=r[2],
+                view=list(extra(r, "view", ())),
+                news=list(extra(r, "news", ())),
+                version=extra(r, "version", ""),
+            )
+            for r in roll
+        }
 
     def replicas(now):
-        return {i: dict(incarnation=r[INC], address=r[ADDR], zone=r[ZONE], kind=r[KIND],
-                        homes=list(r[HOMES]), prefixes=list(r[PREFIXES]), slots=r[SLOTS],
-                        leaving=r[LEAVING], state=s[S_STATE] if s else "unknown",
-                        use=s[S_USE] if s else None, running=s[S_RUNNING] if s else None,
-                        cap=s[S_CAP] if s else None, used=s[S_USED] if s else None,
-                        age_ms=ms(now - at) if at is not None else None)
-                for i, (r, s, at) in sorted(reps.items())}
+        return {
+            i: dict(
+                incarnation=r[INC],
+                address=r[ADDR],
+                zone=r[ZONE],
+                kind=r[KIND],
+                homes=list(r[HOMES]),
+                prefixes=list(r[PREFIXES]),
+                slots=r[SLOTS],
+                leaving=r[LEAVING],
+                state=s[S_STATE] if s else "unknown",
+                use=s[S_USE] if s else None,
+                running=s[S_RUNNING] if s else None,
+                cap=s[S_CAP] if s else None,
+                used=s[S_USED] if s else None,
+                age_ms=ms(now - at) if at is not None else None,
+            )
+            for i, (r, s, at) in sorted(reps.items())
+        }
 
     def fronts(region, zone):
         """Where clients may go: those of the zone; where it has fewer than two, of the region; else all (15.7)."""
@@ -84,10 +113,11 @@
             if g == region:
                 here = [(r, s) for r, s, _ in reps.values() if r[ZONE] in zs and r[KIND] == kind]
                 kinds[kind] = dict(
-                    wanted=m, ready=sum(1 for _, s in here if s and s[S_STATE] == "ready"),
+                    wanted=m,
+                    ready=sum(1 for _, s in here if s and s[S_STATE] == "ready"),
                     starting=sum(1 for _, s in here if s and s[S_STATE] == "starting"),
-                    parts={r[0]: list(p[1:]) for r in roll for p in extra(r, "parts", ())
-                           if r[5] == region and p[0] == kind})
+                    parts={r[0]: list(p[1:]) for r in roll for p in extra(r, "parts", ()) if r[5] == region and p[0] == kind},
+                )
         return dict(region=region, kinds=kinds, least=sum(cfg["zones"][z]["least"] for z in zs))
 
     while True:
@@ -105,7 +135,7 @@
             case ("wanted", w):
                 want = w
             case ("self", op):
-                if not any(p["cid"] is None for p in pend.values()):   # one at a time
+                if not any(p["cid"] is None for p in pend.values()):  # one at a time
                     begin(None, "", op, now)
             case ("note", k, v):
                 notes[k] = v
@@ -114,8 +144,7 @@
             case ("retries", n):
                 notes["retries"] = n
             case ("shards", rows):
-                notes["shards"] = {t: dict(epoch=e, follower=f, open=o, claims=c, waiting=w)
-                                   for t, e, f, o, c, w in rows}
+                notes["shards"] = {t: dict(epoch=e, follower=f, open=o, claims=c, waiting=w) for t, e, f, o, c, w in rows}
             case ("call", cid, "config-get", _):
                 at, raw = book.get("config", (bk.START, None))
                 out.append(reply(cid, 100, version=list(at), config=raw))
@@ -130,8 +159,9 @@
             case ("call", cid, "reopen", (name, change)):
                 begin(cid, change, ("reopen", name), now)
             case ("call", cid, "fleet", _):
-                out.append(reply(cid, 100, fleet=fleet(), duties={
-                    k[5:]: list(v) for k, (_, v) in sorted(book.items()) if k.startswith("duty/")}))
+                out.append(
+                    reply(cid, 100, fleet=fleet(), duties={k[5:]: list(v) for k, (_, v) in sorted(book.items()) if k.startswith("duty/")})
+                )
             case ("call", cid, "replicas", _):
                 out.append(reply(cid, 100, replicas=replicas(now)))
             case ("call", cid, "fronts", (region, zone)):
@@ -148,13 +178,13 @@
                         pend[n]["to"] = res[1]
                         push(n, now)
                 elif res[0] != "unknown" or not pend[n]["change"]:
-                    settle(n, res)               # unknown: ask on, by the change id
+                    settle(n, res)  # unknown: ask on, by the change id
             case ("pulse",):
                 for n, p in list(pend.items()):
                     if now - p["born"] > opt["op_wait"]:
                         settle(n, ("unknown",))
                     elif now - p["at"] > opt["beat"]:
-                        p["to"] = ""             # whoever is primary by now
+                        p["to"] = ""  # whoever is primary by now
                         push(n, now)
                 if not pend:
                     out.append(("due", IDLE))
--- a/silverglade/forward/budget.py
+++ b/silverglade/forward/budget.py
@@ -9,13 +9,14 @@
 needs no memory for that part; of the slack it spends its share only after a window of life,
 when no window can hold what an earlier life of it spent.
 """
+
 from bisect import bisect_left
 from collections import deque
 from itertools import accumulate
 
-SLOTS = 40                       # of a window
+SLOTS = 40  # of a window
 HALF = SLOTS // 2
-MIX = (0.5, 0.25, 0.25)          # of the window before, half a window before, the window itself: sums to 1
+MIX = (0.5, 0.25, 0.25)  # of the window before, half a window before, the window itself: sums to 1
 
 
 class Budget:
@@ -24,8 +25,8 @@
     def __init__(self, *, opt, born=None):
         self.opt, self.born = opt, born
         self.slot = opt["budget_window"] / SLOTS
-        self.asks, self.extras = {}, {}         # service -> deque of [slot, count]
-        self.fleet = deque()                    # (time, daemons), counts falling
+        self.asks, self.extras = {}, {}  # service -> deque of [slot, count]
+        self.fleet = deque()  # (time, daemons), counts falling
 
     def at(self, now):
         if self.born is None:
@@ -65,11 +66,10 @@
             return sums[bisect_left(slots, max(a, b + 1))] - sums[bisect_left(slots, a)] if b >= a else 0
 
         todo, mine = list(self.extras.get(service, ())), 1
-        for s in range(k + 1, k - SLOTS - 1, -1):        # windows that begin within slot s
+        for s in range(k + 1, k - SLOTS - 1, -1):  # windows that begin within slot s
             while todo and todo[-1][0] >= s - 1:
                 mine += todo.pop()[1]
-            mix = (MIX[0] * asked(s - SLOTS + 2, s - 1) + MIX[1] * asked(s - HALF + 2, s + HALF - 1)
-                   + MIX[2] * asked(s + 2, s + SLOTS - 1))
+            mix = MIX[0] * asked(s - SLOTS + 2, s - 1) + MIX[1] * asked(s - HALF + 2, s + HALF - 1) + MIX[2] * asked(s + 2, s + SLOTS - 1)
             if mine > part * mix + share:
                 return False
         put(self.extras, service, k)
--- a/silverglade/forward/catalog.py
+++ b/silverglade/forward/catalog.py
@@ -3,14 +3,15 @@
 The list that somebody else keeps is read by the first two live daemons in an agreed order, of two regions where it may
 be; each replica is asked how it does by one daemon of its region (16.4). What changes travels as soft state.
 """
+
 from ..part import IDLE, ZERO, log, post
 from ..rank import ranked
 from ..roster import extra
 from . import replicas as rp
 from .probe import Prober
 
-LISTED, LOAD = "listed", "load"          # kinds of soft state
-MISSED = 2                               # lists without it, before a replica counts as gone
+LISTED, LOAD = "listed", "load"  # kinds of soft state
+MISSED = 2  # lists without it, before a replica counts as gone
 READERS = 2
 
 
@@ -19,7 +20,7 @@
     live = {r[0]: r for r in roll if not r[8] and r[9] == "ready"}
     order = ranked("list", [i for i, r in live.items() if not extra(r, "blind")] or live)
     far = [i for i in order[1:] if live[i][5] != live[order[0]][5]]
-    return (order[:1] + tuple((far or order[1:])[:READERS - 1])) if order else ()
+    return (order[:1] + tuple((far or order[1:])[: READERS - 1])) if order else ()
 
 
 def catalog(*, me, region, lists, opt):
@@ -60,11 +61,11 @@
             missed.pop(i, None)
             old = known.get(i)
             if i in known and old is None:
-                continue                         # gone is not taken back within a life
+                continue  # gone is not taken back within a life
             if old and old[rp.LEAVING]:
-                r = (*r[:rp.LEAVING], True, *r[rp.LEAVING + 1:])
+                r = (*r[: rp.LEAVING], True, *r[rp.LEAVING + 1 :])
             known[i] = r
-            if old is None or old[:rp.COLD_MS] != r[:rp.COLD_MS] or r[rp.COLD_MS] > old[rp.COLD_MS]:
+            if old is None or old[: rp.COLD_MS] != r[: rp.COLD_MS] or r[rp.COLD_MS] > old[rp.COLD_MS]:
                 publish(LISTED, i, int(r[rp.LEAVING]), r)
         for i in [i for i, r in known.items() if r is not None and i not in seen]:
             missed[i] = missed.get(i, 0) + 1
@@ -75,7 +76,7 @@
         out.append(post("forward", "listed", tuple(r for r in known.values() if r is not None), True))
 
     def drop(i):
-        known[i] = None                          # remembered for a while: it does not come back
+        known[i] = None  # remembered for a while: it does not come back
         missed.pop(i, None)
         loads.pop(i, None)
         if i in spoken:
@@ -107,7 +108,7 @@
             prober.answered(rid)
         value = (-1, -1, r[rp.SLOTS]) if state is None else (*state[:2], state[2] or r[rp.SLOTS])
         loads[rid] = value
-        if spoken.get(rid) != value:             # told to the region when it differs
+        if spoken.get(rid) != value:  # told to the region when it differs
             spoken[rid] = value
             publish(LOAD, rid, 0, value, region)
         show()
@@ -115,9 +116,17 @@
     def show():
         """For the chooser and the scaler: what is known of each replica's load."""
         out.append(post("forward", "loads", dict(loads)))
-        out.append(post("need", "loads", {
-            i: (r[rp.SERVICE], r[rp.REGION], max(0, loads[i][0]), loads[i][2], not r[rp.LEAVING] and loads[i][0] >= 0)
-            for i, r in known.items() if r is not None and i in loads}))
+        out.append(
+            post(
+                "need",
+                "loads",
+                {
+                    i: (r[rp.SERVICE], r[rp.REGION], max(0, loads[i][0]), loads[i][2], not r[rp.LEAVING] and loads[i][0] >= 0)
+                    for i, r in known.items()
+                    if r is not None and i in loads
+                },
+            )
+        )
 
     while True:
         now, ev = yield tuple(out)
--- a/silverglade/forward/choose.py
+++ b/silverglade/forward/choose.py
@@ -4,11 +4,12 @@
 agree on that one without talking, by rendezvous on the parts that are shared; what is hot overflows to the
 next, by the work that stands at each. Another region only where the own one cannot take the request.
 """
+
 from ..rank import ranked
 
-HOT = 1.35            # of the mean work, before a prompt goes to the next in order (bounded load)
-SPARE = 4             # requests of this size above that, before a prompt goes on
-FULL = 0.85           # of the slots, before another region is asked
+HOT = 1.35  # of the mean work, before a prompt goes to the next in order (bounded load)
+SPARE = 4  # requests of this size above that, before a prompt goes on
+FULL = 0.85  # of the slots, before another region is asked
 
 
 def shared(prefix, /):
@@ -18,8 +19,16 @@
 
 def usable(reps, *, now, service, homes, evac, tried=()):
     """Who may get it at all: rules before preference."""
-    return [r for r in reps if r.service == service and not r.leaving and r.zone not in evac
-            and (not homes or r.region in homes) and r.id not in tried and r.gone is None]
+    return [
+        r
+        for r in reps
+        if r.service == service
+        and not r.leaving
+        and r.zone not in evac
+        and (not homes or r.region in homes)
+        and r.id not in tried
+        and r.gone is None
+    ]
 
 
 def busy(r, peers, /):
--- a/silverglade/forward/cold.py
+++ b/silverglade/forward/cold.py
@@ -6,6 +6,7 @@
 all the others that send. Hence names are remembered long, and a daemon that has just started
 or thawed sends nothing until the others must know it and it must know them.
 """
+
 from collections import deque
 from datetime import timedelta
 from math import floor
@@ -27,11 +28,11 @@
 class Cold:
     def __init__(self, *, opt, born=None):
         self.opt, self.born = opt, born
-        self.names = {}                   # daemon -> when it was last known
-        self.all, self.last = frozenset(), None          # the same names; (when, members) looked at last
-        self.sent = {}                    # replica -> times of the last second's requests
-        self.was = {}                     # replica -> (per_s while it was cold, when it turned warm)
-        self.held = {}                    # replica -> (per_s, members, share), worked out once
+        self.names = {}  # daemon -> when it was last known
+        self.all, self.last = frozenset(), None  # the same names; (when, members) looked at last
+        self.sent = {}  # replica -> times of the last second's requests
+        self.was = {}  # replica -> (per_s while it was cold, when it turned warm)
+        self.held = {}  # replica -> (per_s, members, share), worked out once
 
     def knew(self, now, members):
         """The edge daemons known now, none given: as before. Also to be called when the roll changes."""
@@ -51,7 +52,7 @@
         self.born = now
 
     def mine(self, replica, per_s, me):
-        if self.all == {me}:              # alone, or cut off since the start: who can tell
+        if self.all == {me}:  # alone, or cut off since the start: who can tell
             return min(1, floor(per_s + 1e-9))
         old = self.held.get(replica)
         if not old or old[:2] != (per_s, self.all):
@@ -91,7 +92,7 @@
             return True
         turns = max(0, (now - at - SEC) // (SEC / 2) + 1)
         base = self.mine(replica, per_s, me)
-        return self.count(now, replica, max(1, base) * 2 ** turns if turns else base)
+        return self.count(now, replica, max(1, base) * 2**turns if turns else base)
 
     def forget(self, replicas):
         """Keeps what is held of these replicas only."""
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -3,6 +3,7 @@
 At most once: each try of a client has an id of its own, so this daemon decides alone. A request that may not
 be repeated goes to a second replica only if the first said that it did not run it, or was sent not one byte.
 """
+
 from datetime import timedelta
 
 from ..control import book as bk
@@ -14,10 +15,10 @@
 from .cold import Cold
 
 SECOND = timedelta(seconds=1)
-MEMBER = timedelta(seconds=60)           # a daemon that was known lately counts, also dead or cut off
-UNSENT = 4                               # replicas that could not be reached, for one try of a client
-FEWEST = 3                               # daemons, for shares: one that knows nobody yet is not alone
-EARLY = span(15)                         # what is left of a deadline for the way back
+MEMBER = timedelta(seconds=60)  # a daemon that was known lately counts, also dead or cut off
+UNSENT = 4  # replicas that could not be reached, for one try of a client
+FEWEST = 3  # daemons, for shares: one that knows nobody yet is not alone
+EARLY = span(15)  # what is left of a deadline for the way back
 
 
 class Request:
@@ -27,9 +28,9 @@
 
     def __init__(self, rid, f, now):
         self.rid, self.f, self.born = rid, f, now
-        self.route = self.service = self.at = None          # at: when the last replica got it
+        self.route = self.service = self.at = None  # at: when the last replica got it
         self.due, self.tried, self.n, self.sent = now, set(), 0, 0
-        self.begun, self.last = False, f["last_event"]     # has a stream's head been passed on; its last event
+        self.begun, self.last = False, f["last_event"]  # has a stream's head been passed on; its last event
         self.live, self.why, self.weight = {}, "", 0.0
 
     @property
@@ -86,8 +87,10 @@
 
     def go(q, now, instead=False):
         """Send it to the next replica, or give it up at once; `instead` of one that is silent: or let that go on."""
+
         def none(*what):
             return None if instead else stop(q, *what)
+
         left = q.due - now - EARLY
         if left <= ZERO:
             return none(504, None, 804)
@@ -99,8 +102,18 @@
         def may(r):
             bears = s["cold_per_s"]
             return not bears or cold.may(now, r.id, per_s=bears if now < r.cold else None, me=me, members=())
-        r = choose.pick(fit, now=now, region=region, prefix=q.f["prefix"], by_prefix=q.route["by_prefix"],
-                        short={g for g, v in short if v == q.service}, peers=peers, weight=q.weight, may=may)
+
+        r = choose.pick(
+            fit,
+            now=now,
+            region=region,
+            prefix=q.f["prefix"],
+            by_prefix=q.route["by_prefix"],
+            short={g for g, v in short if v == q.service},
+            peers=peers,
+            weight=q.weight,
+            may=may,
+        )
         if r is None:
             return none(503, 0.5 if fit else 1.0, 806)
         if q.sent and not budget.spend(now, q.service, daemons=edges):
@@ -113,13 +126,28 @@
         q.live[q.n], q.at = r.id, now
         r.tries[q.rid, q.n], r.asked = now, now
         r.work += q.weight
-        out.append(("try", q.rid, q.n, dict(
-            replica=r.id, addr=r.addr, service=q.service, expect=True, urgency=min(9, 4 + q.route["rank"]),
-            deadline_ms=ms(left), last_event=q.last, resume=q.begun,
-            connect=opt["connect_near"] if r.region == region else opt["connect_wait"],
-            patience=patience(q), pause=span(max(250, 0.6 * q.route["gap_ms"])) if q.route["gap_ms"] else None,
-            cap=max(1, s["conns"] // max(1, edges)),
-            stream=q.route["kind"] == "streaming")))
+        out.append(
+            (
+                "try",
+                q.rid,
+                q.n,
+                dict(
+                    replica=r.id,
+                    addr=r.addr,
+                    service=q.service,
+                    expect=True,
+                    urgency=min(9, 4 + q.route["rank"]),
+                    deadline_ms=ms(left),
+                    last_event=q.last,
+                    resume=q.begun,
+                    connect=opt["connect_near"] if r.region == region else opt["connect_wait"],
+                    patience=patience(q),
+                    pause=span(max(250, 0.6 * q.route["gap_ms"])) if q.route["gap_ms"] else None,
+                    cap=max(1, s["conns"] // max(1, edges)),
+                    stream=q.route["kind"] == "streaming",
+                ),
+            )
+        )
 
     def stop(q, status, wait, code):
         """Nothing more can be done for it: the answer is given now, and promises no more than is known."""
@@ -134,7 +162,7 @@
 
     def on_tried(q, n, what, more, now):
         if n != q.n and what not in ("done", "gone"):
-            return                               # a try that was given up for another
+            return  # a try that was given up for another
         r = reps.get(q.live.get(n))
         if what not in ("began", "first", "silent"):
             leave(q, n)
@@ -149,16 +177,16 @@
                 out.append(("post", "need", ("served", q.service, (now - q.at).total_seconds())))
                 end(q)
             case "unsent":
-                q.sent -= 1                      # nothing of it arrived
-                if r and more[:1] != ("pool-full",):     # that is this daemon's own bound
+                q.sent -= 1  # nothing of it arrived
+                if r and more[:1] != ("pool-full",):  # that is this daemon's own bound
                     r.failed(now)
                 go(q, now)
             case "not-run":
-                if r and more[0] == 421:         # another life has the address: it never came to a replica of ours
+                if r and more[0] == 421:  # another life has the address: it never came to a replica of ours
                     r.gone, q.sent = now, q.sent - 1
                     out.append(("forget", r.id))
                 elif r:
-                    r.active = max(r.active, r.slots)    # full: until the next probe or answer
+                    r.active = max(r.active, r.slots)  # full: until the next probe or answer
                     r.shy = max(r.shy, now + span(200))
                 wait = more[1] if len(more) > 1 and more[1] else 0.25
                 if q.why not in ("lost", "cut"):
@@ -170,7 +198,7 @@
                 if q.again and more[0] >= 500 and q.sent < q.route["tries"] and not q.begun:
                     q.why = "lost"
                     return go(q, now)
-                if q.begun:                      # a stream's other half was refused: it ends as broken
+                if q.begun:  # a stream's other half was refused: it ends as broken
                     return stop(q, 502, None, 808)
                 out.append(("pass", q.rid, n))
                 end(q)
@@ -224,7 +252,7 @@
         for i, (active, queued, _) in loads.items():
             r = reps.get(i)
             if r:
-                r.dark = active < 0              # its prober got no answer
+                r.dark = active < 0  # its prober got no answer
                 r.active, r.queued = max(0, active), max(0, queued)
 
     def on_book(b, now):
@@ -238,7 +266,7 @@
                     if r.service == s and d["slots"]:
                         r.slots = d["slots"]
         held = frozenset(evacuated(b))
-        for z in evac - held:                    # taken back: its replicas may be cold (15.6)
+        for z in evac - held:  # taken back: its replicas may be cold (15.6)
             for r in reps.values():
                 if r.zone == z and cfg:
                     r.cold = max(r.cold, now + span(cfg["services"].get(r.service, {"cold_ms": 0})["cold_ms"]))
--- a/silverglade/forward/probe.py
+++ b/silverglade/forward/probe.py
@@ -5,13 +5,14 @@
 none, for that while. Probes take a slot and are priced, so there is one in each turn, and one more out of turn
 when a replica has become suspicious.
 """
+
 from collections import deque
 from datetime import timedelta
 
 from ..rank import first
 
 SEC = timedelta(seconds=1)
-SPREAD = 8                                # parts of a turn over which first probes are spread
+SPREAD = 8  # parts of a turn over which first probes are spread
 
 
 def prober(replica, place, live, /):
@@ -25,9 +26,9 @@
     def __init__(self, *, me, opt):
         self.me, self.opt = me, opt
         self.live, self.places, self.mine = (), {}, frozenset()
-        self.next, self.asked = {}, {}            # replica -> its next turn; -> since when a probe is under way
-        self.doubted = {}                         # replica -> has it been asked out of turn? until it answers
-        self.extra = deque()                      # times of probes out of turn in the last second
+        self.next, self.asked = {}, {}  # replica -> its next turn; -> since when a probe is under way
+        self.doubted = {}  # replica -> has it been asked out of turn? until it answers
+        self.extra = deque()  # times of probes out of turn in the last second
 
     def known(self, live):
         """The live edge daemons: ((daemon, region), ...)."""
--- a/silverglade/forward/replicas.py
+++ b/silverglade/forward/replicas.py
@@ -2,13 +2,14 @@
 
 A listed record is (id, address, zone, region, service, slots, leaving, cold ms, ms until it is gone or -1).
 """
+
 from datetime import timedelta
 
 from ..part import ZERO, span
 
 RID, ADDR, ZONE, REGION, SERVICE, SLOTS, LEAVING, COLD_MS, GONE_MS = range(9)
 TYPES = (str, str, str, str, str, int, bool, int, int)
-HOLD_OFF = timedelta(seconds=1)          # after a failure; doubled while failures go on
+HOLD_OFF = timedelta(seconds=1)  # after a failure; doubled while failures go on
 HOLD_MOST = timedelta(seconds=8)
 
 
@@ -19,14 +20,34 @@
 class Replica:
     """One life of a replica: what the list says, and what its answers to this daemon have shown."""
 
-    __slots__ = ("id", "addr", "zone", "region", "service", "slots", "leaving", "cold", "tries", "work",
-                 "shy", "dark", "fails", "heard", "active", "queued", "asked", "seen", "gone", "probed")
+    __slots__ = (
+        "id",
+        "addr",
+        "zone",
+        "region",
+        "service",
+        "slots",
+        "leaving",
+        "cold",
+        "tries",
+        "work",
+        "shy",
+        "dark",
+        "fails",
+        "heard",
+        "active",
+        "queued",
+        "asked",
+        "seen",
+        "gone",
+        "probed",
+    )
 
     def __init__(self, rec, now):
         (self.id, self.addr, self.zone, self.region, self.service, self.slots, self.leaving) = rec[:COLD_MS]
-        self.cold = now + span(rec[COLD_MS])     # until then it bears little
-        self.tries, self.work = {}, 0.0          # (rid, n) -> when sent; work of those in tokens
-        self.shy, self.dark, self.fails = ZERO, False, 0     # passed over until then, while its prober hears nothing; failures on end
+        self.cold = now + span(rec[COLD_MS])  # until then it bears little
+        self.tries, self.work = {}, 0.0  # (rid, n) -> when sent; work of those in tokens
+        self.shy, self.dark, self.fails = ZERO, False, 0  # passed over until then, while its prober hears nothing; failures on end
         self.heard = self.asked = self.probed = now
         self.active, self.queued, self.seen, self.gone = 0, 0, now, None
 
--- a/silverglade/forward/routes.py
+++ b/silverglade/forward/routes.py
@@ -1,4 +1,5 @@
 """Which route a request takes (design 15.2): a table made once per configuration."""
+
 from ..rank import score
 
 
@@ -27,7 +28,7 @@
     ss = route["shares"]
     if len(ss) == 1:
         return ss[0]["service"]
-    at = int.from_bytes(score("share", key), "big") / 2 ** 64 * sum(s["weight"] for s in ss)
+    at = int.from_bytes(score("share", key), "big") / 2**64 * sum(s["weight"] for s in ss)
     for s in ss:
         at -= s["weight"]
         if at < 0:
--- a/silverglade/front/app.py
+++ b/silverglade/front/app.py
@@ -1,4 +1,5 @@
 """The surface (design 2): visitors, replicas, platform and operators, as one ASGI app."""
+
 import json
 import random
 
@@ -38,8 +39,13 @@
 
 async def answer(send, code, data, extra=()):
     b = json.dumps(data).encode() + b"\n"
-    await send({"type": "http.response.start", "status": code, "headers": [
-        (b"content-type", b"application/json"), (b"content-length", str(len(b)).encode()), *extra]})
+    await send(
+        {
+            "type": "http.response.start",
+            "status": code,
+            "headers": [(b"content-type", b"application/json"), (b"content-length", str(len(b)).encode()), *extra],
+        }
+    )
     await send({"type": "http.response.body", "body": b})
 
 
@@ -49,8 +55,7 @@
     if wait:
         after = max(1, round(wait / 1000 * random.uniform(0.8, 1.6) + 0.5))
         extra = (*extra, (b"retry-after", str(after).encode()))
-    await answer(send, status(code), fault_body(code=code, ran=ran, retry_after=after, detail=detail),
-                 extra)
+    await answer(send, status(code), fault_body(code=code, ran=ran, retry_after=after, detail=detail), extra)
 
 
 def bearer(head):
@@ -61,9 +66,10 @@
 async def visit(d, cls, scope, receive, send):
     """One order: its head, then room for its body, then the body, then its results as they come."""
     head = headers(scope)
-    key, due, prefix, attempt = (head.get(k, "") for k in (
-        "idempotency-key", "silverglade-due", "silverglade-prefix", "silverglade-attempt"))
-    ran = "no" if not key or attempt == "1" else "maybe"      # no owner has looked (design 6.5)
+    key, due, prefix, attempt = (
+        head.get(k, "") for k in ("idempotency-key", "silverglade-due", "silverglade-prefix", "silverglade-attempt")
+    )
+    ran = "no" if not key or attempt == "1" else "maybe"  # no owner has looked (design 6.5)
     try:
         code, kw = await d.call("head", (bearer(head), cls, key, due, prefix, attempt))
         if code != 100:
@@ -82,11 +88,13 @@
     """An order's results to its visitor, as they come."""
     key, began, ended = "", False, False
     async with anyio.create_task_group() as tg:
+
         async def watch():
             while (await receive())["type"] != "http.disconnect":
                 pass
             await d.gone(oid)
             tg.cancel_scope.cancel()
+
         tg.start_soon(watch)
         async for r in res:
             mark = ((b"idempotency-key", key.encode("latin-1", "replace")),) if key else ()
@@ -94,16 +102,21 @@
                 case ("key", k, _):
                     key = k
                 case ("whole", data):
-                    await send({"type": "http.response.start", "status": 200, "headers": [
-                        (b"content-type", b"application/json"), *mark,
-                        (b"content-length", str(len(data)).encode())]})
+                    await send(
+                        {
+                            "type": "http.response.start",
+                            "status": 200,
+                            "headers": [(b"content-type", b"application/json"), *mark, (b"content-length", str(len(data)).encode())],
+                        }
+                    )
                     await send({"type": "http.response.body", "body": data})
                     ended = True
                 case ("piece", n, data):
-                    if not began:                   # the status waits for the first piece
+                    if not began:  # the status waits for the first piece
                         began = True
-                        await send({"type": "http.response.start", "status": 200, "headers": [
-                            (b"content-type", b"text/event-stream"), *mark]})
+                        await send(
+                            {"type": "http.response.start", "status": 200, "headers": [(b"content-type", b"text/event-stream"), *mark]}
+                        )
                     await send(event("", n, data))
                     if n % 32 == 0:
                         await d.drained(oid, n)
@@ -113,7 +126,7 @@
                     ended = True
                 case ("fault", code, ran, *w):
                     wait, detail = (*w, None, "")[:2]
-                    if began:                       # an unclean close after the fault event
+                    if began:  # an unclean close after the fault event
                         data = json.dumps(fault_body(code=code, ran=ran)).encode()
                         await send(event("fault", -1, data))
                     else:
@@ -143,4 +156,5 @@
             await route(d, verb, path, head, lambda: read(receive, head), send, answer, bearer(head))
         except Fault as e:
             await refuse(send, e.code, detail=e.detail)
+
     return run
--- a/silverglade/front/forward.py
+++ b/silverglade/front/forward.py
@@ -3,6 +3,7 @@
 A connection's protocol is itself the app, so that it sees at once when its client goes, and can end an
 answer without an end.
 """
+
 import socket
 import struct
 
@@ -57,7 +58,7 @@
         self.t.close()
 
 
-def whole(b, most=2 ** 53):
+def whole(b, most=2**53):
     return int(b) if b is not None and b.isdigit() and len(b) < 17 and int(b) < most else None
 
 
@@ -87,13 +88,22 @@
 
 def facts(*, method, target, fields, size, dialect):
     """What the part is told of a request."""
+
     def text(k):
         return fields[k].decode("latin-1") if k in fields else None
+
     return {
-        "host": host(fields.get(b"host", b"")), "path": target.partition(b"?")[0].decode("latin-1"),
-        "method": method, "attempt": text(dialect.attempt) or "", "deadline_ms": whole(fields.get(dialect.deadline)),
-        "prefix": parts(fields.get(dialect.prefix)), "tokens": pair(fields.get(dialect.tokens)),
-        "model": text(dialect.model) or "", "last_event": text(dialect.last_event), "size": size}
+        "host": host(fields.get(b"host", b"")),
+        "path": target.partition(b"?")[0].decode("latin-1"),
+        "method": method,
+        "attempt": text(dialect.attempt) or "",
+        "deadline_ms": whole(fields.get(dialect.deadline)),
+        "prefix": parts(fields.get(dialect.prefix)),
+        "tokens": pair(fields.get(dialect.tokens)),
+        "model": text(dialect.model) or "",
+        "last_event": text(dialect.last_event),
+        "size": size,
+    }
 
 
 class Face(H11Protocol):
@@ -150,7 +160,7 @@
 
     def cut(self):
         """The answer must not look complete: no last chunk, or too few bytes; nothing at all before its head."""
-        if self.conn.their_http_version == b"1.0":          # there the end of the connection ends an answer
+        if self.conn.their_http_version == b"1.0":  # there the end of the connection ends an answer
             self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             self.transport.abort()
         elif self.cycle.response_started and not self.flow.write_paused:
@@ -170,7 +180,7 @@
             return await small(send, 413, 204, close=True)
         d, size, body, a = shell.d, 0, b"", None
         try:
-            if not self.cycle.more_body:              # all of it came with the head
+            if not self.cycle.more_body:  # all of it came with the head
                 body = bytes(self.cycle.body)
                 size = len(body)
                 d.bodies += size
@@ -201,14 +211,22 @@
             out = [h for h in kept(headers, fields) if h[0] not in OWN]
             if body or n is not None:
                 out.append((b"content-length", b"%d" % size))
-            a = Ask(rid=shell.rid(), method=scope["method"], target=target, headers=out,
-                    attempt=fields.get(shell.dialect.attempt, b""), body=body, send=send, client=self,
-                    closing=shell.closing)
+            a = Ask(
+                rid=shell.rid(),
+                method=scope["method"],
+                target=target,
+                headers=out,
+                attempt=fields.get(shell.dialect.attempt, b""),
+                body=body,
+                send=send,
+                client=self,
+                closing=shell.closing,
+            )
             self.ask = a
             if self.cycle.disconnected:
                 return
             await shell.run(a, facts(method=a.method, target=target, fields=fields, size=size, dialect=shell.dialect))
         finally:
             d.bodies -= size
-            if self.ask is a:                         # the next request of a client that does not wait may be under way
+            if self.ask is a:  # the next request of a client that does not wait may be under way
                 self.ask = None
--- a/silverglade/front/metrics.py
+++ b/silverglade/front/metrics.py
@@ -1,4 +1,5 @@
 """Metrics (design 8.4), written out by library."""
+
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
@@ -26,10 +27,15 @@
     for k, n in st.get("retries", {}).items():
         rt.add_metric([k], n)
     g = GaugeMetricFamily("silverglade_state", "Numbers of this daemon", labels=["what"])
-    for k, v in (("news_age_ms", st["age_ms"]), ("view_epoch", st["view"][0]), ("live", len(fl["fleet"])),
-                 ("running", st.get("orders", {}).get("running", 0)),
-                 ("config_epoch", st["config"][0]), ("config_number", st["config"][1]),
-                 ("messages_dropped", d.links.lost)):
+    for k, v in (
+        ("news_age_ms", st["age_ms"]),
+        ("view_epoch", st["view"][0]),
+        ("live", len(fl["fleet"])),
+        ("running", st.get("orders", {}).get("running", 0)),
+        ("config_epoch", st["config"][0]),
+        ("config_number", st["config"][1]),
+        ("messages_dropped", d.links.lost),
+    ):
         g.add_metric([k], -1 if v is None else v)
     rep = GaugeMetricFamily("silverglade_replica_slots", "Slots by replica", labels=["replica", "what"])
     for i, r in rs["replicas"].items():
--- a/silverglade/front/routes.py
+++ b/silverglade/front/routes.py
@@ -1,4 +1,5 @@
 """Calls of replicas, platform and operators (design 2.2, 2.3)."""
+
 import hmac
 import json
 import secrets
@@ -34,11 +35,15 @@
 def listed(raw):
     rows = raw.get("replicas") if isinstance(raw, dict) else None
     if not isinstance(rows, list):
-        raise Fault(506, "wants {\"replicas\": [...]}")
+        raise Fault(506, 'wants {"replicas": [...]}')
     out = []
     for i, r in enumerate(rows):
-        if not (isinstance(r, dict) and isinstance(r.get("id"), str)
-                and type(r.get("incarnation", 0)) is int and type(r.get("leaving", False)) is bool):
+        if not (
+            isinstance(r, dict)
+            and isinstance(r.get("id"), str)
+            and type(r.get("incarnation", 0)) is int
+            and type(r.get("leaving", False)) is bool
+        ):
             raise Fault(506, f"replicas[{i}]")
         out.append((r["id"], r.get("incarnation"), r.get("leaving", False)))
     return tuple(out)
@@ -74,9 +79,15 @@
             return await answer(send, 200, {"daemon": d.s["name"]})
         case ("GET", ["metrics"]):
             from .metrics import exposition  # a library that no daemon needs until it is asked
+
             b = await exposition(d)
-            await send({"type": "http.response.start", "status": 200, "headers": [
-                (b"content-type", b"text/plain; version=0.0.4"), (b"content-length", str(len(b)).encode())]})
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": 200,
+                    "headers": [(b"content-type", b"text/plain; version=0.0.4"), (b"content-length", str(len(b)).encode())],
+                }
+            )
             return await send({"type": "http.response.body", "body": b})
         case ("GET", ["v1", "config"]):
             op = ("config-get", ())
--- a/silverglade/front/serve.py
+++ b/silverglade/front/serve.py
@@ -1,4 +1,5 @@
 """The HTTP server (design 2, 15.7): uvicorn by library, signals left to the daemon; one server on every address."""
+
 import contextlib
 import socket
 from functools import partial
@@ -8,7 +9,7 @@
 from .app import app
 from .forward import Face
 
-BACKLOG = 1024        # a full queue of new connections drops the opening packet, which costs its client seconds
+BACKLOG = 1024  # a full queue of new connections drops the opening packet, which costs its client seconds
 
 
 class Quiet(uvicorn.Server):
@@ -37,15 +38,27 @@
     async def run(scope, receive, send):
         if scope["type"] == "http":
             await ports[scope["server"][1]](scope, receive, send)
+
     return run
 
 
 async def serve(d):
     apps, front = {d.s["http"]: app(d), **d.faces()}, d.outer.front if d.outer else ""
     face = partial(Face, shell=d.shell, port=int(front.rsplit(":", 1)[1])) if front else "h11"
-    cfg = uvicorn.Config(by_address(apps), log_config=None, access_log=False, lifespan="off", server_header=False,
-                         date_header=False, timeout_keep_alive=30, log_level="critical", http=face, ws="none",
-                         loop="asyncio", backlog=BACKLOG)
+    cfg = uvicorn.Config(
+        by_address(apps),
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=30,
+        log_level="critical",
+        http=face,
+        ws="none",
+        loop="asyncio",
+        backlog=BACKLOG,
+    )
     server = Quiet(cfg)
     server.over, d.open = d.closing, server.server_state.connections
     await server.serve(sockets=[bound(a) for a in (*apps, *([front] if front else ()))])
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -3,6 +3,7 @@
 `feed(now, event)` runs the parts to rest and returns the effects that leave the daemon.
 The daemon program and the simulator drive this same function.
 """
+
 from collections import deque
 
 from . import __version__
@@ -30,29 +31,49 @@
     "table": ("told", "sync"),
     "proxy": ("told", "get", "sync"),
     "ledger": ("lease", "release", "renew"),
-    "owner": ("ask", "leased", "unleased", "offer", "claimed", "unclaimed", "adopted",
-              "unadopted", "copied", "fin", "quit"),
+    "owner": ("ask", "leased", "unleased", "offer", "claimed", "unclaimed", "adopted", "unadopted", "copied", "fin", "quit"),
     "path": ("grant", "deny", "moved", "hand", "left", "res", "more"),
     "news": ("news",),
     "desk": ("opr",),
-    "control": ("hb", "view", "prep", "acc", "prom", "accd", "nack", "snap", "snapok", "repl", "repd",
-                "items", "pull", "get", "op"),
+    "control": ("hb", "view", "prep", "acc", "prom", "accd", "nack", "snap", "snapok", "repl", "repd", "items", "pull", "get", "op"),
     "follower": ("claim", "mark", "adopt", "copy"),
 }
-CALLS = {"replica-put": "registry", "replica-leave": "registry", "platform": "registry",
-         "trace": "path", "head": "path", "serving": "forward"}
+CALLS = {
+    "replica-put": "registry",
+    "replica-leave": "registry",
+    "platform": "registry",
+    "trace": "path",
+    "head": "path",
+    "serving": "forward",
+}
 
 
 class Hub:
-    def __init__(self, *, me, life, zone, region, addr, http, seeds, cores, opt, rng,
-                 disk="", saved=None, front="", lists=False, tolerance=(1, 1, 1), first=True):
+    def __init__(
+        self,
+        *,
+        me,
+        life,
+        zone,
+        region,
+        addr,
+        http,
+        seeds,
+        cores,
+        opt,
+        rng,
+        disk="",
+        saved=None,
+        front="",
+        lists=False,
+        tolerance=(1, 1, 1),
+        first=True,
+    ):
         self.me = me
         p = self.parts = {
-            "roster": roster(me=me, life=life, place=(zone, region, addr, http, bool(disk)),
-                             opt=opt),
+            "roster": roster(me=me, life=life, place=(zone, region, addr, http, bool(disk)), opt=opt),
             "registry": registry(me=me, core=bool(disk), opt=opt),
-            "news": news(me=me, zone=zone, region=region, core=bool(disk), addr=addr, seeds=tuple(seeds),
-                         opt=opt, rng=rng),
+            "news": news(me=me, zone=zone, region=region, core=bool(disk), addr=addr, seeds=tuple(seeds), opt=opt, rng=rng),
             "ledger": ledger(me=me, opt=opt),
             "owner": owner(me=me, zone=zone, cores=cores, opt=opt, rng=rng),
             "path": ingress(me=me, life=life, zone=zone, opt=opt),
@@ -64,8 +85,9 @@
         }
         if disk:
             saved = saved or {}
-            p["control"] = core(me=me, disk=disk, cores=cores, saved=saved, opt=opt, rng=rng,
-                                place=(zone, region), tolerance=tolerance, first=first)
+            p["control"] = core(
+                me=me, disk=disk, cores=cores, saved=saved, opt=opt, rng=rng, place=(zone, region), tolerance=tolerance, first=first
+            )
             p["table"] = table(me=me, life=life, addr=addr, seeds=tuple(seeds), opt=opt)
             p["keeper"] = keeper(cores=cores, opt=opt)
             p["follower"] = follower(me=me, saved=saved, opt=opt)
@@ -74,7 +96,7 @@
         for g in p.values():
             start(g)
         self.hear = {k: n for n, ks in HEARS.items() for k in ks if n in p}
-        self.due = dict.fromkeys(p, ZERO)        # part -> when it wants its next pulse (1.5)
+        self.due = dict.fromkeys(p, ZERO)  # part -> when it wants its next pulse (1.5)
         self.queue = deque([("roster", ("extra", "version", __version__))])
         if front:
             self.queue.append(("roster", ("extra", "front", front)))
--- a/silverglade/log.py
+++ b/silverglade/log.py
@@ -1,4 +1,5 @@
 """One key=value line for each event (design 8.3)."""
+
 import sys
 from datetime import datetime, timezone
 
@@ -35,7 +36,7 @@
 
 def quoted(v):
     s = str(v)
-    if s and not any(c in s for c in " \"=\n\\"):
+    if s and not any(c in s for c in ' "=\n\\'):
         return s
     return '"' + s.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
 
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -3,22 +3,58 @@
 Letters: s text, i whole number, f number, b flag, y bytes, t tuple, v version (two whole
 numbers), o ballot (number, text), ? anything. "..." at the end: any rest.
 """
+
 from . import soft
 
 SHAPES = {
-    "alive": "ii", "doubted": "", "told": "t", "sync": "ittt",
-    "lease": "siss", "release": "ssb", "renew": "sit", "leased": "ssi", "unleased": "sss", "offer": "siss",
-    "ask": "sisit", "claimed": "sis", "unclaimed": "siss", "adopted": "sit", "unadopted": "sis",
-    "copied": "sii", "fin": "sis", "quit": "s",
-    "grant": "sisisib...", "deny": "siis?", "moved": "si",
-    "hand": "ssssbisiy", "left": "s", "more": "si", "res": "sis...",
-    "news": "ivtii...", "opr": "it", "hb": "ivbsibiii", "view": "?",
-    "prep": "o", "acc": "o??", "prom": "oso??", "accd": "os", "nack": "oso",
-    "snap": "ii?t", "snapok": "iis", "repl": "iivvt", "repd": "ii", "items": "ivvt",
-    "pull": "v", "get": "iv...", "op": "ists",
-    "claim": "sisssi", "mark": "sisss", "adopt": "si", "copy": "siit",
+    "alive": "ii",
+    "doubted": "",
+    "told": "t",
+    "sync": "ittt",
+    "lease": "siss",
+    "release": "ssb",
+    "renew": "sit",
+    "leased": "ssi",
+    "unleased": "sss",
+    "offer": "siss",
+    "ask": "sisit",
+    "claimed": "sis",
+    "unclaimed": "siss",
+    "adopted": "sit",
+    "unadopted": "sis",
+    "copied": "sii",
+    "fin": "sis",
+    "quit": "s",
+    "grant": "sisisib...",
+    "deny": "siis?",
+    "moved": "si",
+    "hand": "ssssbisiy",
+    "left": "s",
+    "more": "si",
+    "res": "sis...",
+    "news": "ivtii...",
+    "opr": "it",
+    "hb": "ivbsibiii",
+    "view": "?",
+    "prep": "o",
+    "acc": "o??",
+    "prom": "oso??",
+    "accd": "os",
+    "nack": "oso",
+    "snap": "ii?t",
+    "snapok": "iis",
+    "repl": "iivvt",
+    "repd": "ii",
+    "items": "ivvt",
+    "pull": "v",
+    "get": "iv...",
+    "op": "ists",
+    "claim": "sisssi",
+    "mark": "sisss",
+    "adopt": "si",
+    "copy": "siit",
 }
-MOST = {"get": 4, "news": 7}           # of those whose last field came later
+MOST = {"get": 4, "news": 7}  # of those whose last field came later
 
 
 def fits(x, k):
@@ -55,13 +91,12 @@
     """The fields that this program knows: a later one may have added some behind them (3.2)."""
     sh = SHAPES[body[0]]
     n = MOST.get(body[0])
-    return body[:n] if n else body if sh.endswith("...") else body[:1 + len(sh)]
+    return body[:n] if n else body if sh.endswith("...") else body[: 1 + len(sh)]
 
 
 def rows(t, sh):
     """Every row of a tuple has this shape."""
-    return all(type(r) is tuple and len(r) == len(sh) and all(fits(x, k) for x, k in zip(r, sh))
-               for r in t)
+    return all(type(r) is tuple and len(r) == len(sh) and all(fits(x, k) for x, k in zip(r, sh)) for r in t)
 
 
 DEEP = {
@@ -72,9 +107,14 @@
     "get": lambda b: len(b) >= 4 and (type(b[3]) is int or soft.sound_vector(b[3])) or len(b) == 3,
     "renew": lambda b: rows(b[3], "ss"),
     "ask": lambda b: rows((b[5][:4],), "sssi"),
-    "opr": lambda b: len(b[2]) >= 1 and type(b[2][0]) is str and (
-        b[2][0] not in ("ok", "refuse", "elsewhere") or rows(
-            (b[2],), {"ok": "svs" if len(b[2]) == 3 else "sv", "refuse": "sis", "elsewhere": "ss"}[b[2][0]])),
+    "opr": lambda b: (
+        len(b[2]) >= 1
+        and type(b[2][0]) is str
+        and (
+            b[2][0] not in ("ok", "refuse", "elsewhere")
+            or rows((b[2],), {"ok": "svs" if len(b[2]) == 3 else "sv", "refuse": "sis", "elsewhere": "ss"}[b[2][0]])
+        )
+    ),
     "news": lambda b: rows(b[3], "sv?") and (len(b) == 6 or soft.sound_delta(b[6])),
     "snap": lambda b: rows(b[4], "sv?"),
     "repl": lambda b: rows(b[5], "sv?"),
--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -1,4 +1,5 @@
 """How a daemon learns what control holds (design 5.7): it asks with the version held."""
+
 from .control import book as bk
 from .part import ZERO, log, ms, send, span
 from .proxy import proxy_of
@@ -12,7 +13,7 @@
     """
     book, held, fresh = {}, bk.START, None
     roll, pend, out, bad = (), None, [], {}
-    born, sure = None, False         # sure: news was proved newer than this life (5.7)
+    born, sure = None, False  # sure: news was proved newer than this life (5.7)
     at, last, due, turn = (), None, ZERO, rng.randrange(len(seeds) or 1)
 
     def near(now):
@@ -24,8 +25,11 @@
         p = proxy_of(zone, roll)
         if p not in (None, me) and bad.get(p, ZERO) <= now:
             return p
-        c = min(z, default=None, key=lambda c: (max(bad.get(c, ZERO), now), c != me, z[c][0] != zone,
-                                                z[c][1] != region, c != last, rng.random()))
+        c = min(
+            z,
+            default=None,
+            key=lambda c: (max(bad.get(c, ZERO), now), c != me, z[c][0] != zone, z[c][1] != region, c != last, rng.random()),
+        )
         others = [s for s in seeds if s != addr]
         if others and (c is None or bad.get(c, ZERO) > now):
             turn += 1
@@ -38,7 +42,7 @@
         if c is None:
             return
         pend = (rng.getrandbits(48), c, now)
-        if c != last:                            # it hears who I am first
+        if c != last:  # it hears who I am first
             last = c
             out.append(("post", "roster", ("core", c)))
             out.append(("post", "proxy", ("core", c, any(r[0] == c and r[8] for r in roll))))
@@ -63,7 +67,7 @@
             case ("at", pos):
                 at = at if pos is None else pos
                 if pend is None and now >= due:
-                    if type(at) is tuple:        # not agreed yet: not in a hurry
+                    if type(at) is tuple:  # not agreed yet: not in a hurry
                         due = now + opt["beat"] / 2
                     else:
                         ask(now)
@@ -73,33 +77,36 @@
                 ask(now)
             case ("msg", frm, ("news", n, v, items, age, held_ms, delta)) if pend and n == pend[0]:
                 asked, pend = pend[2], None
-                out.append(("post", "roster", ("delta", frm, delta)))   # it says where it stands; then I ask on
+                out.append(("post", "roster", ("delta", frm, delta)))  # it says where it stands; then I ask on
                 if v < held:
                     out.append(log("news-older", core=frm, held=held, told=v))
                     bad[frm] = now + opt["settle"]
                     continue
                 f = asked + span(min(held_ms, ms(now - asked))) - span(age)
                 sure = sure or opt["trust"] or age >= 0 and f >= born
-                if not sure:                     # an earlier life may have held newer: wait for proof
+                if not sure:  # an earlier life may have held newer: wait for proof
                     due = now + opt["pulse"]
                     if age < 0 or age > ms(opt["aged"]):
                         bad[frm] = now + opt["settle"]
                     continue
                 new = [i for i in items if i[1] > book.get(i[0], (bk.START,))[0]]
                 if new or v > held:
-                    book = {k: v for k, v in {**book, **{k: (iv, x) for k, iv, x in new}}.items()
-                            if v[1] is not None}     # a duty dropped is none here
+                    book = {
+                        k: v for k, v in {**book, **{k: (iv, x) for k, iv, x in new}}.items() if v[1] is not None
+                    }  # a duty dropped is none here
                     held = max(held, v)
-                    out += [("cast", ("book", book, held)), ("post", "proxy", ("items", items, held)),
-                            ("post", "roster", ("extra", "news", held))]
+                    out += [
+                        ("cast", ("book", book, held)),
+                        ("post", "proxy", ("items", items, held)),
+                        ("post", "roster", ("extra", "news", held)),
+                    ]
                     if any(k == "config" or k.startswith("evac/") for k, _, _ in new):
-                        out.append(log("news", version=f"{held[0]}.{held[1]}",
-                                       keys=",".join(k for k, _, _ in new)[:200]))
+                        out.append(log("news", version=f"{held[0]}.{held[1]}", keys=",".join(k for k, _, _ in new)[:200]))
                 if age >= 0 and (fresh is None or f > fresh):
                     fresh = f
                     out.append(("cast", ("fresh", fresh)))
                 if age < 0 or age > ms(opt["aged"]):
-                    bad[frm] = now + opt["settle"]   # its proof is old: perhaps another's is not
+                    bad[frm] = now + opt["settle"]  # its proof is old: perhaps another's is not
 
 
 def keeper(*, cores, opt):
@@ -109,6 +116,7 @@
     copied. A ledger has no follower.
     """
     from .rank import first
+
     roll, book, reps, due, out, idle = (), {}, (), ZERO, [], {}
 
     def needless(now):
@@ -119,7 +127,7 @@
         idle = {k: idle.get(k, now) for k in book if k.startswith("duty/") and k not in need}
         for kind in ("shard", "ledger"):
             p = f"duty/{kind}/"
-            names = tuple(k[len(p):] for k, t in sorted(idle.items()) if k.startswith(p) and now - t > opt["forget"])
+            names = tuple(k[len(p) :] for k, t in sorted(idle.items()) if k.startswith(p) and now - t > opt["forget"])
             if names:
                 yield kind, names[:256]
 
@@ -136,7 +144,7 @@
                 fit = [i for i, r in live.items() if r[5] in reg]
             if old[1] in fit or not fit:
                 continue
-            z = live[old[2]][4] if old[2] in live else None     # not beside the claims' copy
+            z = live[old[2]][4] if old[2] in live else None  # not beside the claims' copy
             fit = [i for i in fit if live[i][4] != z] or fit
             yield (kind, name, old[0], first(f"{kind}/{name}", fit), old[2])
 
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -1,4 +1,5 @@
 """A daemon's settings (design 8.1): from a JSON file and flags, checked whole."""
+
 import ipaddress
 import json
 from datetime import timedelta as td
@@ -9,39 +10,39 @@
 # Times are seconds in files and flags, timedelta inside. docs/options.md explains each.
 TUNING = {
     "pulse": c.span(default=td(milliseconds=50)),
-    "beat": c.span(default=td(milliseconds=250)),        # roster, control heartbeats (4.3)
+    "beat": c.span(default=td(milliseconds=250)),  # roster, control heartbeats (4.3)
     "watch_beat": c.span(default=td(milliseconds=500)),  # pulses to watchers (4.2)
-    "doubt": c.span(default=td(milliseconds=1200)),      # silence before a watcher doubts
-    "gone": c.span(default=td(seconds=4)),               # no news of a daemon from anyone
-    "late": c.span(default=td(milliseconds=900)),        # a pulse this late means frozen
+    "doubt": c.span(default=td(milliseconds=1200)),  # silence before a watcher doubts
+    "gone": c.span(default=td(seconds=4)),  # no news of a daemon from anyone
+    "late": c.span(default=td(milliseconds=900)),  # a pulse this late means frozen
     "watch": c.whole(default=4, least=1, most=16),
-    "takeover": c.span(default=td(milliseconds=1500)),   # control: silence of a member (5.4)
-    "heartbeat": c.span(default=td(milliseconds=500)),   # between cores (5.10); a third of takeover
-    "core_forget": c.span(default=td(seconds=180)),      # a core silent this long is no witness any more (5.9)
+    "takeover": c.span(default=td(milliseconds=1500)),  # control: silence of a member (5.4)
+    "heartbeat": c.span(default=td(milliseconds=500)),  # between cores (5.10); a third of takeover
+    "core_forget": c.span(default=td(seconds=180)),  # a core silent this long is no witness any more (5.9)
     "disk_stall": c.span(default=td(seconds=1)),
     "settle": c.span(default=td(milliseconds=600)),
-    "op_wait": c.span(default=td(seconds=4)),            # operator call before "unknown"
-    "ask_wait": c.span(default=td(seconds=1)),   # news long-ask
-    "alone": c.span(default=td(seconds=4)),              # no confirmed news: start nothing
-    "aged": c.span(default=td(seconds=2)),               # a core whose proof is older is passed over for another (5.7)
-    "trust": c.flag(default=False),                      # start with news that nobody has proved newer than this life
+    "op_wait": c.span(default=td(seconds=4)),  # operator call before "unknown"
+    "ask_wait": c.span(default=td(seconds=1)),  # news long-ask
+    "alone": c.span(default=td(seconds=4)),  # no confirmed news: start nothing
+    "aged": c.span(default=td(seconds=2)),  # a core whose proof is older is passed over for another (5.7)
+    "trust": c.flag(default=False),  # start with news that nobody has proved newer than this life
     "probe": c.span(default=td(milliseconds=500)),
-    "stale": c.span(default=td(seconds=3)),              # a replica's status too old
-    "queue": c.whole(default=64, least=1),               # waiting orders per tenant
+    "stale": c.span(default=td(seconds=3)),  # a replica's status too old
+    "queue": c.whole(default=64, least=1),  # waiting orders per tenant
     "queue_wait": c.span(default=td(seconds=10)),
     "owner_wait": c.span(default=td(milliseconds=1500)),
     "claim_wait": c.span(default=td(milliseconds=1200)),
-    "lease": c.span(default=td(seconds=3)),              # a slot's lease, unless renewed (7.3)
-    "learn": c.span(default=td(milliseconds=1200)),      # a new ledger holder hears of leases first
-    "claims_most": c.whole(default=20000, least=8, most=40000),   # remembered per tenant (6.3)
-    "grant": c.span(default=td(seconds=2)),              # a grant's life
+    "lease": c.span(default=td(seconds=3)),  # a slot's lease, unless renewed (7.3)
+    "learn": c.span(default=td(milliseconds=1200)),  # a new ledger holder hears of leases first
+    "claims_most": c.whole(default=20000, least=8, most=40000),  # remembered per tenant (6.3)
+    "grant": c.span(default=td(seconds=2)),  # a grant's life
     "spill_wait": c.span(default=td(milliseconds=200)),
-    "hot": c.number(default=1.25, least=1.0),            # bounded burden (7.2)
+    "hot": c.number(default=1.25, least=1.0),  # bounded burden (7.2)
     "retry_share": c.number(default=0.10, most=1.0),
     "retry_stop": c.number(default=0.20, most=1.0),
     "retry_window": c.span(default=td(seconds=30)),
-    "forget": c.span(default=td(seconds=600)),           # a replica or tenant gone this long leaves no record
-    "drill_disk": c.number(default=0.0, most=60.0),      # seconds before each write: rehearsals of a slow disk
+    "forget": c.span(default=td(seconds=600)),  # a replica or tenant gone this long leaves no record
+    "drill_disk": c.number(default=0.0, most=60.0),  # seconds before each write: rehearsals of a slow disk
     "scale_every": c.span(default=td(seconds=2)),
     "scale_trend": c.span(default=td(seconds=10)),
     "scale_hold": c.span(default=td(seconds=6)),
@@ -54,20 +55,20 @@
     # the forwarding path (15)
     "connect_wait": c.span(default=td(milliseconds=400)),  # a replica that takes no connection
     "connect_near": c.span(default=td(milliseconds=200)),  # the same in the own region
-    "list_every": c.span(default=td(milliseconds=1000)),   # the list of replicas is read
+    "list_every": c.span(default=td(milliseconds=1000)),  # the list of replicas is read
     "probe_every": c.span(default=td(seconds=2)),
-    "probe_wait": c.span(default=td(seconds=1)),         # a probe without an answer (16.4)
-    "probe_extra": c.whole(default=4),                   # probes out of turn a second
-    "need_window": c.span(default=td(seconds=4)),       # ends and use of services' replicas are looked at over it (16.3)
+    "probe_wait": c.span(default=td(seconds=1)),  # a probe without an answer (16.4)
+    "probe_extra": c.whole(default=4),  # probes out of turn a second
+    "need_window": c.span(default=td(seconds=4)),  # ends and use of services' replicas are looked at over it (16.3)
     "need_latency": c.oneof("place", "whole", default="place"),
-    "need_room": c.whole(default=0),                     # K of a replica; 0: worked out from its capacity
-    "budget_window": c.span(default=td(seconds=10)),     # further tries of a service's requests (16.1)
+    "need_room": c.whole(default=0),  # K of a replica; 0: worked out from its capacity
+    "budget_window": c.span(default=td(seconds=10)),  # further tries of a service's requests (16.1)
     "budget_ratio": c.number(default=0.2, most=1.0),
     "budget_slack": c.number(default=50.0),
     "budget_ratio_part": c.number(default=0.9, most=1.0),
     "budget_slack_part": c.number(default=0.6, most=1.0),
     "budget_recall": c.span(default=td(seconds=300)),
-    "cold_excess": c.number(default=1.5, least=1.0),     # what a cold replica bears at most (16.2)
+    "cold_excess": c.number(default=1.5, least=1.0),  # what a cold replica bears at most (16.2)
     "cold_slack": c.number(default=5.0),
     "cold_settle": c.span(default=td(seconds=5)),
     "cold_recall": c.span(default=td(seconds=300)),
@@ -80,13 +81,13 @@
     "name": c.text(),
     "zone": c.text(),
     "region": c.text(),
-    "listen": c.address(),          # wire between daemons
+    "listen": c.address(),  # wire between daemons
     "advertise": c.text(default=""),  # what others are told instead of listen
-    "http": c.address(),            # visitors, replicas, platform, operators
+    "http": c.address(),  # visitors, replicas, platform, operators
     "seeds": c.each(c.address(), least=1),
     "cores": c.each(c.text(), least=3, unique=True),
     "data": c.text(default=""),
-    "tolerance": c.table(TOLERANCE, default=None),   # what may be lost at once (5.9)
+    "tolerance": c.table(TOLERANCE, default=None),  # what may be lost at once (5.9)
     "first": c.flag(default=True),  # may a core with an empty disk help to form the first view (5.5)
     **{f"{r}_{k}": c.text(default="") for r in ("operator", "replica", "platform") for k in ("key", "key_file")},
     "open": c.flag(default=False),  # listen beyond loopback without keys
@@ -145,8 +146,9 @@
         bad.append(("keys", "each role wants a key of its own"))
     near = ipaddress.ip_address(s["http"].rsplit(":", 1)[0].strip("[]")).is_loopback
     if not bad and not near and not s["open"] and len(held) < len(ROLES):
-        bad.append(("http", "listens beyond loopback: it wants operator_key, replica_key and platform_key"
-                            " (or their files), or open set outright"))
+        bad.append(
+            ("http", "listens beyond loopback: it wants operator_key, replica_key and platform_key (or their files), or open set outright")
+        )
     return tuple(bad)
 
 
--- a/silverglade/part.py
+++ b/silverglade/part.py
@@ -9,10 +9,11 @@
 and those that leave it: ("send", daemon, body), ("disk", token, ops), ("log", event, pairs),
 ("dispatch", ...), ("abort", did), ("result", ...), ("reply", ...), ("probe", ...).
 """
+
 from datetime import timedelta
 
 ZERO = timedelta(0)
-IDLE = timedelta(days=1000000)          # a due time: until something happens
+IDLE = timedelta(days=1000000)  # a due time: until something happens
 
 
 def start(gen):
--- a/silverglade/path/admit.py
+++ b/silverglade/path/admit.py
@@ -1,4 +1,5 @@
 """The admit stage (design 6.1): an order's head checked against the configuration."""
+
 from .. import config
 from ..faults import Fault
 from ..part import ms, span
@@ -33,9 +34,19 @@
     if attempt and not (attempt.isascii() and attempt.isdigit() and 0 < int(attempt) < 1000):
         raise Fault(208, "Silverglade-Attempt")
     n = int(attempt) if attempt else 0
-    return dict(tenant=tenant, cls=cls, key=key or minted, minted=not key, prefix=prefix,
-                left=span(min(left, ms(span(600000)))), attempt=n, kind=c["kind"], stream=c["stream"],
-                resumable=c["resumable"], homes=cfg["tenants"][tenant]["homes"])
+    return dict(
+        tenant=tenant,
+        cls=cls,
+        key=key or minted,
+        minted=not key,
+        prefix=prefix,
+        left=span(min(left, ms(span(600000)))),
+        attempt=n,
+        kind=c["kind"],
+        stream=c["stream"],
+        resumable=c["resumable"],
+        homes=cfg["tenants"][tenant]["homes"],
+    )
 
 
 def sure(f):
--- a/silverglade/path/ingress.py
+++ b/silverglade/path/ingress.py
@@ -1,4 +1,5 @@
 """The path part (design 6.5, 6.6): orders at their ingress, and orders handed towards home."""
+
 from boltons.cacheutils import LRI
 
 from ..config import homes
@@ -10,9 +11,9 @@
 from .admit import admit, sure
 from .order import order
 
-WINDOW = 128         # pieces handed on that its visitor has not taken yet (6.6)
-KNOWN = 4096         # keys remembered, to tell a repeated one without its header
-TALES = 512          # orders whose steps are remembered for `silverglade trace`
+WINDOW = 128  # pieces handed on that its visitor has not taken yet (6.6)
+KNOWN = 4096  # keys remembered, to tell a repeated one without its header
+TALES = 512  # orders whose steps are remembered for `silverglade trace`
 
 
 class Ctx:
@@ -44,9 +45,11 @@
             return "incarnation"
         if e[2] is None or now - e[2] > self.opt["stale"]:
             return "unheard"
-        return "" if usable(e, now=now, opt=self.opt, evac=self.evac,
-                            homes=homes(bk.get(self.book, "config"), f["tenant"]),
-                            kind=f["kind"]) else "unusable"
+        return (
+            ""
+            if usable(e, now=now, opt=self.opt, evac=self.evac, homes=homes(bk.get(self.book, "config"), f["tenant"]), kind=f["kind"])
+            else "unusable"
+        )
 
 
 def ingress(*, me, life, zone, opt):
@@ -87,7 +90,7 @@
             case ("result", _, *r) if oid in guests:
                 g = guests[oid]
                 g["seq"] += 1
-                if r[0] == "piece":                  # its visitor is slow: the replica is not read on
+                if r[0] == "piece":  # its visitor is slow: the replica is not read on
                     g["piece"] = r[1]
                     if not g["held"] and r[1] - g["taken"] > WINDOW:
                         g["held"] = True
@@ -100,7 +103,7 @@
 
     def start_(oid, f, body, now):
         k = (f["tenant"], f["key"])
-        f["counted"] = f["attempt"] < 2 and k not in known      # a retry never feeds lambda (9.3)
+        f["counted"] = f["attempt"] < 2 and k not in known  # a retry never feeds lambda (9.3)
         known[k] = True
         if f["counted"]:
             out.append(("cast", ("arrived", f["kind"])))
@@ -116,11 +119,9 @@
         """The head of an order, before its body is read: -> (code, what to say or the body's cap)."""
         cfg = bk.get(ctx.book, "config")
         try:
-            f = admit(cfg=cfg, bearer=bearer, cls=cls, key=key, due=due, prefix=prefix, attempt=attempt,
-                      size=0, minted="-")
+            f = admit(cfg=cfg, bearer=bearer, cls=cls, key=key, due=due, prefix=prefix, attempt=attempt, size=0, minted="-")
         except Fault as e:
-            return e.code, dict(ran=blank(e, key, attempt), detail=e.detail,
-                                wait=1000 if e.code == 309 else None)
+            return e.code, dict(ran=blank(e, key, attempt), detail=e.detail, wait=1000 if e.code == 309 else None)
         if drain:
             return 308, dict(ran="no" if sure(f) else "maybe", wait=1000)
         return 100, dict(cap=cfg["body_cap"])
@@ -137,8 +138,17 @@
         num += 1
         cfg = bk.get(ctx.book, "config")
         try:
-            f = admit(cfg=cfg, bearer=bearer, cls=cls, key=key, due=due, prefix=prefix,
-                      attempt=attempt, size=len(body), minted=f"{me}-{life}-{num}")
+            f = admit(
+                cfg=cfg,
+                bearer=bearer,
+                cls=cls,
+                key=key,
+                due=due,
+                prefix=prefix,
+                attempt=attempt,
+                size=len(body),
+                minted=f"{me}-{life}-{num}",
+            )
         except Fault as e:
             return refuse(oid, e.code, blank(e, key, attempt), 1000 if e.code == 309 else None, e.detail)
         tale[oid].update(key=f["key"], tenant=f["tenant"])
@@ -154,8 +164,7 @@
         if not to:
             return refuse(oid, 306, maybe, 1000)
         hands[oid] = dict(to=to, seq=0, at=now, due=now + f["left"], f=f, out=False, told=False)
-        out.append(send(to, "hand", oid, bearer, cls, f["key"], f["minted"], ms(f["left"]), prefix,
-                        f["attempt"], body))
+        out.append(send(to, "hand", oid, bearer, cls, f["key"], f["minted"], ms(f["left"]), prefix, f["attempt"], body))
         return None
 
     def homeward(f):
@@ -174,17 +183,25 @@
         if oid in guests:
             return
         guests[oid] = dict(to=frm, seq=0, at=now, piece=0, taken=0, held=False)
-        no = lambda code, ran: (settle(oid, ("result", oid, "fault", code, ran, 1000)),
-                                settle(oid, ("end", oid)))
+        no = lambda code, ran: (settle(oid, ("result", oid, "fault", code, ran, 1000)), settle(oid, ("end", oid)))
         try:
-            f = admit(cfg=bk.get(ctx.book, "config"), bearer=bearer, cls=cls, key=key, due=str(left),
-                      prefix=prefix, attempt=str(attempt or ""), size=len(body), minted="")
+            f = admit(
+                cfg=bk.get(ctx.book, "config"),
+                bearer=bearer,
+                cls=cls,
+                key=key,
+                due=str(left),
+                prefix=prefix,
+                attempt=str(attempt or ""),
+                size=len(body),
+                minted="",
+            )
         except Fault as e:
             no(e.code, "no" if minted or attempt == 1 else "maybe")
             return
         f["minted"] = minted
         if zone not in f["homes"]:
-            no(306, "no" if sure(f) else "maybe")    # never passed on to a third region
+            no(306, "no" if sure(f) else "maybe")  # never passed on to a third region
         elif drain or not ctx.fresh(now):
             no(308 if drain else 307, "no" if sure(f) else "maybe")
         else:
@@ -268,9 +285,8 @@
             case ("msg", frm, (("grant" | "deny" | "moved") as k, str(oid), *r)) if oid in gens:
                 run(oid, now, (k, *r))
             case ("msg", frm, ("grant", str(oid), *_)):
-                out.append(send(frm, "quit", oid))   # nobody waits: it will not be sent
-            case ("msg", frm, ("hand", str(oid), str(b), str(c), str(k), bool(m), int(left), str(p),
-                               int(a), bytes(body))):
+                out.append(send(frm, "quit", oid))  # nobody waits: it will not be sent
+            case ("msg", frm, ("hand", str(oid), str(b), str(c), str(k), bool(m), int(left), str(p), int(a), bytes(body))):
                 guest(frm, oid, b, c, k, m, left, p, a, body, now)
             case ("msg", frm, ("left", str(oid))) if oid in gens and oid in guests:
                 run(oid, now, ("gone",))
--- a/silverglade/path/order.py
+++ b/silverglade/path/order.py
@@ -4,6 +4,7 @@
 `ctx` reads what the path part holds: duty(tenant), at_home(id, tenant), barred(rid, inc, f, now),
 fresh(now).
 """
+
 from ..part import ZERO, log, ms, send, span
 from .admit import sure
 
@@ -12,7 +13,7 @@
 
 def order(*, oid, f, body, opt, ctx, me, now):
     due, born = now + f["left"], now
-    n, ran, sent, piece = 0, "no", False, 0      # ran: worst over this order's dispatches
+    n, ran, sent, piece = 0, "no", False, 0  # ran: worst over this order's dispatches
     out, cause = [], None
 
     def result(kind, *r):
@@ -28,7 +29,7 @@
             soon = f["minted"] or now - born <= (opt["settle"] if ran_ == "?" else ZERO)
             ran_ = "no" if soon and sure(f) else "maybe"
         if ran_ == "no" and now > due + opt["beat"] and not f["minted"]:
-            ran_ = "maybe"                       # frozen meanwhile: the owner's word is old
+            ran_ = "maybe"  # frozen meanwhile: the owner's word is old
         result("fault", code, ran_, wait)
         out.append(("end", oid))
 
@@ -47,11 +48,11 @@
             d = ctx.duty(f["tenant"])
             # a daemon without news may hold homes that are none any more: it asks nobody (5.7)
             ok = d is not None and d[1] and ctx.fresh(now) and ctx.at_home(d[1], f["tenant"])
-            if ok and ((epoch, holder) != d[:2] or now - at > opt["owner_wait"]) and (
-                    moved is None or now - moved > opt["beat"] / 2):
+            if ok and ((epoch, holder) != d[:2] or now - at > opt["owner_wait"]) and (moved is None or now - moved > opt["beat"] / 2):
                 epoch, holder, at = d[0], d[1], now
-                out.append(send(holder, "ask", oid, n, f["tenant"], epoch,
-                                (f["cls"], f["key"], f["prefix"], max(1, ms(due - now)), f["attempt"])))
+                out.append(
+                    send(holder, "ask", oid, n, f["tenant"], epoch, (f["cls"], f["key"], f["prefix"], max(1, ms(due - now)), f["attempt"]))
+                )
                 began = now
             if now >= due:
                 out += [send(holder, "quit", oid)] if holder else []
@@ -76,7 +77,7 @@
                         continue
                     if n == 1 and code in (305, 401):
                         repeated()
-                    if code == 305 and n > 1:    # no more tries: what befell the last one
+                    if code == 305 and n > 1:  # no more tries: what befell the last one
                         code, r = cause
                     fault(code, "blind" if r == "?" and code in (203, 307) else r, wait)
                     yield tuple(out)
@@ -96,9 +97,16 @@
             how, r = "refused", "no"
             out.append(log("dispatch-barred", order=oid, replica=rid, why=why))
         else:
-            out.append(("dispatch", did, rid, addr, dict(
-                tenant=f["tenant"], cls=f["cls"], stream=f["stream"], prefix=f["prefix"],
-                kind=f["kind"], due=ms(due - now)), body))
+            out.append(
+                (
+                    "dispatch",
+                    did,
+                    rid,
+                    addr,
+                    dict(tenant=f["tenant"], cls=f["cls"], stream=f["stream"], prefix=f["prefix"], kind=f["kind"], due=ms(due - now)),
+                    body,
+                )
+            )
             sent, how = True, None
         while how is None:
             now, ev = yield tuple(out)
@@ -112,7 +120,7 @@
                 case ("ran", "fault", r):
                     how = "fault"
                 case ("ran", "piece", k, data) if f["stream"]:
-                    if k != piece + 1:            # lost, repeated or foreign: never passed on
+                    if k != piece + 1:  # lost, repeated or foreign: never passed on
                         how, r = "fault", "yes"
                         continue
                     piece = k
@@ -129,8 +137,7 @@
                     how, r = "gone", "maybe"
         if sent and how in ("late", "gone", "fault"):
             out.append(("abort", did))
-        out.append(send(holder, "fin", oid, n, "barred" if why else
-                        {"refused": "unrun", "done": "done"}.get(how, "ran")))
+        out.append(send(holder, "fin", oid, n, "barred" if why else {"refused": "unrun", "done": "done"}.get(how, "ran")))
         if how == "done":
             out += [("served", f, now - start, now - (due - f["left"]))]
             if f["stream"]:
@@ -140,8 +147,10 @@
             return
         ran = "no" if r == "no" and ran == "no" else "yes" if "yes" in (r, ran) or piece else "maybe"
         again = (how == "refused" or (how == "fault" and f["resumable"])) and not piece
-        cause = (404 if piece else 403 if how == "late" else 402 if ran != "no" else 301,
-                 "blind" if f["resumable"] or ran != "no" else "no")
+        cause = (
+            404 if piece else 403 if how == "late" else 402 if ran != "no" else 301,
+            "blind" if f["resumable"] or ran != "no" else "no",
+        )
         if how == "gone" or not (again and due - now > span(50)):
             if how != "gone":
                 if ran == "no":
--- a/silverglade/proxy.py
+++ b/silverglade/proxy.py
@@ -1,10 +1,11 @@
 """One daemon of a zone without a core asks for the others there (design 5.7): each change comes into the zone once."""
+
 from .control import book as bk
 from .part import IDLE, ms, post, send
 from .rank import first
 from .roster import ADDR, CORE, ID, STATE, ZONE, fit
 
-FEW = 6            # so many daemons of a zone ask a core themselves
+FEW = 6  # so many daemons of a zone ask a core themselves
 
 
 def proxy_of(zone, roll):
@@ -18,7 +19,7 @@
 def proxy(*, zone, opt):
     """What news has brought here is told on, as a core would; what is told goes to the core that is asked."""
     items, held, fresh, core, spot, asks, out = {}, bk.START, None, "", None, [], []
-    mine = ()                                    # whom it answers: other regions are told other rows
+    mine = ()  # whom it answers: other regions are told other rows
 
     def serve(now):
         age = ms(now - fresh) if fresh is not None else -1
@@ -46,7 +47,7 @@
                 fresh = f
             case ("froze",):
                 asks.clear()
-            case ("core", c, direct):            # who only asks another proxy is none
+            case ("core", c, direct):  # who only asks another proxy is none
                 core = c if direct else ""
                 if not core:
                     asks.clear()
--- a/silverglade/rank.py
+++ b/silverglade/rank.py
@@ -1,4 +1,5 @@
 """Rendezvous hashing (design 4.2): every daemon ranks the same nodes alike."""
+
 from hashlib import blake2b
 
 
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -1,4 +1,5 @@
 """`python -m silverglade.rehearsal`: seeded runs, and whole fleets of real processes."""
+
 import argparse
 import os
 import sys
@@ -17,8 +18,9 @@
     path, town, seed, kinds, secs, most = job
     try:
         s, bad = PATHS[path][0].run(town=town, seed=seed, kinds=kinds, secs_=secs, most=most)
-    except Exception as e:                           # noqa: BLE001  a part fell: that is a finding
+    except Exception as e:  # noqa: BLE001  a part fell: that is a finding
         import traceback
+
         return seed, [("fell", repr(e), traceback.format_exc()[-900:])], {}
     return seed, bad, s.told()
 
@@ -35,9 +37,13 @@
         for seed, bad, told in pool.map(one, jobs):
             if bad:
                 fell += 1
-                print(f"seed {seed}: {len(bad)} broken; replay: python -m silverglade.rehearsal seeds"
-                      f" --path {a.path} --town {a.town} --first {seed} --count 1 --secs {a.secs}"
-                      + (f" --most {a.most}" if a.most else "") + (f" --only {a.only}" if a.only else "") + " --trace")
+                print(
+                    f"seed {seed}: {len(bad)} broken; replay: python -m silverglade.rehearsal seeds"
+                    f" --path {a.path} --town {a.town} --first {seed} --count 1 --secs {a.secs}"
+                    + (f" --most {a.most}" if a.most else "")
+                    + (f" --only {a.only}" if a.only else "")
+                    + " --trace"
+                )
                 for b in bad[:6]:
                     print("   ", *b)
             elif a.verbose:
@@ -52,6 +58,7 @@
 
 def sitting(job):
     from .trials import storm
+
     seed, size, tolerance = job
     c, t = storm(seed=seed, size=size, tolerance=tolerance)
     return seed, c.faults, t
@@ -64,8 +71,10 @@
             worst = max(worst, t or 0.0)
             if bad:
                 fell += 1
-                print(f"seed {seed}: {len(bad)} broken; replay: python -m silverglade.rehearsal council --size {a.size}"
-                      f" --tolerance {a.tolerance} --first {seed} --count 1")
+                print(
+                    f"seed {seed}: {len(bad)} broken; replay: python -m silverglade.rehearsal council --size {a.size}"
+                    f" --tolerance {a.tolerance} --first {seed} --count 1"
+                )
                 for b in bad[:6]:
                     print("   ", *b)
     print(f"{a.count - fell} sound, {fell} broken; longest until control served again after the closing fault: {worst:.1f} s")
@@ -130,24 +139,31 @@
         return cores(a)
     if a.cmd == "days":
         from .longday import main as long
+
         return long(range(1, a.count + 1), a.secs)
     if a.cmd == "need":
         from .needday import main as unordered
+
         return unordered(a.seed, a.secs)
     if a.cmd == "scale":
         from .scale import main as scale
+
         return scale(a.daemons, a.secs)
     if a.cmd == "measure":
         from .measure import main as figures
+
         return figures(a.town, range(1, a.count + 1))
     folder = a.folder or tempfile.mkdtemp(prefix="silverglade-")
     if a.cmd == "up":
         from .minute import stay
+
         return stay(town=a.town, folder=folder)
     if a.cmd == "storm":
         from .pressure import storm
+
         return storm(town=a.town, seed=a.seed, folder=folder)
     from .minute import rehearse
+
     return rehearse(town=a.cmd, secs=a.secs, seed=a.seed, folder=folder, other=a.other)
 
 
--- a/silverglade/rehearsal/asks.py
+++ b/silverglade/rehearsal/asks.py
@@ -1,4 +1,5 @@
 """What a stand-in replica is, and what reaches it (design 15)."""
+
 from datetime import timedelta
 from hashlib import blake2b
 from typing import NamedTuple
@@ -6,8 +7,8 @@
 from ..part import ZERO
 
 SEC, MS = timedelta(seconds=1), timedelta(milliseconds=1)
-CALM = 5                                  # urgency of who names none
-KINDS = ("fail", "cut", "garbage", "again", "late", "lost", "unsealed")    # troubles of single answers
+CALM = 5  # urgency of who names none
+KINDS = ("fail", "cut", "garbage", "again", "late", "lost", "unsealed")  # troubles of single answers
 
 
 class Spec(NamedTuple):
@@ -16,19 +17,19 @@
     capacity: int = 64
     queue: int = 192
     cache_tokens: int = 250000
-    step: timedelta = 3 * MS              # a token's time when one runs
-    per_slot: timedelta = 0.1 * MS        # more for each that runs beside it
-    read: float = 50.0                    # prompt tokens a millisecond
-    chunk: int = 2048                     # prompt tokens between two tokens of others
-    stride: int = 8                       # tokens in one event
+    step: timedelta = 3 * MS  # a token's time when one runs
+    per_slot: timedelta = 0.1 * MS  # more for each that runs beside it
+    read: float = 50.0  # prompt tokens a millisecond
+    chunk: int = 2048  # prompt tokens between two tokens of others
+    stride: int = 8  # tokens in one event
     work: timedelta = ZERO
     conns: int = 370
-    cold: timedelta = 3 * SEC             # how long it stays cold after a start in traffic
-    cold_per_s: float = 11.0              # what it bears then
-    falls: float = 3.0                    # at this many times that it falls over
-    cold_x: float = 1.5                   # how much slower it is
+    cold: timedelta = 3 * SEC  # how long it stays cold after a start in traffic
+    cold_per_s: float = 11.0  # what it bears then
+    falls: float = 3.0  # at this many times that it falls over
+    cold_x: float = 1.5  # how much slower it is
     speed: float = 1.0
-    drops: bool = True                    # work ends with the connection that asked for it
+    drops: bool = True  # work ends with the connection that asked for it
 
 
 class Ask(NamedTuple):
@@ -36,11 +37,11 @@
 
     attempt: str
     body: bytes = b""
-    parts: tuple = ()                     # (id, tokens) of the prompt in order
-    tokens: tuple = (100, 80)             # of the prompt; the most out
+    parts: tuple = ()  # (id, tokens) of the prompt in order
+    tokens: tuple = (100, 80)  # of the prompt; the most out
     urgency: int | None = None
     left: timedelta | None = None
-    last: int = 0                         # a stream goes on behind this event
+    last: int = 0  # a stream goes on behind this event
     expect: str | None = None
     method: str = "POST"
     path: str = "/"
@@ -65,7 +66,7 @@
         self.key, self.a, self.n, self.at, self.out, self.trouble = key, a, n, now, out, trouble
         self.urgency = CALM if a.urgency is None else a.urgency
         self.till = None if a.left is None else now + a.left
-        self.run = None                   # the run's own word once it began
+        self.run = None  # the run's own word once it began
         self.unread, self.made, self.held, self.end = 0, 0, (), None
 
     def rank(self):
--- a/silverglade/rehearsal/bylaws.py
+++ b/silverglade/rehearsal/bylaws.py
@@ -1,4 +1,5 @@
 """What operators sent to the forwarding path, and what may be in force at a moment (design 15)."""
+
 from ..forward import routes
 
 
@@ -6,12 +7,20 @@
     """Configurations by their number; each stands as asked, taken, refused or unknown."""
 
     def __init__(self):
-        self.puts = []                   # dict(cfg, number, base, valid, asked, acked, refused, table)
+        self.puts = []  # dict(cfg, number, base, valid, asked, acked, refused, table)
 
     def asked(self, now, cfg, *, base, valid=True, number=None):
         """An operator sends a configuration; -> its record, for told()."""
-        p = dict(cfg=cfg, number=cfg["number"] if number is None else number, base=base, valid=valid, asked=now,
-                 acked=None, refused=False, table=routes.table(cfg) if valid else {})
+        p = dict(
+            cfg=cfg,
+            number=cfg["number"] if number is None else number,
+            base=base,
+            valid=valid,
+            asked=now,
+            acked=None,
+            refused=False,
+            table=routes.table(cfg) if valid else {},
+        )
         self.puts.append(p)
         return p
 
@@ -62,7 +71,9 @@
 
     def handled(self, host, path, service):
         """-> (numbers that allow it to be handled so, was it so by any that was ever sent?). service None: no route."""
+
         def so(p):
             got = self.allows(p, host, path)
             return service in got if service is not None else not got
+
         return [p["number"] for p in self.sound() if so(p)], any(so(p) for p in self.puts if p["valid"])
--- a/silverglade/rehearsal/callers.py
+++ b/silverglade/rehearsal/callers.py
@@ -1,4 +1,5 @@
 """A seeded run of the forwarding path (design 15): clients of all regions, operators, peace and checks."""
+
 import random
 from datetime import timedelta
 
@@ -20,19 +21,30 @@
 
     def __init__(self, *, town="navrang", seed=1, pace=1.0, opt=None, bounds=BOUNDS, loss=0.0):
         self.t = SITES[town](seed)
-        self.w = World(seed=seed, daemons=self.t["daemons"], config=self.t["config"], delay_ms=self.t["delay"],
-                       replicas=(), opt=opt or tuning(), loss=loss, fronts=True)
+        self.w = World(
+            seed=seed,
+            daemons=self.t["daemons"],
+            config=self.t["config"],
+            delay_ms=self.t["delay"],
+            replicas=(),
+            opt=opt or tuning(),
+            loss=loss,
+            fronts=True,
+        )
         self.f = Field(world=self.w, seats=self.t["seats"], bounds=bounds)
         self.r, self.rng, self.pace, self.open = self.f.rules, random.Random(f"clients/{seed}"), pace, True
         self.n, self.number, self.taken, self.raws = 0, 0, [], {}
-        self.rate, self.lean, self.long = 1.0, {}, 1.0           # a burst; zones where clients are; answers' length
-        self.emptying, self.extra = {}, []                       # extra: routes that were ever added
-        self.why = {}                                            # status of ended tries -> how many
+        self.rate, self.lean, self.long = 1.0, {}, 1.0  # a burst; zones where clients are; answers' length
+        self.emptying, self.extra = {}, []  # extra: routes that were ever added
+        self.why = {}  # status of ended tries -> how many
 
     # operators
     def live(self, core=None, zone=None):
-        return [n.name for n in self.w.nodes.values() if n.hub and n.frozen is None
-                and (core is None or n.core == core) and (zone is None or n.zone == zone)]
+        return [
+            n.name
+            for n in self.w.nodes.values()
+            if n.hub and n.frozen is None and (core is None or n.core == core) and (zone is None or n.zone == zone)
+        ]
 
     def held(self, name):
         """The number in force at a daemon."""
@@ -66,6 +78,7 @@
             if not up:
                 return self.w.after(SEC / 2, ask)
             return self.w.call(self.rng.choice(up), "table-put", (base, number, change, raw, source), got)
+
         ask()
         return rec
 
@@ -131,8 +144,18 @@
         r = dict(new or self.t["config"]["routes"][0])
         path = f"/{r['name']}/x" if new and self.rng.random() < 0.9 else "/never/x"
         self.n += 1
-        self.go(row=None, z=self.rng.choice(sorted(self.w.region)), r=r, path=path, body=f"body {self.n}".encode(), parts=(),
-                tokens=(0, 20), due=3 * SEC, tries=1, last=0)
+        self.go(
+            row=None,
+            z=self.rng.choice(sorted(self.w.region)),
+            r=r,
+            path=path,
+            body=f"body {self.n}".encode(),
+            parts=(),
+            tokens=(0, 20),
+            due=3 * SEC,
+            tries=1,
+            last=0,
+        )
 
     def empty(self, zone, on=True):
         if not on and self.emptying.get(zone):
@@ -156,6 +179,7 @@
                 self.w.call(self.rng.choice(up), "evac", (zone, on, change), got)
             else:
                 self.w.after(SEC / 2, ask)
+
         return ask()
 
     # clients
@@ -184,8 +208,18 @@
         parts = ()
         if common:
             parts = ((f"c{rng.randrange(3)}", common // 2), (f"d{rng.randrange(12)}", common - common // 2), (f"o{self.n}", own))
-        self.go(row=row, z=z, r=r, path=path or f"/{name}/{self.n % 7}", body=f"body {self.n}".encode(), parts=parts,
-                tokens=(common + own, out), due=deadline or timedelta(milliseconds=r["due_ms"]), tries=1 + (rng.random() < 0.9), last=0)
+        self.go(
+            row=row,
+            z=z,
+            r=r,
+            path=path or f"/{name}/{self.n % 7}",
+            body=f"body {self.n}".encode(),
+            parts=parts,
+            tokens=(common + own, out),
+            due=deadline or timedelta(milliseconds=r["due_ms"]),
+            tries=1 + (rng.random() < 0.9),
+            last=0,
+        )
 
     def go(self, *, row, z, r, path, body, parts, tokens, due, tries, last):
         ns = self.f.fronts(z)
@@ -193,13 +227,25 @@
             return
         again = r["kind"] == "pure" or r["kind"] == "streaming" and r.get("resumable", False)
         born = self.w.now
-        s = Sent(attempt=f"{self.rng.getrandbits(64):016x}", at=born, life="", host=r["host"], path=path, body=body,
-                 stream=r["kind"] == "streaming", again=again, due=due, tokens=tokens, last=last, service=r["shares"][0]["service"])
+        s = Sent(
+            attempt=f"{self.rng.getrandbits(64):016x}",
+            at=born,
+            life="",
+            host=r["host"],
+            path=path,
+            body=body,
+            stream=r["kind"] == "streaming",
+            again=again,
+            due=due,
+            tokens=tokens,
+            last=last,
+            service=r["shares"][0]["service"],
+        )
         n = self.rng.choice(ns)
         s = s._replace(life=n.life, service=self.meant(s, r))
 
         def over(way, whole):
-            k = (way.status if whole else "cut")
+            k = way.status if whole else "cut"
             self.why[k] = self.why.get(k, 0) + 1
             left = due - (self.w.now - born)
             if whole and (200 <= way.status < 300 or way.status in (400, 401, 404, 413, 431)) or tries <= 1:
@@ -207,14 +253,28 @@
             if not again and not (whole and way.status in (408, 421, 429, 503)):
                 return
             wait = min(timedelta(seconds=way.wait or 0.05), left / 3)
-            self.w.after(wait, lambda: self.go(row=row, z=z, r=r, path=path, body=body, parts=parts, tokens=tokens,
-                                               due=due - (self.w.now - born), tries=tries - 1,
-                                               last=int(way.last or 0) if s.stream else 0))
+            self.w.after(
+                wait,
+                lambda: self.go(
+                    row=row,
+                    z=z,
+                    r=r,
+                    path=path,
+                    body=body,
+                    parts=parts,
+                    tokens=tokens,
+                    due=due - (self.w.now - born),
+                    tries=tries - 1,
+                    last=int(way.last or 0) if s.stream else 0,
+                ),
+            )
+
         Way(self.f, s, parts, n, over)
 
     def meant(self, s, r):
         """The service for which the request counts: as the route's weights draw it."""
         from ..forward import routes
+
         n = self.r.laws.newest(self.w.now)
         p = next((p for p in self.r.laws.puts if p["number"] == n), None)
         top = routes.find(p["table"], s.host, s.path) if p else None
@@ -253,7 +313,7 @@
                     s.said(s.e.wake(w.now))
             if not [s for s in now if s.leaves is None]:
                 f.start(row)
-        for z in sorted(w.region):                       # an evacuation holds until it is taken back, through any loss
+        for z in sorted(w.region):  # an evacuation holds until it is taken back, through any loss
             w.after(15 * SEC, self.empty, z, False)
 
     def finish(self, before=None):
@@ -268,8 +328,14 @@
         self.ends()
         for n in w.nodes.values():
             if n.hub is not None and n.frozen is None:
-                w.call(n.name, "config-get", (), lambda code, kw: self.r.read(
-                    w.now, kw["config"]["number"] if code == 100 and kw.get("config") else None, kw.get("config")))
+                w.call(
+                    n.name,
+                    "config-get",
+                    (),
+                    lambda code, kw: self.r.read(
+                        w.now, kw["config"]["number"] if code == 100 and kw.get("config") else None, kw.get("config")
+                    ),
+                )
         w.run(1)
         return self.r.close(w.now)
 
--- a/silverglade/rehearsal/changes.py
+++ b/silverglade/rehearsal/changes.py
@@ -1,9 +1,10 @@
 """What simulated operators really change in a configuration (design 10.3), and keys that visitors hold."""
+
 import copy
 
 from ..config import digest
 
-ANNEX = "annex"                          # a zone that comes and goes; no machine stands there
+ANNEX = "annex"  # a zone that comes and goes; no machine stands there
 
 
 class Changes:
@@ -23,17 +24,18 @@
         ts = sorted(t for t in cfg["tenants"] if t in self.base["tenants"])
         t = self.rng.choice(ts) if ts else None
         if t:
-            dict(cap=self.cap, homes=self.homes, key=self.key, tenant=self.tenant, aim=self.aim,
-                 zone=self.zone)[kind](cfg, cfg["tenants"][t], t)
+            dict(cap=self.cap, homes=self.homes, key=self.key, tenant=self.tenant, aim=self.aim, zone=self.zone)[kind](
+                cfg, cfg["tenants"][t], t
+            )
         return cfg
 
     def cap(self, cfg, d, t):
-        pass                             # every configuration is told apart by its cap anyway
+        pass  # every configuration is told apart by its cap anyway
 
     def homes(self, cfg, d, t):
         zs = sorted(self.base["zones"])
         self.rng.shuffle(zs)
-        d["homes"] = zs[:self.rng.randint(1, len(zs))]
+        d["homes"] = zs[: self.rng.randint(1, len(zs))]
 
     def key(self, cfg, d, t):
         """The old key is revoked; the tenant's visitors learn the new one."""
--- a/silverglade/rehearsal/council.py
+++ b/silverglade/rehearsal/council.py
@@ -2,6 +2,7 @@
 
 Much faster than a whole town, so that many seeds can be played for every fault of the core.
 """
+
 import heapq
 import random
 from datetime import timedelta
@@ -15,8 +16,7 @@
 SITES = {
     3: (("a", "za", "x"), ("b", "zb", "y"), ("c", "zc", "z")),
     5: (("a", "za", "x"), ("b", "zb", "y"), ("c", "zc", "z"), ("d", "zd", "x"), ("e", "ze", "y")),
-    7: (("a", "za", "x"), ("b", "zb", "y"), ("c", "zc", "z"), ("d", "zd", "x"), ("e", "ze", "y"), ("f", "zc", "z"),
-        ("g", "za", "x")),
+    7: (("a", "za", "x"), ("b", "zb", "y"), ("c", "zc", "z"), ("d", "zd", "x"), ("e", "ze", "y"), ("f", "zc", "z"), ("g", "za", "x")),
     9: tuple((n, f"z{n}", "xyz"[i % 3]) for i, n in enumerate("abcdefghi")),
 }
 BASE = {"zones": {"za": {"region": "x"}}, "tenants": {}}
@@ -49,10 +49,19 @@
         c = self.c
         self.life += 1
         self.frozen, self.held = None, []
-        self.gen = start(core(
-            me=self.name, disk=self.disk.id, cores=c.named, saved={t: dict(d) for t, d in self.disk.data.items()},
-            opt=c.opt, rng=random.Random(c.rng.getrandbits(64)), place=(self.zone, self.region),
-            tolerance=c.tolerance, first=self.life == 1 and not self.late))
+        self.gen = start(
+            core(
+                me=self.name,
+                disk=self.disk.id,
+                cores=c.named,
+                saved={t: dict(d) for t, d in self.disk.data.items()},
+                opt=c.opt,
+                rng=random.Random(c.rng.getrandbits(64)),
+                place=(self.zone, self.region),
+                tolerance=c.tolerance,
+                first=self.life == 1 and not self.late,
+            )
+        )
         c.after(span(c.rng.randrange(50)), self.pulse, self.life)
         c.rolled()
 
@@ -164,7 +173,7 @@
     def deliver(self, frm, to, body):
         if (frm.name, to) in self.cuts or self.rng.random() < self.loss:
             return None
-        if to in self.clients:                   # beside the core that it asks: what is said is heard at once
+        if to in self.clients:  # beside the core that it asks: what is said is heard at once
             return self.arrive(frm.name, to, None, body)
         (za, ra), (zb, rb) = self.place(frm.name), self.place(to)
         ms = (0.2 if za == zb else 1.4 if ra == rb else 55) * (1 + 0.2 * self.rng.random())
@@ -186,18 +195,20 @@
 
     def rolled(self):
         """What the roster would say, a second later (design 4.3)."""
+
         def tell():
-            roll = tuple((n, str(x.life), 1, 0, x.zone, x.region, "", "", True, "ready", (), ())
-                         for n, x in sorted(self.cores.items()) if x.gen)
+            roll = tuple(
+                (n, str(x.life), 1, 0, x.zone, x.region, "", "", True, "ready", (), ()) for n, x in sorted(self.cores.items()) if x.gen
+            )
             for x in self.cores.values():
                 x.feed(("roll", roll))
+
         self.after(SEC * (0.5 + self.rng.random()), tell)
 
     # what is known from outside
     def view(self):
         """The newest view that a core which is up holds."""
-        return max((x.peek("view") for x in self.cores.values() if x.gen and x.peek("view")),
-                   key=lambda v: v[0], default=None)
+        return max((x.peek("view") for x in self.cores.values() if x.gen and x.peek("view")), key=lambda v: v[0], default=None)
 
     def primary(self):
         v = self.view()
@@ -207,9 +218,14 @@
         """Is everything admitted, with as many members as wanted, and open?"""
         v = self.view()
         up = {n: x.disk.id for n, x in self.cores.items() if x.gen and x.frozen is None}
-        return bool(v and up.keys() == self.cores.keys() and disks(v) == up and len(v[2]) == max(
-            1, *self.tolerance) and self.cores[v[1]].peek("opened") == v[0] and all(
-            x.gen and x.peek("view") == v and x.peek("writes").fit for x in self.cores.values()))
+        return bool(
+            v
+            and up.keys() == self.cores.keys()
+            and disks(v) == up
+            and len(v[2]) == max(1, *self.tolerance)
+            and self.cores[v[1]].peek("opened") == v[0]
+            and all(x.gen and x.peek("view") == v and x.peek("writes").fit for x in self.cores.values())
+        )
 
     def bad(self, rule, *what):
         self.faults.append((round(self.now / SEC, 3), rule, *what))
@@ -260,8 +276,9 @@
                 n = self.known + 1
                 src = f"{n}/{self.name}.{self.n}"
                 c.sources.setdefault(n, set()).add(src)
-                self.job = dict(op=("table", self.known, n, dict(BASE, number=n), src), number=n, base=self.known,
-                                change=f"{self.name}.{self.n}")
+                self.job = dict(
+                    op=("table", self.known, n, dict(BASE, number=n), src), number=n, base=self.known, change=f"{self.name}.{self.n}"
+                )
             self.job.update(id=c.rng.getrandbits(40), born=c.now)
             self.push(self.job["id"])
 
@@ -273,8 +290,9 @@
         to = self.at or c.primary()
         if to in c.cores and (self.name, to) not in c.cuts:
             x = c.cores[to]
-            c.after(timedelta(milliseconds=1 + 50 * c.rng.random()), x.feed,
-                    ("msg", self.name, ("op", i, j["change"], j["op"], str(j["op"]))))
+            c.after(
+                timedelta(milliseconds=1 + 50 * c.rng.random()), x.feed, ("msg", self.name, ("op", i, j["change"], j["op"], str(j["op"])))
+            )
         c.after(SEC / 4, self.push, i)
 
     def told(self, frm, body):
@@ -306,6 +324,7 @@
                 if self.seen.setdefault(e, frm.name) != frm.name:
                     council.bad("two-primaries", e, frm.name, self.seen[e])
             was(frm, to, body)
+
         council.deliver = deliver
 
 
@@ -337,16 +356,21 @@
 
     def done():
         return len(c.acks) > n and c.acks[-1] > since
+
     t = c.run(secs, until=done)
     if t is None:
-        c.bad("not-back", c.view(), [(x.name, x.peek("view"), x.peek("opened"), x.peek("sealed"), x.peek("writes").fit)
-                                     for x in c.cores.values() if x.gen])
+        c.bad(
+            "not-back",
+            c.view(),
+            [(x.name, x.peek("view"), x.peek("opened"), x.peek("sealed"), x.peek("writes").fit) for x in c.cores.values() if x.gen],
+        )
     return t
 
 
 def losses(c):
     """Every set of cores whose disks the tolerance lets go at once."""
     from itertools import combinations
+
     names = sorted(c.cores)
     for k in combinations(names, c.tolerance[0]):
         yield set(k)
@@ -354,4 +378,3 @@
         spots = sorted({c.place(n)[i] for n in names})
         for k in combinations(spots, top):
             yield {n for n in names if c.place(n)[i] in k}
-
--- a/silverglade/rehearsal/courier.py
+++ b/silverglade/rehearsal/courier.py
@@ -1,12 +1,13 @@
 """The simulated shell of the forwarding path (design 15.3): it does what the part decides, over simulated connections."""
+
 from collections import Counter
 
 from ..part import ZERO, span
 from .asks import MS, SEC
 
-KEEP, MARGIN = 5 * SEC, 0.5 * SEC         # how long a replica keeps an idle connection; how much sooner a daemon ends it
-CLIENT = MS                               # between a client and its daemon
-STUCK = 8 * SEC                           # bytes that nobody takes for so long end a connection
+KEEP, MARGIN = 5 * SEC, 0.5 * SEC  # how long a replica keeps an idle connection; how much sooner a daemon ends it
+CLIENT = MS  # between a client and its daemon
+STUCK = 8 * SEC  # bytes that nobody takes for so long end a connection
 
 
 class Pipe:
@@ -127,9 +128,24 @@
         rid = way.rid = f"r{self.num}"
         self.ways[rid] = way
         s = way.sent
-        self.n.feed(("request", rid, dict(
-            host=s.host, path=s.path, method=s.method, attempt=s.attempt, deadline_ms=int(s.due / MS), prefix=way.parts,
-            tokens=s.tokens, model="m", last_event=str(s.last) if s.last else None, size=len(s.body))))
+        self.n.feed(
+            (
+                "request",
+                rid,
+                dict(
+                    host=s.host,
+                    path=s.path,
+                    method=s.method,
+                    attempt=s.attempt,
+                    deadline_ms=int(s.due / MS),
+                    prefix=way.parts,
+                    tokens=s.tokens,
+                    model="m",
+                    last_event=str(s.last) if s.last else None,
+                    size=len(s.body),
+                ),
+            )
+        )
 
     def gone(self, way):
         """Its client went away."""
@@ -210,7 +226,7 @@
             self.count[trip.t["addr"]] -= 1
             if self.w.rng.random() < 0.5:
                 return self.tell(trip, "unsent", "reset")
-            return self.tell(trip, "lost", "reset")      # written before the reset was seen
+            return self.tell(trip, "lost", "reset")  # written before the reset was seen
         return self.write(Conn(self, seat, trip.t["addr"]), trip)
 
     def write(self, c, trip):
@@ -235,15 +251,15 @@
     def heard(self, c, trip, e):
         if c.over:
             return None
-        if trip is None:                                  # the replica ended, and its connections with it
+        if trip is None:  # the replica ended, and its connections with it
             trip = c.trip
             c.close()
             return trip and self.broken(trip, "reset")
-        if c.trip is not trip:                            # bytes that belong to no request, or another's answer
+        if c.trip is not trip:  # bytes that belong to no request, or another's answer
             if c.trip is None:
                 return c.close()
             if e[0] == "more" and self.w.rng.random() < 0.5:
-                return None                               # read past
+                return None  # read past
             other = c.trip
             c.close()
             return self.broken(other, "not-ours")
--- a/silverglade/rehearsal/engine.py
+++ b/silverglade/rehearsal/engine.py
@@ -13,13 +13,14 @@
   ("fell",)                         the replica ended
 `key` is the caller's word for one request on one connection.
 """
+
 import random
 from collections import OrderedDict, deque
 
 from ..part import ZERO, ms
 from .asks import KINDS, MS, SEC, Job, answer, length, pieces, word
 
-STALE = 100 * MS                          # how old a report is
+STALE = 100 * MS  # how old a report is
 
 
 class Engine:
@@ -27,10 +28,10 @@
         self.rid, self.s, self.rng = rid, spec, random.Random(f"{rid}/{seed}")
         self.up, self.dark, self.liar, self.troubles = True, False, False, {}
         self.cold_till = ZERO if warm else now + spec.cold
-        self.going = self.gone = None             # since when it drains; when it will be gone
-        self.waiting, self.running, self.kept = [], [], OrderedDict()    # kept: part -> [tokens, users, read?]
-        self.num, self.took, self.read, self.again = 0, 0, 0, 0          # counts for reports and figures
-        self.turn, self.pace = None, None         # when this step ends; what it reads
+        self.going = self.gone = None  # since when it drains; when it will be gone
+        self.waiting, self.running, self.kept = [], [], OrderedDict()  # kept: part -> [tokens, users, read?]
+        self.num, self.took, self.read, self.again = 0, 0, 0, 0  # counts for reports and figures
+        self.turn, self.pace = None, None  # when this step ends; what it reads
         self.came, self.seen, self.out, self.mail = deque(), deque(), [], []
 
     # what it says of itself
@@ -226,7 +227,7 @@
             if p in self.kept:
                 self.kept[p][1] -= 1
                 if self.kept[p][1:] == [0, False]:
-                    del self.kept[p]              # it was never read whole
+                    del self.kept[p]  # it was never read whole
         j.held = ()
 
     def squeeze(self):
@@ -251,7 +252,7 @@
             if j in self.running:
                 j.unread -= n
                 if not j.unread:
-                    busy.discard(id(j))           # its first token comes with the last of its prompt
+                    busy.discard(id(j))  # its first token comes with the last of its prompt
                     for p in j.held:
                         self.kept[p][2] = True
         for j in [j for j in self.running if id(j) not in busy]:
@@ -304,11 +305,14 @@
         return None
 
     def spoil(self, j):
-        self.out += {"fail": [("head", j.key, 500, None), ("body", j.key, b"failed"), ("end", j.key)],
-                     "garbage": [("garbage", j.key)], "lost": [("cut", j.key)]}[j.trouble]
+        self.out += {
+            "fail": [("head", j.key, 500, None), ("body", j.key, b"failed"), ("end", j.key)],
+            "garbage": [("garbage", j.key)],
+            "lost": [("cut", j.key)],
+        }[j.trouble]
 
     def close(self, j):
-        if -(-j.out // self.s.stride) <= j.a.last:            # it was whole already: nothing follows
+        if -(-j.out // self.s.stride) <= j.a.last:  # it was whole already: nothing follows
             self.out.append(("head", j.key, 200, self.seal(j)))
         self.end(j)
 
@@ -321,7 +325,7 @@
         body = answer(j.run, j.a)
         self.out.append(("head", j.key, 200, self.seal(j)))
         if j.trouble == "cut":
-            self.out += [("body", j.key, body[:len(body) // 2]), ("cut", j.key)]
+            self.out += [("body", j.key, body[: len(body) // 2]), ("cut", j.key)]
             return None
         self.out.append(("body", j.key, body))
         return self.end(j)
--- a/silverglade/rehearsal/engines.py
+++ b/silverglade/rehearsal/engines.py
@@ -4,6 +4,7 @@
 wants to know: ("arrived", server, Ask), ("ran", server, Ask, run, seal), ("failed", server, Ask, run, status, body),
 ("turned", server, Ask, status).
 """
+
 import argparse
 import json
 import math
@@ -26,8 +27,9 @@
 class Server:
     """One life of a replica at one address."""
 
-    def __init__(self, *, id, service, zone, spec, seed=1, warm=True, dialect=OWN, names=None, keep=5, forgets=0.0,
-                 closes=0.02, hear=lambda *a: None):
+    def __init__(
+        self, *, id, service, zone, spec, seed=1, warm=True, dialect=OWN, names=None, keep=5, forgets=0.0, closes=0.02, hear=lambda *a: None
+    ):
         self.id, self.service, self.zone, self.spec, self.d, self.hear = id, service, zone, spec, dialect, hear
         self.names, self.keep, self.forgets, self.closes, self.rng = names or Names(), keep, forgets, closes, random.Random(seed)
         self.e = Engine(rid=id, spec=spec, seed=seed, warm=warm, now=clock())
@@ -84,7 +86,7 @@
             t = Talk(stream)
             try:
                 while (got := await t.request(self.keep)) and await self.answer(t, *got) and t.again():
-                    if self.rng.random() < self.forgets:           # an idle connection is forgotten: what comes is reset
+                    if self.rng.random() < self.forgets:  # an idle connection is forgotten: what comes is reset
                         await stream.receive()
                         return reset(stream)
             except CLOSED:
@@ -114,12 +116,22 @@
 
         def num(k):
             return int(h[k]) if h.get(k, "").isdigit() else None
+
         parts = tuple((p.split(":")[0], int(p.split(":")[1])) for p in h.get(d.prefix, "").split(",") if ":" in p)
         i, _, o = h.get(d.tokens, "100,80").partition(",")
         left = num(d.deadline)
-        return Ask(attempt=h.get(d.attempt, ""), body=body, parts=parts, tokens=(int(i), int(o)), urgency=num(d.urgency),
-                   left=None if left is None else left * MS, last=num(d.last_event) or 0, expect=h.get(d.expect),
-                   method=req.method.decode(), path=path)
+        return Ask(
+            attempt=h.get(d.attempt, ""),
+            body=body,
+            parts=parts,
+            tokens=(int(i), int(o)),
+            urgency=num(d.urgency),
+            left=None if left is None else left * MS,
+            last=num(d.last_event) or 0,
+            expect=h.get(d.expect),
+            method=req.method.decode(),
+            path=path,
+        )
 
     async def work(self, t, a):
         """Hand it to the engine; say what that says, as long as the caller is there. -> keep the connection?"""
@@ -130,12 +142,14 @@
         keep, rest = False, []
         try:
             async with anyio.create_task_group() as tg:
+
                 async def left():
                     try:
                         while True:
                             rest.append(await t.s.receive())
                     except CLOSED:
                         tg.cancel_scope.cancel()
+
                 tg.start_soon(left)
                 self.said(self.e.ask(clock(), key, a))
                 keep = await self.relay(t, a, box)
@@ -170,8 +184,12 @@
                     head = (status, self.headers(a, mark))
                 case ("event", _, n, data):
                     if not sent:
-                        await t.say(h11.Response(status_code=200, headers=[
-                            *head[1], (b"content-type", b"text/event-stream"), (b"transfer-encoding", b"chunked")]))
+                        await t.say(
+                            h11.Response(
+                                status_code=200,
+                                headers=[*head[1], (b"content-type", b"text/event-stream"), (b"transfer-encoding", b"chunked")],
+                            )
+                        )
                     sent = True
                     await t.say(h11.Data(data=b"id: %d\ndata: %s\n\n" % (n, data)))
                 case ("body", _, data):
@@ -183,8 +201,11 @@
                     sent = True
                 case ("end", _):
                     if not sent:
-                        await t.say(h11.Response(status_code=200, headers=[
-                            *head[1], (b"content-type", b"text/event-stream"), (b"content-length", b"0")]))
+                        await t.say(
+                            h11.Response(
+                                status_code=200, headers=[*head[1], (b"content-type", b"text/event-stream"), (b"content-length", b"0")]
+                            )
+                        )
                     await t.say(h11.EndOfMessage())
                     more = box.now()
                     return not more or await self.surplus(t, a, more[2])
@@ -200,8 +221,9 @@
         """A second answer to a request that was answered, at once or late."""
         if when == "late":
             await anyio.sleep(self.rng.uniform(0.03, 0.3))
-        await t.s.send(b"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\ncontent-length: 6\r\n\r\nsecond" % (
-            self.d.attempt, a.attempt.encode(), self.d.seal))
+        await t.s.send(
+            b"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\ncontent-length: 6\r\n\r\nsecond" % (self.d.attempt, a.attempt.encode(), self.d.seal)
+        )
         return True
 
 
@@ -219,6 +241,7 @@
 
 if __name__ == "__main__":
     from .towns import SITES
+
     p = argparse.ArgumentParser(prog="python -m silverglade.rehearsal.engines", description="a town's replicas on loopback")
     p.add_argument("--town", choices=SITES, default="hamlet")
     p.add_argument("--seed", type=int, default=1)
--- a/silverglade/rehearsal/faults.py
+++ b/silverglade/rehearsal/faults.py
@@ -1,4 +1,5 @@
 """Faults that a seeded run causes (design 10.3). Each is a function of the scene."""
+
 from datetime import timedelta
 
 from ..part import span
@@ -16,7 +17,7 @@
 
     def __init__(self, scene, *, most=1):
         self.s, self.w, self.rng, self.most = scene, scene.w, scene.rng, most
-        self.busy, self.bare = [], secs(0)      # places failing now; until when a disk is missing
+        self.busy, self.bare = [], secs(0)  # places failing now; until when a disk is missing
 
     def take(self, place, bare=False):
         """May this place fail now? Takes it if so."""
@@ -104,6 +105,7 @@
                         self.later(self.rng.uniform(0.2, 4), self.back, p)
             elif n:
                 self.w.after(span(10), watch, n - 1)
+
         watch()
 
     def freeze(self):
@@ -117,6 +119,7 @@
         def wake():
             n.freeze(False)
             self.later(6, self.free, name)
+
         self.later(t, wake)
 
     def jump(self):
@@ -148,6 +151,7 @@
         def mend():
             d.full, d.stall, d.slow = False, False, timedelta(0)
             self.later(4, self.free, n.name)
+
         self.later(self.rng.uniform(1, 6), mend)
 
     # links
@@ -162,8 +166,7 @@
         self.later(self.rng.uniform(1, 7), self.mend_links, name)
 
     def zone_names(self, z):
-        return ([n.name for n in self.w.nodes.values() if n.zone == z]
-                + [r.rid for r in self.w.replicas.values() if r.zone == z])
+        return [n.name for n in self.w.nodes.values() if n.zone == z] + [r.rid for r in self.w.replicas.values() if r.zone == z]
 
     def cut_region(self):
         z = self.rng.choice(sorted(self.w.region))
@@ -213,6 +216,7 @@
                 if r.zone == z and not r.up:
                     r.boot()
             self.later(7, self.free, z)
+
         self.later(self.rng.uniform(1, 8), back)
 
     # many at once
@@ -229,6 +233,7 @@
             for n in names:
                 self.w.nodes[n].freeze(False)
             self.later(6, self.free, "sleep")
+
         self.later(self.rng.choice([0.5, 2, 4, 7]), wake)
 
     def blackout(self):
@@ -242,6 +247,7 @@
             for x in (*self.w.nodes.values(), *self.w.replicas.values()):
                 x.boot()
             self.later(12, self.free, "blackout")
+
         self.later(self.rng.uniform(0.5, 4), back)
 
     def lose_emptied(self):
@@ -291,6 +297,7 @@
                     if r.up:
                         r.kill()
                     r.boot()
+
         if how == "crash":
             r.kill()
         elif how == "dark":
@@ -313,6 +320,7 @@
         def back():
             for r in self.w.replicas.values():
                 r.prefill, r.step = r.pace
+
         self.later(self.rng.uniform(3, 8), back)
 
     # operators
@@ -327,6 +335,7 @@
                 v = tuple(kw["version"])
                 self.s.put(at=a, base=v, kind="")
                 self.s.put(at=b, base=v, kind="")
+
         self.w.call(a, "config-get", (), go)
 
     def quick(self):
@@ -363,6 +372,9 @@
             c = self.rng.choice(sorted(ts[t]["classes"]))
             key = f"again{self.rng.getrandbits(40)}"
             for k in range(3):
-                self.later(self.rng.random() * k, lambda t=t, c=c, k=key, n=k: self.s.order(
-                    tenant=t, cls=c, key=k, attempt=n + 1, retry=False,
-                    at=self.rng.choice(self.s.live() or [""])))
+                self.later(
+                    self.rng.random() * k,
+                    lambda t=t, c=c, k=key, n=k: self.s.order(
+                        tenant=t, cls=c, key=k, attempt=n + 1, retry=False, at=self.rng.choice(self.s.live() or [""])
+                    ),
+                )
--- a/silverglade/rehearsal/fleet.py
+++ b/silverglade/rehearsal/fleet.py
@@ -1,4 +1,5 @@
 """A whole deployment as real processes on loopback (design 10.4). Only this runner starts any."""
+
 import json
 import os
 import secrets
@@ -43,8 +44,9 @@
         zs = list(self.t["config"]["zones"])
         for i, (name, zone, region, core) in enumerate(self.t["daemons"]):
             n = f"{zs.index(zone) + 1}.{i + 1}"
-            self.daemons[name] = dict(name=name, zone=zone, region=region, core=core,
-                                      real=f"127.1.{n}", told=f"127.2.{n}", http=f"127.1.{n}:8000")
+            self.daemons[name] = dict(
+                name=name, zone=zone, region=region, core=core, real=f"127.1.{n}", told=f"127.2.{n}", http=f"127.1.{n}:8000"
+            )
             self.relay.region[f"127.1.{n}"] = region
         for i, r in enumerate(self.t["replicas"]):
             n = f"{zs.index(r['zone']) + 1}.{i + 1}"
@@ -67,8 +69,9 @@
     def spawn(self, name, args):
         out = open(os.path.join(self.dir, "log", name), "ab")
         strange = self.other and name in self.daemons and list(self.daemons).index(name) % 2
-        self.procs[name] = subprocess.Popen([sys.executable, "-m", *args], stdout=out, stderr=out,
-                                            stdin=subprocess.DEVNULL, cwd=self.other if strange else None)
+        self.procs[name] = subprocess.Popen(
+            [sys.executable, "-m", *args], stdout=out, stderr=out, stdin=subprocess.DEVNULL, cwd=self.other if strange else None
+        )
         out.close()
 
     def data(self, name):
@@ -86,9 +89,17 @@
 
     def start_daemon(self, name):
         d = self.daemons[name]
-        s = dict(name=name, zone=d["zone"], region=d["region"], listen=d["real"] + ":7000",
-                 advertise=d["told"] + ":7000", http=d["http"], cores=self.cores,
-                 seeds=[self.daemons[c]["told"] + ":7000" for c in self.cores], tuning=dict(self.tuning))
+        s = dict(
+            name=name,
+            zone=d["zone"],
+            region=d["region"],
+            listen=d["real"] + ":7000",
+            advertise=d["told"] + ":7000",
+            http=d["http"],
+            cores=self.cores,
+            seeds=[self.daemons[c]["told"] + ":7000" for c in self.cores],
+            tuning=dict(self.tuning),
+        )
         s.update({f"{r}_key_file": self.key_file(r) for r in self.keys})
         if d["core"]:
             s["data"] = self.data(name)
@@ -101,12 +112,35 @@
         r = self.reps[rid]
         self.inc[rid] = self.inc.get(rid, 0) + 1
         at = [d["http"] for d in self.daemons.values() if d["zone"] == r["zone"]]
-        self.spawn(rid, ["silverglade.rehearsal.replica", "--id", rid, "--address", r["real"] + ":9000",
-                         "--told", r["told"] + ":9000", "--zone", r["zone"], "--kind", r.get("kind", "model"),
-                         "--homes", ",".join(r["homes"]), "--prefixes", ",".join(r.get("prefixes", [])),
-                         "--slots", str(r["slots"]), "--incarnation", str(self.inc[rid]),
-                         "--daemons", ",".join(at), "--runs", self.runs,
-                         *(["--key-file", self.key_file("replica")] if self.keys else [])])
+        self.spawn(
+            rid,
+            [
+                "silverglade.rehearsal.replica",
+                "--id",
+                rid,
+                "--address",
+                r["real"] + ":9000",
+                "--told",
+                r["told"] + ":9000",
+                "--zone",
+                r["zone"],
+                "--kind",
+                r.get("kind", "model"),
+                "--homes",
+                ",".join(r["homes"]),
+                "--prefixes",
+                ",".join(r.get("prefixes", [])),
+                "--slots",
+                str(r["slots"]),
+                "--incarnation",
+                str(self.inc[rid]),
+                "--daemons",
+                ",".join(at),
+                "--runs",
+                self.runs,
+                *(["--key-file", self.key_file("replica")] if self.keys else []),
+            ],
+        )
 
     def kill(self, name, sig=signal.SIGKILL):
         p = self.procs[name]
@@ -140,9 +174,13 @@
         b = json.dumps(body).encode() if body is not None else b""
         try:
             async with httpcore.AsyncConnectionPool(max_keepalive_connections=0) as pool:
-                r = await pool.request(verb, f"http://{self.daemons[name]['http']}{path}", content=b,
-                                       headers=[("Host", "x"), ("Content-Length", str(len(b))), *head],
-                                       extensions={"timeout": SLOW})
+                r = await pool.request(
+                    verb,
+                    f"http://{self.daemons[name]['http']}{path}",
+                    content=b,
+                    headers=[("Host", "x"), ("Content-Length", str(len(b))), *head],
+                    extensions={"timeout": SLOW},
+                )
                 return r.status, json.loads(r.content)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, ValueError):
             return 0, {}
@@ -158,13 +196,14 @@
                 for t in os.listdir(f"/proc/{pid}/task"):
                     with open(f"/proc/{pid}/task/{t}/children", encoding="utf-8") as f:
                         got += [(n, "child", c) for c in f.read().split()]
-            except FileNotFoundError:                # it ended, or this kernel does not tell
+            except FileNotFoundError:  # it ended, or this kernel does not tell
                 continue
         return got
 
     def up(self, zone=None):
-        return [n for n, d in self.daemons.items() if (zone is None or d["zone"] == zone)
-                and n in self.procs and self.procs[n].poll() is None]
+        return [
+            n for n, d in self.daemons.items() if (zone is None or d["zone"] == zone) and n in self.procs and self.procs[n].poll() is None
+        ]
 
     async def put(self, cfg, at):
         """Put a configuration over the one in force; -> (status, answer)."""
@@ -187,6 +226,7 @@
 
         async def one(n):
             got.append((await self.ask(n, "GET", "/v1/status"))[1].get("config", [0, 0]))
+
         async with anyio.create_task_group() as tg:
             for n in self.up():
                 tg.start_soon(one, n)
--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -2,6 +2,7 @@
 
 A `Field` stands beside a World: the world moves the daemons' messages and disks, the field what they forward.
 """
+
 from datetime import timedelta
 
 from ..part import ZERO, ms
@@ -10,10 +11,10 @@
 from .engine import Engine
 from .rules import Rules, seal
 
-TTL = 2 * SEC                             # how long clients hold on to where to go
-LIST = "platform"                         # the place where the list is, for links that are cut
-LAG = 0.8 * SEC                           # how far the list of replicas trails
-PATIENCE = 0.2 * SEC                      # a client waits a little longer than it says
+TTL = 2 * SEC  # how long clients hold on to where to go
+LIST = "platform"  # the place where the list is, for links that are cut
+LAG = 0.8 * SEC  # how far the list of replicas trails
+PATIENCE = 0.2 * SEC  # a client waits a little longer than it says
 
 
 class Seat:
@@ -23,13 +24,22 @@
         self.f, self.w, self.id, self.name, self.service = field, field.w, id, name, service
         self.zone, self.region, self.addr, self.spec = zone, region, addr, spec
         self.e = Engine(rid=id, spec=spec, seed=seed, warm=warm, now=field.w.now)
-        self.conns, self.trips, self.num, self.leaves, self.at, self.ended = {}, {}, 0, None, None, None     # conns in order
+        self.conns, self.trips, self.num, self.leaves, self.at, self.ended = {}, {}, 0, None, None, None  # conns in order
 
     def record(self, now):
         """As the list shows it; see forward/replicas.py."""
         left = -1 if self.e.gone is None else max(0, ms(self.e.gone - now))
-        return (self.id, self.addr, self.zone, self.region, self.service, self.spec.capacity,
-                self.leaves is not None, ms(self.e.cold(now)), left)
+        return (
+            self.id,
+            self.addr,
+            self.zone,
+            self.region,
+            self.service,
+            self.spec.capacity,
+            self.leaves is not None,
+            ms(self.e.cold(now)),
+            left,
+        )
 
     def take(self, trip):
         f, t, s, now = self.f, trip.t, trip.way.sent, self.w.now
@@ -38,13 +48,37 @@
         self.trips[trip.key] = trip
         other = t["expect"] and t["replica"] != self.id
         calm = f.touch(trip.conn.c.n) and now - trip.sent < SEC / 2
-        f.rules.arrived(now, s.attempt, rep=self.id, service=self.service, zone=self.zone, region=self.region,
-                        sent=trip.sent, touch=calm, status=421 if other else None,
-                        left=t["deadline_ms"] * MS, cold_per_s=self.spec.cold_per_s if self.e.cold(now) else 0.0)
-        self.said(self.e.ask(now, trip.key, Ask(
-            attempt=s.attempt, body=s.body, parts=trip.way.parts, tokens=s.tokens, urgency=t["urgency"],
-            left=t["deadline_ms"] * MS, last=int(t["last_event"] or 0), expect=t["replica"] if t["expect"] else None,
-            method=s.method, path=s.path)))
+        f.rules.arrived(
+            now,
+            s.attempt,
+            rep=self.id,
+            service=self.service,
+            zone=self.zone,
+            region=self.region,
+            sent=trip.sent,
+            touch=calm,
+            status=421 if other else None,
+            left=t["deadline_ms"] * MS,
+            cold_per_s=self.spec.cold_per_s if self.e.cold(now) else 0.0,
+        )
+        self.said(
+            self.e.ask(
+                now,
+                trip.key,
+                Ask(
+                    attempt=s.attempt,
+                    body=s.body,
+                    parts=trip.way.parts,
+                    tokens=s.tokens,
+                    urgency=t["urgency"],
+                    left=t["deadline_ms"] * MS,
+                    last=int(t["last_event"] or 0),
+                    expect=t["replica"] if t["expect"] else None,
+                    method=s.method,
+                    path=s.path,
+                ),
+            )
+        )
 
     def hangup(self, trip):
         if trip.key in self.trips and self.e.up:
@@ -64,8 +98,18 @@
             match e:
                 case ("run", _, run):
                     trip.run = run
-                    f.rules.ran(now, a, run=run, rep=self.id, service=self.service, seal=seal(run, a), plain=bool(self.spec.work),
-                                stride=self.spec.stride, last=int(trip.t["last_event"] or 0), touch=f.touch(trip.conn.c.n))
+                    f.rules.ran(
+                        now,
+                        a,
+                        run=run,
+                        rep=self.id,
+                        service=self.service,
+                        seal=seal(run, a),
+                        plain=bool(self.spec.work),
+                        stride=self.spec.stride,
+                        last=int(trip.t["last_event"] or 0),
+                        touch=f.touch(trip.conn.c.n),
+                    )
                     continue
                 case ("refuse", _, status, _):
                     f.rules.turned(a, status)
@@ -107,9 +151,9 @@
         """seats: keyword tables (name, service, zone, spec)."""
         self.w, self.rules, self.rows, self.reuse = world, Rules(bounds=bounds), seats, reuse
         self.couriers, self.seats, self.lives, self.addrs = {}, {}, 0, {}
-        self.mode, self.forgets, self.history = "", 0.0, []        # mode of the list: "", slow, part, down, busy
-        self.busy, self.planned = [], set()                        # places in trouble now, see faults; those by plan
-        self.unrest, self.known = ZERO, {}                         # the last unplanned trouble; zone -> daemons its clients know
+        self.mode, self.forgets, self.history = "", 0.0, []  # mode of the list: "", slow, part, down, busy
+        self.busy, self.planned = [], set()  # places in trouble now, see faults; those by plan
+        self.unrest, self.known = ZERO, {}  # the last unplanned trouble; zone -> daemons its clients know
         world.field = self
         for r in seats:
             self.start(r, warm=True)
@@ -123,9 +167,18 @@
     def start(self, row, *, warm=False, addr=None):
         self.lives += 1
         region = self.w.region[row["zone"]]
-        s = Seat(self, id=f"{row['name']}-{self.lives}", name=row["name"], service=row["service"], zone=row["zone"],
-                 region=region, addr=addr or f"10.9.{self.lives // 250}.{self.lives % 250 + 1}:80", spec=row["spec"],
-                 seed=self.w.seed, warm=warm)
+        s = Seat(
+            self,
+            id=f"{row['name']}-{self.lives}",
+            name=row["name"],
+            service=row["service"],
+            zone=row["zone"],
+            region=region,
+            addr=addr or f"10.9.{self.lives // 250}.{self.lives % 250 + 1}:80",
+            spec=row["spec"],
+            seed=self.w.seed,
+            warm=warm,
+        )
         self.seats[s.id] = self.addrs[s.addr] = s
         self.w.note("replica-start", s.id, s.addr)
         return s
@@ -161,14 +214,18 @@
         now = self.w.now
         if not self.calm():
             self.unrest = max(self.unrest, now)
-        rows = tuple(s.record(now) for s in self.seats.values()
-                     if s.e.up or s.leaves is None and now - s.ended < 3 * SEC)     # a crashed one stays for some seconds
+        rows = tuple(
+            s.record(now) for s in self.seats.values() if s.e.up or s.leaves is None and now - s.ended < 3 * SEC
+        )  # a crashed one stays for some seconds
         self.history = [(t, r) for t, r in self.history if now - t < 5 * SEC] + [(now, rows)]
         seen = next((r for t, r in reversed(self.history) if now - t >= LAG), ())
         shown = {r[0] for r in seen}
         for s in self.seats.values():
-            if s.leaves is not None and any(r[0] == s.id and r[6] for r in seen) or (
-                    s.ended is not None and s.id not in shown and now - s.ended > LAG + 3 * SEC):
+            if (
+                s.leaves is not None
+                and any(r[0] == s.id and r[6] for r in seen)
+                or (s.ended is not None and s.id not in shown and now - s.ended > LAG + 3 * SEC)
+            ):
                 self.rules.leaving(now, s.id)
         self.w.after(SEC / 5, self.glance)
 
@@ -219,8 +276,11 @@
 
     def touch(self, n):
         """Is this daemon in touch: nothing in trouble that concerns it or the core?"""
-        return (n.hub is not None and n.steady(self.w.now - self.rules.b.contact)
-                and all(p in self.w.nodes and not self.w.nodes[p].core and p != n.name for p in self.busy))
+        return (
+            n.hub is not None
+            and n.steady(self.w.now - self.rules.b.contact)
+            and all(p in self.w.nodes and not self.w.nodes[p].core and p != n.name for p in self.busy)
+        )
 
     # the registry
     def resolve(self, zone, turn=0):
@@ -239,6 +299,7 @@
                     self.known[zone] = tuple(kw["fronts"])
                 else:
                     self.resolve(zone, turn + 1)
+
         self.w.after(SEC, lambda: got(0, {}))
         self.w.call(cores[turn].name, "fronts", (self.w.region[zone], zone), got)
 
@@ -253,7 +314,7 @@
     def __init__(self, field, sent, parts, node, over):
         self.f, self.w, self.sent, self.parts, self.node, self.over = field, field.w, sent, parts, node, over
         self.started, self.last, self.trip, self.held, self.rid = False, str(sent.last) if sent.last else None, None, None, ""
-        self.status, self.wait, self.ended, self.closing = None, None, False, False     # closing: the end is on its way
+        self.status, self.wait, self.ended, self.closing = None, None, False, False  # closing: the end is on its way
         field.rules.asked(sent)
         c = field.couriers[node.name]
         if node.hub is None:
@@ -290,7 +351,7 @@
     def patience(self, c):
         """The client waits no longer."""
         if not self.ended and not self.closing:
-            left = self.trip is None or self.trip.over      # nothing is under way for it, and no answer came
+            left = self.trip is None or self.trip.over  # nothing is under way for it, and no answer came
             if left and c.alive() and not c.box and self.node.steady(self.sent.at):
                 self.f.rules.forgotten(self.w.now, self.sent.attempt)
             self.ended = True
