--- a/silverglade/rehearsal/listing.py
+++ b/silverglade/rehearsal/listing.py
@@ -1,4 +1,5 @@
 """A stand-in of the list of replicas that somebody else keeps (design 15); its names come from a table."""
+
 import json
 import time
 
@@ -19,8 +20,16 @@
     def row(self, s, now):
         n = self.names
         left = {n.left: max(0, ms(s.e.gone - now))} if s.e.gone is not None else {}
-        return {n.id: s.id, n.service: s.service, n.address: s.addr, n.zone: s.zone, n.slots: s.spec.capacity,
-                n.state: n.leaving if s.e.going is not None else n.ready, n.cold: ms(s.e.cold(now)), **left}
+        return {
+            n.id: s.id,
+            n.service: s.service,
+            n.address: s.addr,
+            n.zone: s.zone,
+            n.slots: s.spec.capacity,
+            n.state: n.leaving if s.e.going is not None else n.ready,
+            n.cold: ms(s.e.cold(now)),
+            **left,
+        }
 
     def glance(self):
         now = clock()
@@ -69,5 +78,5 @@
             return await t.whole(500, [])
         rows = [r for r in rows if q.get(n.within) in (None, r[n.zone])]
         more = str(at + self.size) if at + self.size < len(rows) else None
-        b = json.dumps({n.replicas: rows[at:at + self.size], n.next: more}).encode()
+        b = json.dumps({n.replicas: rows[at : at + self.size], n.next: more}).encode()
         return await t.whole(200, [(b"content-type", b"application/json")], b)
--- a/silverglade/rehearsal/longday.py
+++ b/silverglade/rehearsal/longday.py
@@ -1,4 +1,5 @@
 """Long simulated days of the scaler (design 9.7): a platform follows its orders after a start delay."""
+
 from datetime import timedelta
 from math import pi, sin
 
@@ -23,12 +24,17 @@
         at = self.s.live()
         for z, d in self.s.t["config"]["zones"].items():
             if at:
-                self.w.call(self.s.rng.choice(at), "orders", (d["region"],),
-                            lambda code, kw, z=z, d=d: self.follow(z, kw.get("kinds", {}).get("model", {}), d["least"]))
+                self.w.call(
+                    self.s.rng.choice(at),
+                    "orders",
+                    (d["region"],),
+                    lambda code, kw, z=z, d=d: self.follow(z, kw.get("kinds", {}).get("model", {}), d["least"]),
+                )
 
     def follow(self, z, k, least):
-        here = [r for r in self.w.replicas.values() if r.zone == z and r.up and r.state != "leaving"
-                and (r.rid, r.inc) not in self.s.o.left]
+        here = [
+            r for r in self.w.replicas.values() if r.zone == z and r.up and r.state != "leaving" and (r.rid, r.inc) not in self.s.o.left
+        ]
         self.seconds += 2 * len(here)
         want = k.get("wanted", 0)
         self.wanted.append((self.w.now, z, want))
@@ -56,6 +62,7 @@
                 return self.w.after(SEC, end)
             r.kill()
             return self.w.replicas.pop(r.rid, None)
+
         self.w.after(6 * SEC, end)
 
 
@@ -70,10 +77,11 @@
         x = (s.w.now - t0) / SEC / secs
         rate = peak * (0.06 + max(0.0, sin(pi * min(1, x))) ** 2) / 2
         if 0.55 < x < 0.6 and trouble:
-            rate *= 2                            # a crowd
+            rate *= 2  # a crowd
         if x < 1:
             s.w.after(timedelta(seconds=s.rng.expovariate(rate)), flow_, cls)
             s.order(tenant="pair", cls=cls, retry=False, old=0)
+
     for c in ("lookup", "chat"):
         flow_(c)
     if trouble:
@@ -83,6 +91,7 @@
         def swing(k):
             for r in s.w.replicas.values():
                 r.step = int(r.pace[1] * k)
+
         s.w.after(secs * SEC * 0.7, swing, 3)
         s.w.after(secs * SEC * 0.8, swing, 1)
     s.w.run(secs + 40)
@@ -93,10 +102,19 @@
     falls = {}
     for t, z, m in p.wanted:
         falls.setdefault(z, []).append((t, m))
-    return dict(orders=len(os), served=len(ok), in_aim=met, replica_hours=round(p.seconds / 3600, 2),
-                up=p.up, down=p.down, under_least=p.under, most=max(m for _, _, m in p.wanted),
-                spills=sum(n.peek("path", "ctx").spills for n in s.w.nodes.values() if n.hub), faults=s.o.faults,
-                wanted=falls)
+    return dict(
+        orders=len(os),
+        served=len(ok),
+        in_aim=met,
+        replica_hours=round(p.seconds / 3600, 2),
+        up=p.up,
+        down=p.down,
+        under_least=p.under,
+        most=max(m for _, _, m in p.wanted),
+        spills=sum(n.peek("path", "ctx").spills for n in s.w.nodes.values() if n.hub),
+        faults=s.o.faults,
+        wanted=falls,
+    )
 
 
 def main(seeds, secs):
--- a/silverglade/rehearsal/loopback.py
+++ b/silverglade/rehearsal/loopback.py
@@ -4,6 +4,7 @@
 
 A second process plays clients and replica; the part is a stand-in that makes one try.
 """
+
 import asyncio
 import multiprocessing
 import os
@@ -22,8 +23,15 @@
 
 ID, SEAL = OWN.attempt, OWN.seal
 EVENTS = 36
-HEADS = (b"Content-Type: application/octet-stream", b"User-Agent: loopback/1", b"Accept: */*", OWN.deadline + b": 5000",
-         OWN.model + b": m", OWN.tokens + b": 1460,80", OWN.prefix + b": 5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+HEADS = (
+    b"Content-Type: application/octet-stream",
+    b"User-Agent: loopback/1",
+    b"Accept: */*",
+    OWN.deadline + b": 5000",
+    OWN.model + b": m",
+    OWN.tokens + b": 1460,80",
+    OWN.prefix + b": 5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+)
 
 
 class Daemon:
@@ -38,9 +46,26 @@
             ev = await self.lanes.take()
             match ev:
                 case ("request", rid, _):
-                    self.shell.act(("try", rid, 1, dict(
-                        replica="i1", addr=self.addr, service="s", expect=True, urgency=4, deadline_ms=4900,
-                        last_event=None, connect=timedelta(seconds=1), cap=64, stream=True, resume=False)))
+                    self.shell.act(
+                        (
+                            "try",
+                            rid,
+                            1,
+                            dict(
+                                replica="i1",
+                                addr=self.addr,
+                                service="s",
+                                expect=True,
+                                urgency=4,
+                                deadline_ms=4900,
+                                last_event=None,
+                                connect=timedelta(seconds=1),
+                                cap=64,
+                                stream=True,
+                                resume=False,
+                            ),
+                        )
+                    )
                 case ("tried", rid, _, ("failed" | "not-run" | "unsent" | "lost" | "cut"), *_):
                     self.shell.act(("answer", rid, 502, None, 808))
 
@@ -59,7 +84,7 @@
                     e = b"id: %d\ndata: %s\n\n" % (n, b"t" * 60)
                     w.write(b"%x\r\n%s\r\n" % (len(e), e))
                     await w.drain()
-                    await asyncio.sleep(0.002)                 # an event comes alone
+                    await asyncio.sleep(0.002)  # an event comes alone
                 w.write(b"0\r\n\r\n")
             else:
                 w.write(b"Content-Length: 600\r\n\r\n" + b"b" * 600)
@@ -70,8 +95,16 @@
 async def client(port, path, n, who):
     r, w = await asyncio.open_connection("127.0.0.1", port)
     for i in range(n):
-        w.write(b"POST " + path + b" HTTP/1.1\r\nHost: h.example\r\n" + ID + b": %x.%x\r\n" % (who, i) +
-                b"\r\n".join(HEADS) + b"\r\nContent-Length: 200\r\n\r\n" + b"q" * 200)
+        w.write(
+            b"POST "
+            + path
+            + b" HTTP/1.1\r\nHost: h.example\r\n"
+            + ID
+            + b": %x.%x\r\n" % (who, i)
+            + b"\r\n".join(HEADS)
+            + b"\r\nContent-Length: 200\r\n\r\n"
+            + b"q" * 200
+        )
         head = await r.readuntil(b"\r\n\r\n")
         assert head.startswith(b"HTTP/1.1 200"), head
         if b"chunked" in head:
@@ -86,7 +119,7 @@
     pipe.send(srv.sockets[0].getsockname()[1])
     port = await asyncio.to_thread(pipe.recv)
     for path, n in ((b"/plain", plain), (b"/stream", streams)):
-        await asyncio.gather(*[client(port, path, 10, i) for i in range(16)])         # warm
+        await asyncio.gather(*[client(port, path, 10, i) for i in range(16)])  # warm
         pipe.send("go")
         await asyncio.to_thread(pipe.recv)
         at = time.monotonic()
--- a/silverglade/rehearsal/measure.py
+++ b/silverglade/rehearsal/measure.py
@@ -1,4 +1,5 @@
 """Figures for rounds (design 10.5): seeded and simulated, so two commits compare exactly."""
+
 from datetime import timedelta
 
 from .faults import Faults
@@ -9,13 +10,15 @@
 
 def spread(xs):
     xs = sorted(xs)
-    return f"n {len(xs)}, median {xs[len(xs) // 2]:.3f}, 95th {xs[int(len(xs) * .95)]:.3f}, most {xs[-1]:.3f}" \
-        if xs else "none"
+    return f"n {len(xs)}, median {xs[len(xs) // 2]:.3f}, 95th {xs[int(len(xs) * 0.95)]:.3f}, most {xs[-1]:.3f}" if xs else "none"
 
 
 def waits(s, since, **want):
-    return [(o["when"] - o["at"]) / SEC for o in s.o.orders.values()
-            if o["told"] == ("ok",) and o["at"] >= since and all(o[k] == v for k, v in want.items())]
+    return [
+        (o["when"] - o["at"]) / SEC
+        for o in s.o.orders.values()
+        if o["told"] == ("ok",) and o["at"] >= since and all(o[k] == v for k, v in want.items())
+    ]
 
 
 def recovery(town, seeds, what):
@@ -24,16 +27,21 @@
     for seed in seeds:
         s = Scene(town=town, seed=seed)
         s.settle()
-        cls = next(c for c, d in next(iter(s.t["config"]["tenants"].values()))["classes"].items()
-                   if not d["resumable"])
+        cls = next(c for c, d in next(iter(s.t["config"]["tenants"].values()))["classes"].items() if not d["resumable"])
         f, t0 = Faults(s), s.w.now
-        names = {"primary": f.primary(), "owner": next(
-            v[1] for k, (_, v) in sorted(s.w.nodes[s.live()[0]].peek("desk", "book").items()) if k.startswith("duty/shard/"))}
+        names = {
+            "primary": f.primary(),
+            "owner": next(v[1] for k, (_, v) in sorted(s.w.nodes[s.live()[0]].peek("desk", "book").items()) if k.startswith("duty/shard/")),
+        }
         s.w.nodes[names[what]].kill()
         left = set(s.t["config"]["tenants"])
         while left and s.w.now - t0 < 20 * SEC:
-            asked = {t: s.order(tenant=t, cls=cls, retry=False, at=s.rng.choice(s.live(
-                zone=s.t["config"]["tenants"][t]["homes"][0]) or s.live())) for t in sorted(left)}
+            asked = {
+                t: s.order(
+                    tenant=t, cls=cls, retry=False, at=s.rng.choice(s.live(zone=s.t["config"]["tenants"][t]["homes"][0]) or s.live())
+                )
+                for t in sorted(left)
+            }
             s.w.run(0.25)
             now = {t for t, o in asked.items() if s.o.orders[o]["told"] == ("ok",)}
             left -= now
@@ -66,12 +74,12 @@
     """60 small tenants over few slots; `loud` of them fill the slots -> quiet waits, lost, all asked."""
     s = Scene(town="parish", seed=seed, opt=opt)
     for r in s.w.replicas.values():
-        r.step *= slow                           # long answers hold their slots
+        r.step *= slow  # long answers hold their slots
     s.settle()
     ts = sorted(s.t["config"]["tenants"])
     noisy, quiet = ts[:loud], ts[loud:]
     t0 = s.w.now + 2 * SEC
-    for i in range(int(2 * secs)):               # two quiet orders a second, each of another tenant
+    for i in range(int(2 * secs)):  # two quiet orders a second, each of another tenant
         s.w.after(2 * SEC + i * SEC / 2, lambda t=quiet[i % len(quiet)]: s.order(tenant=t, cls="chat", retry=False))
     for k, t in enumerate(noisy):
         for i in range(int((2 + secs) * rate)):
@@ -87,10 +95,12 @@
     s = Scene(town=town, seed=seed, pace=pace)
     hits = [0, 0]
     for r in s.w.replicas.values():
+
         def take(n, life, did, meta, body, r=r, was=r.take):
             if meta["prefix"]:
                 hits[meta["prefix"] in r.cache] += 1
             return was(n, life, did, meta, body)
+
         r.take = take
     s.settle()
     t0 = s.w.now
@@ -123,8 +133,10 @@
             print(f"parish: quiet tenants beside {loud} loud with {cls}, s: {spread(ws)}; not served {lost} of {n}")
     for pace in (1.0, 4.0):
         w, hits, spills, again, want, told = day(town, seeds[0], pace)
-        print(f"{town}: a day at {pace:g} times the traffic: prefix hits {hits[1]} of {sum(hits)}, spills {spills},"
-              f" runs again {again}, wanted {want}, told {told}")
+        print(
+            f"{town}: a day at {pace:g} times the traffic: prefix hits {hits[1]} of {sum(hits)}, spills {spills},"
+            f" runs again {again}, wanted {want}, told {told}"
+        )
         for c, ws in w.items():
             print(f"    {c}, s: {spread(ws)}")
     return 0
--- a/silverglade/rehearsal/minute.py
+++ b/silverglade/rehearsal/minute.py
@@ -1,4 +1,5 @@
 """A minute of a town as real processes, with kills on the way, and its ledger (design 10.4)."""
+
 import json
 import signal
 import time
@@ -32,6 +33,7 @@
             code, got = await f.put(f.t["config"], f.cores[1])
             self.acked = got.get("version") if code == 200 else None
             return code == 200
+
         self.times["up"] = await f.until(up, 20)
         self.times["first configuration"] = await f.until(put, 20)
         self.times["in force"] = await f.until(lambda: f.in_force(self.acked), 10)
@@ -59,6 +61,7 @@
         async def one(t, d, c):
             at = self.f.up(d["homes"][0])
             got.append((await self.v.order(tenant=t, cls=c, at=at[0] if at else None))["code"])
+
         async with anyio.create_task_group() as tg:
             for t, d in self.f.t["config"]["tenants"].items():
                 for c in d["classes"]:
@@ -69,7 +72,7 @@
         """Push a configuration while the traffic goes on; how long until it is in force."""
         t0 = time.monotonic()
         at = self.f.up()[n % len(self.f.up())]
-        for _ in range(15):                      # a conflict: read again, as told; news may take 3 s
+        for _ in range(15):  # a conflict: read again, as told; news may take 3 s
             code, got = await self.f.put(dict(self.f.t["config"], body_cap=200000 + n), at)
             if got.get("code") != 501:
                 break
@@ -118,8 +121,7 @@
 
     def work(self, zone=None, rid=None, since=0.0):
         """When runs began at a place, as seconds after `since`, from the replicas' own rows."""
-        return [t - since for t, row in self.began() if (zone is None or row[5] == zone)
-                and (rid is None or row[6] == rid) and t > since]
+        return [t - since for t, row in self.began() if (zone is None or row[5] == zone) and (rid is None or row[6] == rid) and t > since]
 
     def began(self):
         with open(self.f.runs, encoding="utf-8") as fh:
@@ -130,8 +132,9 @@
         """The platform marks a replica that leaves; the last new work it gets after that."""
         at = self.f.up()[0]
         t0 = time.monotonic()
-        code, _ = await self.f.ask(at, "PUT", "/v1/platform/replicas", {"replicas": [
-            {"id": rid, "incarnation": self.f.inc[rid], "leaving": True}]})
+        code, _ = await self.f.ask(
+            at, "PUT", "/v1/platform/replicas", {"replicas": [{"id": rid, "incarnation": self.f.inc[rid], "leaving": True}]}
+        )
         self.rule(code == 200, "platform list refused", code)
         await anyio.sleep(7)
         late = [t for t in self.work(rid=rid, since=t0)]
@@ -182,7 +185,7 @@
             keys[(r[3], r[4], r[11])].append(r)
         for k, rs in keys.items():
             self.rule(len(rs) <= 1 or t[k[0]]["classes"][k[1]]["resumable"], "ran twice", (k, rs))
-        for r in self.v.rows:                    # "not run" promised: no run of it, then or later
+        for r in self.v.rows:  # "not run" promised: no run of it, then or later
             if r["ran"] == "no":
                 own = [x for x in keys[(r["tenant"], r["cls"], r["key"])] if x[1] < r["t1"] or r["last"]]
                 self.rule(not own, "not run but ran", (r, own))
@@ -226,8 +229,7 @@
         runs, fresh, again = self.judge()
         region = {z: d["region"] for z, d in f.t["config"]["zones"].items()}
         hits = [r[8] for r in runs.values() if r[7]]
-        orders = {g: (await f.ask(f.cores[0], "GET", f"/v1/regions/{g}/orders"))[1]
-                  for g in region.values()}
+        orders = {g: (await f.ask(f.cores[0], "GET", f"/v1/regions/{g}/orders"))[1] for g in region.values()}
         print(f"{self.town}: {await self.spills()} grants spilled from their home region")
         self.show(fresh, again, len(runs), hits, orders)
 
@@ -238,8 +240,7 @@
         for c in sorted({r["cls"] for r in self.v.rows}):
             ls = sorted(r["t1"] - r["t0"] for r in self.v.rows if r["cls"] == c and r["code"] == 100)
             if ls:
-                print(f"  {c}: median {ls[len(ls) // 2]:.3f} s, 95th {ls[int(len(ls) * .95)]:.3f} s,"
-                      f" longest {ls[-1]:.3f} s")
+                print(f"  {c}: median {ls[len(ls) // 2]:.3f} s, 95th {ls[int(len(ls) * 0.95)]:.3f} s, longest {ls[-1]:.3f} s")
         for k, v in self.times.items():
             print(f"  {k}: {v if v is None else round(v, 2)} s")
         if hits:
@@ -274,12 +275,16 @@
                 for d in m.f.daemons.values():
                     print(f"{d['name']:24} {d['zone']:12} http://{d['http']}")
                 t, d = next(iter(m.f.t["config"]["tenants"].items()))
-                print(f"a tenant: {t}, homes {', '.join(d['homes'])}, bearer key key-{t},"
-                      f" classes {', '.join(d['classes'])}\nup; Ctrl-C stops it all", flush=True)
+                print(
+                    f"a tenant: {t}, homes {', '.join(d['homes'])}, bearer key key-{t},"
+                    f" classes {', '.join(d['classes'])}\nup; Ctrl-C stops it all",
+                    flush=True,
+                )
                 await anyio.sleep_forever()
             finally:
                 m.f.stop()
                 tg.cancel_scope.cancel()
+
     try:
         anyio.run(run)
     except KeyboardInterrupt:
--- a/silverglade/rehearsal/mishaps.py
+++ b/silverglade/rehearsal/mishaps.py
@@ -1,4 +1,5 @@
 """Faults of runs that forward (design 15): of daemons as ever, of replicas, lists, operators and clients."""
+
 from .asks import KINDS, MS, SEC
 from .faults import Faults, secs
 from .forwarding import LIST
@@ -21,8 +22,9 @@
         self.f.unrest = max(self.f.unrest, self.w.now + secs(t))
 
     def names(self, z=None):
-        return ([n.name for n in self.w.nodes.values() if z in (None, n.zone)]
-                + [s.id for s in self.f.seats.values() if s.e.up and z in (None, s.zone)])
+        return [n.name for n in self.w.nodes.values() if z in (None, n.zone)] + [
+            s.id for s in self.f.seats.values() if s.e.up and z in (None, s.zone)
+        ]
 
     def some(self):
         ss = [s for s in self.f.up() if s.leaves is None and not s.e.dark]
@@ -38,8 +40,11 @@
 
     def spare(self, z):
         """Now and then an address that another replica of the zone had, of whatever service; or None: a new one."""
-        old = [x.addr for x in self.f.seats.values() if x.zone == z and x.ended is not None and self.f.at(x.addr) is x
-               and self.w.now - x.ended >= self.f.reuse]
+        old = [
+            x.addr
+            for x in self.f.seats.values()
+            if x.zone == z and x.ended is not None and self.f.at(x.addr) is x and self.w.now - x.ended >= self.f.reuse
+        ]
         return self.rng.choice(old) if old and self.rng.random() < 0.6 else None
 
     # machines and links
@@ -89,6 +94,7 @@
             for s in lost:
                 self.again(s)
             self.later(7, self.free, z)
+
         self.later(self.rng.uniform(1, 8), back)
 
     def blackout(self):
@@ -108,6 +114,7 @@
             for s in lost:
                 self.again(s)
             self.later(12, self.free, "blackout")
+
         self.later(self.rng.uniform(0.5, 4), back)
 
     def term(self, name=None):
@@ -132,6 +139,7 @@
             n.feed(("state", "left"))
             n.kill()
             return self.later(0.5, self.back, name)
+
         look()
 
     def roll_term(self):
@@ -144,7 +152,7 @@
         if s:
             self.unrest(9)
             self.f.crash(s)
-            if self.rng.random() < 0.8:                   # else it is lost for good
+            if self.rng.random() < 0.8:  # else it is lost for good
                 self.later(self.rng.uniform(0.5, 6), lambda: self.again(s, same=True))
 
     def dark(self):
@@ -224,6 +232,7 @@
             elif self.w.nodes[p].hub is not None and self.take(p, bare=True):
                 self.w.empty_disk(p)
                 self.later(self.rng.uniform(0.2, 4), self.back, p)
+
         if p:
             self.acknowledged(lose)
 
@@ -237,16 +246,19 @@
                 then()
             elif k:
                 self.w.after(5 * MS, watch, k - 1)
+
         watch()
 
     def closing(self):
         """Just acknowledged, all lose power, and one core its disk."""
+
         def lose():
             if not self.busy:
                 if self.rng.random() < 0.7 and self.w.now >= self.bare:
                     self.bare = self.w.now + secs(20)
                     self.w.empty_disk(self.rng.choice(self.w.cores))
                 self.blackout()
+
         self.acknowledged(lose)
 
     def change(self):
@@ -297,12 +309,63 @@
         self.later(self.rng.uniform(3, 8), setattr, self.s, "long", 1.0)
 
 
-ALL = ("kill", "kill_holder", "kill_primary", "empty_disk", "ack_then_power", "freeze", "disk", "cut_machine", "cut_region",
-       "cut_cores", "cut_replicas", "lose_region", "sleep", "blackout", "jump", "term", "roll_term", "crash", "crash", "dark",
-       "dark", "release", "scale_in", "cold_return", "spoil", "spoil", "forget", "listing", "race", "quick", "change", "change",
-       "large", "invalid", "closing", "evacuate", "evacuate", "lose_emptied", "burst", "shift", "swing")
-LAST = ("closing", "closing", "closing", "blackout",
-        "kill_primary", "lose_region", "sleep", "cut_cores", "freeze", "empty_disk", "disk", "cut_region")
+ALL = (
+    "kill",
+    "kill_holder",
+    "kill_primary",
+    "empty_disk",
+    "ack_then_power",
+    "freeze",
+    "disk",
+    "cut_machine",
+    "cut_region",
+    "cut_cores",
+    "cut_replicas",
+    "lose_region",
+    "sleep",
+    "blackout",
+    "jump",
+    "term",
+    "roll_term",
+    "crash",
+    "crash",
+    "dark",
+    "dark",
+    "release",
+    "scale_in",
+    "cold_return",
+    "spoil",
+    "spoil",
+    "forget",
+    "listing",
+    "race",
+    "quick",
+    "change",
+    "change",
+    "large",
+    "invalid",
+    "closing",
+    "evacuate",
+    "evacuate",
+    "lose_emptied",
+    "burst",
+    "shift",
+    "swing",
+)
+LAST = (
+    "closing",
+    "closing",
+    "closing",
+    "blackout",
+    "kill_primary",
+    "lose_region",
+    "sleep",
+    "cut_cores",
+    "freeze",
+    "empty_disk",
+    "disk",
+    "cut_region",
+)
 
 
 def run(*, town, seed, kinds=ALL, secs_=40, gap=2.0, most=0, stop=False, **scene):
@@ -311,6 +374,7 @@
     stop: it is enough to know that something was broken.
     """
     from .callers import Scene
+
     s = Scene(town=town, seed=seed, loss=0.0 if seed % 3 else 0.005, **scene)
     s.settle()
     s.traffic()
--- a/silverglade/rehearsal/needday.py
+++ b/silverglade/rehearsal/needday.py
@@ -3,6 +3,7 @@
 Replicas run `capacity` requests at once and slow as they fill; daemons send to the least busy one and hear
 the replicas' reports every two seconds. Arrivals swing, a crowd comes, requests turn long and short again.
 """
+
 import random
 from collections import deque
 from datetime import timedelta
@@ -15,7 +16,7 @@
 
 SEC = timedelta(seconds=1)
 STEP = 0.02
-SLOWER = 1.5                                     # a full replica needs so much more, beyond once, for each request
+SLOWER = 1.5  # a full replica needs so much more, beyond once, for each request
 
 
 class Replica:
@@ -50,11 +51,13 @@
 def day(*, capacity=16, replicas=4, daemons=3, work=0.3, peak=None, aim_ms=600, secs=600, seed=1, **opts):
     """-> figures of the day. `peak` fills two thirds of the region unless given."""
     rng, opt = random.Random(seed), tuning(**opts)
-    top = 0.8 * capacity / (work * (1 + SLOWER * 0.8))       # what one replica takes at a load of 0.8
+    top = 0.8 * capacity / (work * (1 + SLOWER * 0.8))  # what one replica takes at a load of 0.8
     peak = peak or 0.67 * replicas * top
     reps = {f"r{i}": Replica(capacity) for i in range(replicas)}
-    cfg = {"routes": [{"name": "a", "shares": [{"service": "s", "weight": 1.0}], "aim_ms": aim_ms, "kind": "pure"}],
-           "services": {"s": {"capacity": capacity}}}
+    cfg = {
+        "routes": [{"name": "a", "shares": [{"service": "s", "weight": 1.0}], "aim_ms": aim_ms, "kind": "pure"}],
+        "services": {"s": {"capacity": capacity}},
+    }
     parts = [start(need(me=f"d{i}", region="m", opt=opt)) for i in range(daemons)]
     roll = tuple((f"d{i}", "l", 1, 1, "z", "m", "", "", False, "ready", (), ()) for i in range(daemons))
     said, lines, rows, crowd = [(0, 0, False)] * daemons, 0, [], None
@@ -65,6 +68,7 @@
             lines += e[0] == "log"
             if e[0] == "cast" and e[1][0] == "short":
                 said[i] = e[1][1]["m", "s"]
+
     for i in range(daemons):
         tell(i, 0, ("roll", roll))
         tell(i, 0, ("routes", cfg))
@@ -97,18 +101,28 @@
                 crowd = round(t - 0.25 * secs, 1)
     looks = len(rows) * daemons
     return dict(
-        capacity=capacity, looks=looks,
+        capacity=capacity,
+        looks=looks,
         under=round(sum(m < r[1] for r in rows for m in r[2]) / looks, 3),
         over=round(sum(max(0, m - r[1]) for r in rows for m in r[2]) / looks, 2),
-        mean=round(sum(m for r in rows for m in r[2]) / looks, 2), true=round(sum(r[1] for r in rows) / len(rows), 2),
+        mean=round(sum(m for r in rows for m in r[2]) / looks, 2),
+        true=round(sum(r[1] for r in rows) / len(rows), 2),
         missed=round(sum(not s for r in rows for s in r[3] if r[4]) / max(1, sum(len(r[3]) for r in rows if r[4])), 3),
         false=round(sum(s for r in rows for s in r[3] if not r[4]) / max(1, sum(len(r[3]) for r in rows if not r[4])), 3),
-        crowd_s=crowd, apart=round(sum(max(r[2]) - min(r[2]) for r in rows) / len(rows), 2), lines=lines)
+        crowd_s=crowd,
+        apart=round(sum(max(r[2]) - min(r[2]) for r in rows) / len(rows), 2),
+        lines=lines,
+    )
 
 
-VARIANTS = (("as it is", {}), ("K of 20", dict(need_room=20)), ("ends over 2 s", dict(need_window=2)),
-            ("ends over 10 s", dict(need_window=10)), ("latency of a whole replica", dict(need_latency="whole")),
-            ("W by served", dict(scale_flow="served")))
+VARIANTS = (
+    ("as it is", {}),
+    ("K of 20", dict(need_room=20)),
+    ("ends over 2 s", dict(need_window=2)),
+    ("ends over 10 s", dict(need_window=10)),
+    ("latency of a whole replica", dict(need_latency="whole")),
+    ("W by served", dict(scale_flow="served")),
+)
 
 
 def main(seed, secs):
@@ -127,8 +141,17 @@
 def wide(replicas, flow):
     """(m, met) in a region of many replicas of 64 places; a request takes as long as the aim."""
     mu, aim = 64 / 0.6, 0.6
-    return smallest(lam=0.7 * replicas * mu, mu=mu, replicas=replicas, aim=aim, room=room_of(capacity=64, mu=mu, aim=aim),
-                    fan=50, top=0.8, fall=0.65, flow=flow)
+    return smallest(
+        lam=0.7 * replicas * mu,
+        mu=mu,
+        replicas=replicas,
+        aim=aim,
+        room=room_of(capacity=64, mu=mu, aim=aim),
+        fan=50,
+        top=0.8,
+        fall=0.65,
+        flow=flow,
+    )
 
 
 def rooms(capacity):
@@ -142,5 +165,9 @@
                 m = got[aim, replicas, x] = smallest(room=k, **kw)
                 for name, n in (("capacity", capacity), ("20", 20), ("4 x capacity", 4 * capacity)):
                     other[name] += smallest(room=n, **kw) != m
-    return dict(rooms=[room_of(capacity=capacity, mu=mu, aim=a) for a in (0.3, 0.6, 2.0)], cases=len(got), other=other,
-                m_of_five=[got[0.6, 5, x][0] for x in (5, 20, 40, 60)])
+    return dict(
+        rooms=[room_of(capacity=capacity, mu=mu, aim=a) for a in (0.3, 0.6, 2.0)],
+        cases=len(got),
+        other=other,
+        m_of_five=[got[0.6, 5, x][0] for x in (5, 20, 40, 60)],
+    )
--- a/silverglade/rehearsal/oracle.py
+++ b/silverglade/rehearsal/oracle.py
@@ -1,4 +1,5 @@
 """The oracle (design 10.3): what every order ran and what its visitor was told."""
+
 from collections import defaultdict
 from datetime import timedelta
 
@@ -14,7 +15,7 @@
 class Oracle:
     def __init__(self, *, world):
         self.w = world
-        self.orders = {}                        # oid -> what was asked and told
+        self.orders = {}  # oid -> what was asked and told
         self.runs, self.by_key = {}, defaultdict(list)
         self.ended, self.faults, self.events = set(), [], defaultdict(int)
         self.left, self.emptied, self.acked = {}, [], []
@@ -95,7 +96,7 @@
                 self.bad("retries", *got)
         if rep.zone not in self.law.homes(o["tenant"], now):
             self.bad("outside-homes", did, rep.zone)
-        if digest(o["bearer"]) not in self.law.keys(o["tenant"], o["at"]):      # as it was let in
+        if digest(o["bearer"]) not in self.law.keys(o["tenant"], o["at"]):  # as it was let in
             self.bad("key-not-in-force", did, o["tenant"])
         if meta["tenant"] != o["tenant"] or bytes(body) != o["body"]:
             self.bad("foreign-prompt", did)
@@ -133,8 +134,9 @@
         seen = {}
         for n in self.w.nodes.values():
             if n.hub is not None and n.frozen is None:
-                self.w.call(n.name, "config-get", (), lambda c, kw, n=n: seen.update(
-                    {n.name: (tuple(kw["version"]), tag_of(kw["config"]))}))
+                self.w.call(
+                    n.name, "config-get", (), lambda c, kw, n=n: seen.update({n.name: (tuple(kw["version"]), tag_of(kw["config"]))})
+                )
         for name, (v, t) in sorted(seen.items()):
             if oks and (v, t) < max(oks) and v <= max(oks)[0]:
                 self.bad("acknowledged-forgotten", name, v, t, max(oks))
@@ -154,5 +156,3 @@
                     if oid == o["oid"] or at <= o["when"] - self.flight:
                         self.bad("not-run-but-ran", o["oid"], o["told"], d)
         return self.faults
-
-
--- a/silverglade/rehearsal/pressure.py
+++ b/silverglade/rehearsal/pressure.py
@@ -1,4 +1,5 @@
 """`storm`: every failure of the brief on real processes, seeded, judged as the minute is (design 10.4)."""
+
 import random
 import resource
 import shutil
@@ -149,15 +150,24 @@
     async def events(self):
         """One place after another, a second's peace between, with replicas, operators and crowds beside."""
         self.t0 = time.monotonic()
-        places = [self.kill, self.kill_primary, self.freeze, self.cut, self.slow_links, self.lose_disk,
-                  self.full_disk, self.slow_disk, self.lose_region]
+        places = [
+            self.kill,
+            self.kill_primary,
+            self.freeze,
+            self.cut,
+            self.slow_links,
+            self.lose_disk,
+            self.full_disk,
+            self.slow_disk,
+            self.lose_region,
+        ]
         beside = [self.replica, self.marked, self.emptied, self.changed, self.crowd]
         self.rng.shuffle(places)
         half = False
         while places:
             one = places.pop()
             await one()
-            await anyio.sleep(6)                 # until this place is whole again (one at a time)
+            await anyio.sleep(6)  # until this place is whole again (one at a time)
             if not half and len(places) < 5:
                 half = True
                 await self.blackout()
--- a/silverglade/rehearsal/relay.py
+++ b/silverglade/rehearsal/relay.py
@@ -4,6 +4,7 @@
 the caller by its own address, holds what it sends for the delay of the two regions, and
 drops both directions of what is cut.
 """
+
 import time
 
 import anyio
@@ -32,6 +33,7 @@
                     await anyio.sleep(0.05)
                 await to.send(data)
             await to.aclose()
+
         async with anyio.create_task_group() as tg:
             tg.start_soon(later)
             async with put:
@@ -44,6 +46,7 @@
 
     async def open(self, *, told, real):
         """Listen at `told` (ip, port) for `real`."""
+
         async def one(s):
             a = s.extra(anyio.abc.SocketAttribute.remote_address)[0]
             async with s:
@@ -61,6 +64,7 @@
                             tg.start_soon(self.pass_, t, s, real[0], a)
                     except* (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
                         pass
+
         lis = await anyio.create_tcp_listener(local_host=told[0], local_port=told[1])
         async with lis:
             await lis.serve(one)
--- a/silverglade/rehearsal/replica.py
+++ b/silverglade/rehearsal/replica.py
@@ -1,4 +1,5 @@
 """A stand-in replica as a process of its own (design 10.2): the published protocol only."""
+
 import argparse
 import contextlib
 import json
@@ -26,17 +27,33 @@
         os.write(self.out.fileno(), (json.dumps(row) + "\n").encode())
 
     def state(self):
-        return dict(incarnation=self.a.incarnation, state="leaving" if self.leaving else "ready",
-                    use=min(1.0, self.running / self.a.slots), served=self.done, running=self.running,
-                    warm=self.done >= 4)
+        return dict(
+            incarnation=self.a.incarnation,
+            state="leaving" if self.leaving else "ready",
+            use=min(1.0, self.running / self.a.slots),
+            served=self.done,
+            running=self.running,
+            warm=self.done >= 4,
+        )
 
     async def run(self, head, body, send):
         key = json.loads(body).get("key", "")
         did, prefix = head["silverglade-dispatch"], head.get("silverglade-prefix", "")
         self.running += 1
         hit = prefix in self.cache
-        self.note("run", did, head["silverglade-tenant"], head["silverglade-class"], self.a.zone,
-                  self.a.id, prefix, hit, self.running, self.done, key)
+        self.note(
+            "run",
+            did,
+            head["silverglade-tenant"],
+            head["silverglade-class"],
+            self.a.zone,
+            self.a.id,
+            prefix,
+            hit,
+            self.running,
+            self.done,
+            key,
+        )
         self.cache.add(prefix)
         mark = (b"silverglade-dispatch", did.encode())
         ok = False
@@ -45,15 +62,18 @@
             await anyio.sleep(self.a.prefill / 1000 * slow * (1 if hit or not prefix else 3))
             if head["silverglade-class"] in ("receipt", "roster"):
                 b = json.dumps({"dispatch": did, "words": ["one"] * 5}).encode()
-                await send({"type": "http.response.start", "status": 200, "headers": [
-                    mark, (b"content-type", b"application/json"), (b"content-length", str(len(b)).encode())]})
+                await send(
+                    {
+                        "type": "http.response.start",
+                        "status": 200,
+                        "headers": [mark, (b"content-type", b"application/json"), (b"content-length", str(len(b)).encode())],
+                    }
+                )
                 await send({"type": "http.response.body", "body": b})
             else:
-                await send({"type": "http.response.start", "status": 200, "headers": [
-                    mark, (b"content-type", b"text/event-stream")]})
+                await send({"type": "http.response.start", "status": 200, "headers": [mark, (b"content-type", b"text/event-stream")]})
                 for k in range(1, 6):
-                    await send({"type": "http.response.body", "more_body": True,
-                                "body": f"id: {k}\ndata: {did} {k}\n\n".encode()})
+                    await send({"type": "http.response.body", "more_body": True, "body": f"id: {k}\ndata: {did} {k}\n\n".encode()})
                     await anyio.sleep(self.a.step / 1000 * slow)
                 await send({"type": "http.response.body", "body": b"event: done\nid: 5\ndata:\n\n"})
             ok = True
@@ -81,16 +101,29 @@
 
 async def reply(send, code, data, *extra):
     b = json.dumps(data).encode()
-    await send({"type": "http.response.start", "status": code, "headers": [
-        (b"content-type", b"application/json"), (b"content-length", str(len(b)).encode()), *extra]})
+    await send(
+        {
+            "type": "http.response.start",
+            "status": code,
+            "headers": [(b"content-type", b"application/json"), (b"content-length", str(len(b)).encode()), *extra],
+        }
+    )
     await send({"type": "http.response.body", "body": b})
 
 
 async def renew(a):
     """Declare homes and prefixes at some daemon, again and again."""
-    b = json.dumps(dict(incarnation=a.incarnation, address=a.told or a.address, zone=a.zone, kind=a.kind,
-                        homes=a.homes.split(","), prefixes=[p for p in a.prefixes.split(",") if p],
-                        slots=a.slots)).encode()
+    b = json.dumps(
+        dict(
+            incarnation=a.incarnation,
+            address=a.told or a.address,
+            zone=a.zone,
+            kind=a.kind,
+            homes=a.homes.split(","),
+            prefixes=[p for p in a.prefixes.split(",") if p],
+            slots=a.slots,
+        )
+    ).encode()
     n, key = 0, "none"
     if a.key_file:
         with open(a.key_file, encoding="utf-8") as f:
@@ -99,10 +132,13 @@
         while True:
             at = a.daemons.split(",")
             with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
-                await pool.request("PUT", f"http://{at[n % len(at)]}/v1/replicas/{a.id}", content=b,
-                                   headers=[("Host", "x"), ("Content-Length", str(len(b))),
-                                            ("Authorization", f"Bearer {key}")],
-                                   extensions={"timeout": SLOW})
+                await pool.request(
+                    "PUT",
+                    f"http://{at[n % len(at)]}/v1/replicas/{a.id}",
+                    content=b,
+                    headers=[("Host", "x"), ("Content-Length", str(len(b))), ("Authorization", f"Bearer {key}")],
+                    extensions={"timeout": SLOW},
+                )
             n += 1
             await anyio.sleep(1)
 
@@ -121,8 +157,17 @@
 
 async def main(a):
     ip, port = a.address.rsplit(":", 1)
-    cfg = uvicorn.Config(Engine(a).app, host=ip, port=int(port), log_config=None, lifespan="off",
-                         log_level="critical", http="h11", ws="none", interface="asgi3")
+    cfg = uvicorn.Config(
+        Engine(a).app,
+        host=ip,
+        port=int(port),
+        log_config=None,
+        lifespan="off",
+        log_level="critical",
+        http="h11",
+        ws="none",
+        interface="asgi3",
+    )
     async with anyio.create_task_group() as tg:
         tg.start_soon(renew, a)
         await uvicorn.Server(cfg).serve()
--- a/silverglade/rehearsal/rules.py
+++ b/silverglade/rehearsal/rules.py
@@ -3,6 +3,7 @@
 Whoever drives it says what was sent, arrived, ran, came back; `bad` collects what was broken. Each rule has a
 planted breach in tests/test_rules.py. Times are timedeltas on one clock, bounds are parameters.
 """
+
 from bisect import bisect_left, bisect_right
 from collections import defaultdict, deque
 from datetime import timedelta
@@ -21,7 +22,7 @@
 
     contact: timedelta = 5 * SEC
     drain: timedelta = 5 * SEC
-    lost: timedelta = 200 * MS            # after its last byte, a whole request that was read has to be answered
+    lost: timedelta = 200 * MS  # after its last byte, a whole request that was read has to be answered
     apply: timedelta = 3 * SEC
     revert: timedelta = 250 * MS
     ratio: float = 0.2
@@ -31,7 +32,7 @@
     cold_slack: float = 5.0
     evacuate: timedelta = 5 * SEC
     recovery: timedelta = 12 * SEC
-    due: timedelta = 450 * MS             # what a replica is told to have may be older by a connection's coming up
+    due: timedelta = 450 * MS  # what a replica is told to have may be older by a connection's coming up
 
 
 class Sent(NamedTuple):
@@ -39,31 +40,31 @@
 
     attempt: str
     at: timedelta
-    life: str                             # of the daemon that it reached
+    life: str  # of the daemon that it reached
     host: str
     path: str
     body: bytes
     method: str = "POST"
     stream: bool = True
-    again: bool = False                   # may it run more than once?
+    again: bool = False  # may it run more than once?
     due: timedelta = 10 * SEC
     tokens: tuple = (100, 80)
     last: int = 0
-    service: str = ""                     # for which the client means it: what budgets count it under
+    service: str = ""  # for which the client means it: what budgets count it under
 
 
 class Rules:
     def __init__(self, *, bounds=None):
         self.b, self.faults, self.laws = bounds or Bounds(), [], Bylaws()
-        self.sent, self.runs = {}, {}     # attempt -> Sent; run -> dict(attempt, seal, status, stride, at, service)
-        self.by, self.reached = defaultdict(list), defaultdict(list)    # attempt -> its runs; replicas it reached
-        self.got = {}                     # attempt -> what its client has: status, seal, events, body, ended
-        self.asks, self.extras = defaultdict(list), defaultdict(list)   # service -> times
-        self.cold = defaultdict(deque)    # replica -> (sent, arrived) of a second
-        self.left, self.emptied, self.down = {}, [], []       # replica -> when listed as leaving; zones; list out of order
-        self.floor = {}                   # daemon's life -> (number seen in effect, since when)
-        self.said = defaultdict(list)     # attempt -> failures and refusals of its replicas
-        self.broke = set()                # attempts whose replica broke off
+        self.sent, self.runs = {}, {}  # attempt -> Sent; run -> dict(attempt, seal, status, stride, at, service)
+        self.by, self.reached = defaultdict(list), defaultdict(list)  # attempt -> its runs; replicas it reached
+        self.got = {}  # attempt -> what its client has: status, seal, events, body, ended
+        self.asks, self.extras = defaultdict(list), defaultdict(list)  # service -> times
+        self.cold = defaultdict(deque)  # replica -> (sent, arrived) of a second
+        self.left, self.emptied, self.down = {}, [], []  # replica -> when listed as leaving; zones; list out of order
+        self.floor = {}  # daemon's life -> (number seen in effect, since when)
+        self.said = defaultdict(list)  # attempt -> failures and refusals of its replicas
+        self.broke = set()  # attempts whose replica broke off
         self.denied = 0
 
     def bad(self, now, rule, *what):
@@ -115,16 +116,19 @@
         """
         g, s = self.got[attempt], self.sent[attempt]
         if g["ended"] is not None:
-            return self.bad(now, "MIXED", attempt, "ended twice")     # no request waits there
+            return self.bad(now, "MIXED", attempt, "ended twice")  # no request waits there
         g["ended"] = (now, whole)
         if not whole:
-            if calm and now < s.at + s.due and attempt not in self.broke and (
-                    self.reached[attempt] or now > s.at + self.b.lost):
+            if calm and now < s.at + s.due and attempt not in self.broke and (self.reached[attempt] or now > s.at + self.b.lost):
                 self.bad(now, "LOST", attempt, s.life, round((now - s.at) / SEC, 3))
             return None
         if not 200 <= g["status"] < 300:
-            if own and g["status"] < 500 and g["status"] not in PROMISES and all(
-                    self.laws.allows(p, s.host, s.path) for p in self.laws.sound()):
+            if (
+                own
+                and g["status"] < 500
+                and g["status"] not in PROMISES
+                and all(self.laws.allows(p, s.host, s.path) for p in self.laws.sound())
+            ):
                 self.denied += 1
             if not own and (g["status"], g["body"]) not in self.said[attempt]:
                 self.bad(now, "MIXED", attempt, "no failure of its replicas", g["status"], g["body"][:60])
@@ -174,8 +178,24 @@
                 self.bad(now, "EVAC", attempt, rep, z, round((now - a) / SEC, 2))
         return None
 
-    def ran(self, now, attempt, *, run, rep, service, seal, stride=1, last=0, method=None, path=None, body=None,
-            touch=True, status=200, plain=False):
+    def ran(
+        self,
+        now,
+        attempt,
+        *,
+        run,
+        rep,
+        service,
+        seal,
+        stride=1,
+        last=0,
+        method=None,
+        path=None,
+        body=None,
+        touch=True,
+        status=200,
+        plain=False,
+    ):
         """A replica began to work on it. What it was given is compared with what the client sent."""
         s = self.sent.get(attempt)
         if s is None:
@@ -254,8 +274,7 @@
             if service is not None and not ever:
                 return self.bad(now, "ROUTE", s.attempt, service, s.host, s.path)
             if self.laws.puts and (service is not None or any(p["acked"] for p in self.laws.puts)):
-                self.bad(now, "CONFIG", "as only an invalid or refused one allows" if ever else "as none allows",
-                         s.attempt, service)
+                self.bad(now, "CONFIG", "as only an invalid or refused one allows" if ever else "as none allows", s.attempt, service)
             return None
         newest = self.laws.newest(s.at - self.b.apply)
         if touch and newest is not None and max(ok) < newest:
@@ -272,7 +291,7 @@
         d.append((sent, now))
         while now - d[0][1] >= SEC:
             d.popleft()
-        n = sum(1 for a, _ in d if now - a < SEC)        # sent and arrived inside that second
+        n = sum(1 for a, _ in d if now - a < SEC)  # sent and arrived inside that second
         if n > per_s * self.b.cold_excess + self.b.cold_slack:
             self.bad(now, "FAILBACK", rep, n, per_s)
 
@@ -282,6 +301,7 @@
 
         def asked(a, b):
             return bisect_right(asks, b) - bisect_left(asks, a)
+
         for end in {now, *(x + w for x in xs[-400:] if x + w <= now and x + w > now - w / 4)}:
             n = bisect_right(xs, end) - bisect_left(xs, end - w)
             most = max(asked(end - w, end), asked(end - 2 * w, end - w), asked(end - 1.5 * w, end - w / 2))
--- a/silverglade/rehearsal/scene.py
+++ b/silverglade/rehearsal/scene.py
@@ -1,4 +1,5 @@
 """A seeded run (design 10.3): a town, its traffic, faults on the way, then peace and checks."""
+
 from datetime import timedelta
 
 from ..control import book as bk
@@ -14,18 +15,28 @@
 class Scene:
     def __init__(self, *, town="navrang", seed=1, pace=1.0, opt=None, loss=0.0):
         self.t = TOWNS[town]()
-        self.w = World(seed=seed, daemons=self.t["daemons"], config=self.t["config"],
-                       delay_ms=self.t["delay"], replicas=self.t["replicas"],
-                       opt=opt or tuning(), loss=loss, tolerance=self.t.get("tolerance", (1, 1, 1)))
+        self.w = World(
+            seed=seed,
+            daemons=self.t["daemons"],
+            config=self.t["config"],
+            delay_ms=self.t["delay"],
+            replicas=self.t["replicas"],
+            opt=opt or tuning(),
+            loss=loss,
+            tolerance=self.t.get("tolerance", (1, 1, 1)),
+        )
         self.o, self.rng, self.pace, self.n, self.tag, self.open = self.w.oracle, self.w.rng, pace, 0, 0, True
-        self.emptying = {}                       # zone -> is a call to empty it not settled yet?
-        self.pairs = False                       # may two places fail at once here?
+        self.emptying = {}  # zone -> is a call to empty it not settled yet?
+        self.pairs = False  # may two places fail at once here?
         self.changes = Changes(base=self.t["config"], rng=self.w.rng)
 
     # operators
     def live(self, core=None, zone=None):
-        return [n.name for n in self.w.nodes.values() if n.hub and n.frozen is None
-                and (core is None or n.core == core) and (zone is None or n.zone == zone)]
+        return [
+            n.name
+            for n in self.w.nodes.values()
+            if n.hub and n.frozen is None and (core is None or n.core == core) and (zone is None or n.zone == zone)
+        ]
 
     def put(self, *, at=None, base=None, grow=0, kind="cap"):
         """Read, change and put a configuration, told apart by its body_cap.
@@ -36,42 +47,42 @@
         tag, up = 100000 + self.tag, self.live()
         who = at or up and self.rng.choice(up)
         if not who:
-            return None                              # nobody to ask
+            return None  # nobody to ask
         change, ask = f"put-{tag}", []
 
         def got(code, kw):
             self.o.put(code, kw, tag)
             self.w.note("put", tag, code, tuple(kw.get("version", ())))
-            if code in (503, 504, 705) and ask:      # asks by the change's id until that is settled
+            if code in (503, 504, 705) and ask:  # asks by the change's id until that is settled
                 self.w.after(SEC / 2, again)
 
         def go(code, kw):
             b = tuple(kw.get("version", (0, 0))) if base is None else base
             cfg = dict(self.changes.some(kw.get("config"), kind), body_cap=tag)
             if grow:
-                extra = {f"tiny-{i}": dict(next(iter(self.t["config"]["tenants"].values())), keys=[f"{i:032x}"])
-                         for i in range(grow)}
+                extra = {f"tiny-{i}": dict(next(iter(self.t["config"]["tenants"].values())), keys=[f"{i:032x}"]) for i in range(grow)}
                 cfg["tenants"] = {**cfg["tenants"], **extra}
             self.o.law.asked(self.w.now, tag, cfg)
             ask.append((b, change, cfg))
             if self.w.nodes[who].hub is None:
                 return got(705, {})
             return self.w.call(who, "config-put", (b, change, cfg), got)
+
         def again():
             up_ = self.live()
             self.w.call(self.rng.choice(up_), "config-put", ask[0], got) if up_ else self.w.after(SEC / 2, again)
+
         self.w.call(who, "config-get", (), go)
         return tag
 
     def empty(self, zone, on=True):
         """An operator empties a zone or returns it, and asks by the change's id until that is settled."""
-        if not on and self.emptying.get(zone):       # first let the other call settle
+        if not on and self.emptying.get(zone):  # first let the other call settle
             return self.w.after(SEC / 2, self.empty, zone, on)
         self.emptying[zone] = on
         asked, change = self.w.now, f"evac-{zone}-{on}-{self.rng.getrandbits(30)}"
-        if not on:                                   # from here on the zone may be used again
-            self.o.emptied = [(z, a, b or asked) if z == zone else (z, a, b)
-                              for z, a, b in self.o.emptied]
+        if not on:  # from here on the zone may be used again
+            self.o.emptied = [(z, a, b or asked) if z == zone else (z, a, b) for z, a, b in self.o.emptied]
 
         def got(code, kw):
             self.w.note("evac", zone, on, code)
@@ -88,6 +99,7 @@
                 self.w.call(self.rng.choice(who), "evac", (zone, on, change), got)
             else:
                 self.w.after(SEC / 2, ask)
+
         return ask()
 
     def leave(self, rid):
@@ -127,8 +139,7 @@
         p = f"{prefix}-{self.rng.randrange(2)}" if prefix else ""
         self.order(tenant=t, cls=cls, prefix=p)
 
-    def order(self, *, tenant, cls, prefix="", key=None, attempt=1, at=None, retry=True, due="",
-              old=0.1):
+    def order(self, *, tenant, cls, prefix="", key=None, attempt=1, at=None, retry=True, due="", old=0.1):
         ts = self.t["config"]["tenants"][tenant]
         z = self.rng.choice(ts["homes"]) if self.rng.random() < 0.9 else self.rng.choice(sorted(self.w.region))
         up = self.live(zone=z) or self.live()
@@ -141,9 +152,19 @@
         cfg = self.config(who)
         c = (cfg or self.t["config"])["tenants"].get(tenant, ts)["classes"][cls]
         bearer = self.changes.bearer(self.known, tenant) if self.rng.random() >= old else f"key-{tenant}"
-        self.o.asked(oid, tenant=tenant, key=key, cls=cls, resumable=c["resumable"], body=body,
-                     attempt=attempt, who=who, life=self.w.nodes[who].life, bearer=bearer,
-                     left=span(int(due) if due else c["due_ms"]))
+        self.o.asked(
+            oid,
+            tenant=tenant,
+            key=key,
+            cls=cls,
+            resumable=c["resumable"],
+            body=body,
+            attempt=attempt,
+            who=who,
+            life=self.w.nodes[who].life,
+            bearer=bearer,
+            left=span(int(due) if due else c["due_ms"]),
+        )
         if retry:
             self.w.after(span(c["due_ms"] + 500), self.again, oid, tenant, cls, prefix, key, attempt)
         self.w.nodes[who].feed(("order", oid, (bearer, cls, key, due, prefix, str(attempt or ""), body)))
@@ -152,8 +173,7 @@
     def again(self, oid, tenant, cls, prefix, key, attempt):
         """Some visitors ask again elsewhere, with the same key."""
         o = self.o.orders[oid]
-        if self.open and attempt < 3 and (o["told"] is None or o["told"][0] == "fault") \
-                and self.rng.random() < 0.6:
+        if self.open and attempt < 3 and (o["told"] is None or o["told"][0] == "fault") and self.rng.random() < 0.6:
             self.order(tenant=tenant, cls=cls, prefix=prefix, key=key, attempt=attempt + 1)
 
     # the run
@@ -190,9 +210,14 @@
         self.peace()
         w.run(12)
         cfg = max((x for x in map(self.config, self.live()) if x), key=lambda x: x["body_cap"])
-        oids = [self.order(tenant=t, cls=c, retry=False, old=0, at=self.rng.choice(self.live(zone=z)))
-                for t, d in sorted(cfg["tenants"].items()) if t in self.t["config"]["tenants"]
-                for z in d["homes"] if self.live(zone=z) for c in d["classes"]]
+        oids = [
+            self.order(tenant=t, cls=c, retry=False, old=0, at=self.rng.choice(self.live(zone=z)))
+            for t, d in sorted(cfg["tenants"].items())
+            if t in self.t["config"]["tenants"]
+            for z in d["homes"]
+            if self.live(zone=z)
+            for c in d["classes"]
+        ]
         w.run(8)
         for oid in oids:
             o = self.o.orders[oid]
@@ -211,8 +236,7 @@
     def shut(self, o):
         """Owner and follower's disk lost at once, two failures: shut for what cannot be resumed (6.4)."""
         lost = {dict(r[3])["shard"] for r in self.w.trace if len(r) > 3 and r[2] == "claims-lost"}
-        return (self.pairs and o["tenant"] in lost and not o["resumable"] and o["told"] is not None
-                and o["told"][:2] == ("fault", 303))
+        return self.pairs and o["tenant"] in lost and not o["resumable"] and o["told"] is not None and o["told"][:2] == ("fault", 303)
 
     def told(self):
         n = {}
--- a/silverglade/rehearsal/seeds.py
+++ b/silverglade/rehearsal/seeds.py
@@ -1,11 +1,39 @@
 """Seeded runs with faults mixed (design 10.3): settle, traffic, storm, a last fault, peace, checks."""
+
 from .faults import Faults
 from .scene import Scene
 
-ALL = ("kill", "kill_holder", "kill_primary", "empty_disk", "ack_then_power", "freeze", "disk",
-       "cut_machine", "cut_region", "cut_cores", "lose_region", "replica", "replica", "race", "quick",
-       "large", "evacuate", "crowd", "repeat", "jump", "swing", "change", "change", "sleep", "blackout",
-       "lose_emptied", "slow_crowd", "race_takeover", "roll")
+ALL = (
+    "kill",
+    "kill_holder",
+    "kill_primary",
+    "empty_disk",
+    "ack_then_power",
+    "freeze",
+    "disk",
+    "cut_machine",
+    "cut_region",
+    "cut_cores",
+    "lose_region",
+    "replica",
+    "replica",
+    "race",
+    "quick",
+    "large",
+    "evacuate",
+    "crowd",
+    "repeat",
+    "jump",
+    "swing",
+    "change",
+    "change",
+    "sleep",
+    "blackout",
+    "lose_emptied",
+    "slow_crowd",
+    "race_takeover",
+    "roll",
+)
 LAST = ("blackout", "kill_primary", "lose_region", "sleep", "cut_cores", "freeze", "empty_disk", "disk")
 
 
--- a/silverglade/rehearsal/standin.py
+++ b/silverglade/rehearsal/standin.py
@@ -1,4 +1,5 @@
 """Stand-in replicas for the simulator (design 10.2): prefill, then decode; cold at first."""
+
 from datetime import timedelta
 
 from ..part import ZERO, span
@@ -7,16 +8,15 @@
 
 
 class Replica:
-    def __init__(self, *, world, rid, zone, slots=4, kind="model", homes=None, prefixes=(),
-                 prefill_ms=60, piece_ms=20, pieces=5):
+    def __init__(self, *, world, rid, zone, slots=4, kind="model", homes=None, prefixes=(), prefill_ms=60, piece_ms=20, pieces=5):
         self.w, self.rid, self.zone, self.slots, self.kind = world, rid, zone, slots, kind
         self.homes, self.prefixes = homes or [zone], list(prefixes)
         self.prefill, self.step, self.pieces = prefill_ms, piece_ms, pieces
         self.pace = (prefill_ms, piece_ms)
         self.inc, self.up, self.dark, self.state, self.addr = 0, False, False, "ready", ""
         self.runs, self.done, self.served, self.cache = {}, 0, 0, set()
-        self.no = world.numbered()               # an address of its own for each name
-        self.sabotage = None                     # a fault to answer with, see take()
+        self.no = world.numbered()  # an address of its own for each name
+        self.sabotage = None  # a fault to answer with, see take()
 
     def boot(self, warm=False):
         self.inc += 1
@@ -26,15 +26,22 @@
         self.renew(self.inc)
 
     def annotations(self):
-        return dict(incarnation=self.inc, address=self.ip(), zone=self.zone, kind=self.kind,
-                    homes=self.homes, prefixes=self.prefixes, slots=self.slots)
+        return dict(
+            incarnation=self.inc,
+            address=self.ip(),
+            zone=self.zone,
+            kind=self.kind,
+            homes=self.homes,
+            prefixes=self.prefixes,
+            slots=self.slots,
+        )
 
     def renew(self, inc):
         if not self.up or inc != self.inc:
             return
-        ns = [n for n in self.w.nodes.values() if n.hub and n.frozen is None and n.zone == self.zone
-              and self.w.open(n.name, self.rid)] or [
-              n for n in self.w.nodes.values() if n.hub and n.frozen is None and self.w.open(n.name, self.rid)]
+        ns = [n for n in self.w.nodes.values() if n.hub and n.frozen is None and n.zone == self.zone and self.w.open(n.name, self.rid)] or [
+            n for n in self.w.nodes.values() if n.hub and n.frozen is None and self.w.open(n.name, self.rid)
+        ]
         if ns and not self.dark:
             self.w.call(self.w.rng.choice(ns).name, "replica-put", (self.rid, self.annotations()))
         self.w.after(span(1000), self.renew, inc)
@@ -58,8 +65,7 @@
         if not self.up or self.dark or n.life != life:
             return
         use = len(self.runs) / self.slots
-        n.feed(("probed", rid, inc, (self.inc, self.state, use, float(self.served), len(self.runs),
-                                     self.done >= 4)))
+        n.feed(("probed", rid, inc, (self.inc, self.state, use, float(self.served), len(self.runs), self.done >= 4)))
 
     def take(self, n, life, did, meta, body):
         inc = self.inc
@@ -85,8 +91,7 @@
         if self.alive(did, inc):
             self.finish(did)
             if not self.dark:
-                self.say(n, life, did, ("fault", "yes") if self.sabotage == "fault" else
-                         ("whole", f"{did}|whole".encode()))
+                self.say(n, life, did, ("fault", "yes") if self.sabotage == "fault" else ("whole", f"{did}|whole".encode()))
 
     def piece(self, n, life, did, inc, k):
         if not self.alive(did, inc):
--- a/silverglade/rehearsal/talk.py
+++ b/silverglade/rehearsal/talk.py
@@ -1,4 +1,5 @@
 """What stand-ins on loopback share: names, one connection's requests, the engine's words on one of them (design 15)."""
+
 import math
 import socket
 import struct
@@ -18,8 +19,8 @@
     list: str = "/v1/list"
     replicas: str = "replicas"
     next: str = "next"
-    page: str = "page"                    # in the query: which page
-    within: str = "zone"                  # in the query: one zone alone
+    page: str = "page"  # in the query: which page
+    within: str = "zone"  # in the query: one zone alone
     id: str = "id"
     service: str = "service"
     address: str = "address"
@@ -105,8 +106,11 @@
             await self.s.send(b)
 
     async def whole(self, status, headers, body=b""):
-        await self.say(h11.Response(status_code=status, headers=[*headers, (b"content-length", b"%d" % len(body))]),
-                       *([h11.Data(data=body)] if body else []), h11.EndOfMessage())
+        await self.say(
+            h11.Response(status_code=status, headers=[*headers, (b"content-length", b"%d" % len(body))]),
+            *([h11.Data(data=body)] if body else []),
+            h11.EndOfMessage(),
+        )
 
     def again(self):
         """Ready for the next request?"""
--- a/silverglade/rehearsal/trials.py
+++ b/silverglade/rehearsal/trials.py
@@ -1,10 +1,11 @@
 """Faults of the core (design 10.6), each tried on a council that works; and many of them, mixed."""
+
 from datetime import timedelta
 
 from ..control.register import majority
 from .council import SEC, Core, closing, losses, served, settled
 
-BACK = 8.0           # seconds until control serves again, whatever failed within the tolerance
+BACK = 8.0  # seconds until control serves again, whatever failed within the tolerance
 
 
 def lead(c):
@@ -52,6 +53,7 @@
 
     def end():
         x.disk.slow, x.disk.stall, x.disk.full = 0 * SEC, False, False
+
     return end
 
 
@@ -143,7 +145,7 @@
         x.power()
         c.run(1)
         x.boot()
-        if served(c, 1.0) is None:               # nobody waits for a takeover: it was before it ended
+        if served(c, 1.0) is None:  # nobody waits for a takeover: it was before it ended
             break
         c.run(4)
     return lambda: None
@@ -167,10 +169,28 @@
     return lambda: None
 
 
-TRIALS = (primary_loses_power, backup_loses_power, primary_freezes, primary_blinks, primarys_disk_stalls,
-          primarys_disk_is_full, primarys_disk_is_slow, backups_disk_stalls, backups_disk_is_full, primary_is_mute,
-          primary_is_deaf, primary_is_cut_off, link_breaks, core_is_cut_in_two, a_region_is_lost, blackout,
-          all_are_rolled, all_leave_in_turn, a_disk_is_lost, a_core_is_replaced)
+TRIALS = (
+    primary_loses_power,
+    backup_loses_power,
+    primary_freezes,
+    primary_blinks,
+    primarys_disk_stalls,
+    primarys_disk_is_full,
+    primarys_disk_is_slow,
+    backups_disk_stalls,
+    backups_disk_is_full,
+    primary_is_mute,
+    primary_is_deaf,
+    primary_is_cut_off,
+    link_breaks,
+    core_is_cut_in_two,
+    a_region_is_lost,
+    blackout,
+    all_are_rolled,
+    all_leave_in_turn,
+    a_disk_is_lost,
+    a_core_is_replaced,
+)
 
 
 def one(trial, *, seed, **kw):
@@ -210,9 +230,12 @@
     for _ in range(rounds):
         end = c.rng.choice(TRIALS)(c)
         c.run(c.rng.uniform(0.2, 4))
-        if c.rng.random() < 0.4:                  # a second one: never disks, or places beyond the tolerance
-            more = c.rng.choice((primary_freezes, primary_blinks, primary_is_mute, primary_is_deaf, link_breaks,
-                                 primarys_disk_is_slow))(c) if c.primary() in c.cores and lead(c).gen else lambda: None
+        if c.rng.random() < 0.4:  # a second one: never disks, or places beyond the tolerance
+            more = (
+                c.rng.choice((primary_freezes, primary_blinks, primary_is_mute, primary_is_deaf, link_breaks, primarys_disk_is_slow))(c)
+                if c.primary() in c.cores and lead(c).gen
+                else lambda: None
+            )
             c.run(c.rng.uniform(0.2, 3))
             more()
         end()
--- a/silverglade/rehearsal/visitors.py
+++ b/silverglade/rehearsal/visitors.py
@@ -1,4 +1,5 @@
 """Visitors of a rehearsed fleet: what they sent and what they were told (design 10.4)."""
+
 import json
 import random
 import time
@@ -16,22 +17,42 @@
 
     async def order(self, *, tenant, cls, prefix="", key=None, attempt=1, at=None):
         c = self.f.t["config"]["tenants"][tenant]
-        up = at or self.rng.choice(self.f.up(self.rng.choice(c["homes"]) if self.rng.random() < 0.9
-                                             else None) or self.f.up() or sorted(self.f.daemons))
+        up = at or self.rng.choice(
+            self.f.up(self.rng.choice(c["homes"]) if self.rng.random() < 0.9 else None) or self.f.up() or sorted(self.f.daemons)
+        )
         self.n += 1
         key = key or f"k{self.n}"
         body = json.dumps({"key": key}).encode()
-        row = dict(n=self.n, tenant=tenant, cls=cls, key=key, attempt=attempt, at=up, t0=time.monotonic(),
-                   code=None, ran=None, dids=set(), pieces=[], wait=None, last=True)
+        row = dict(
+            n=self.n,
+            tenant=tenant,
+            cls=cls,
+            key=key,
+            attempt=attempt,
+            at=up,
+            t0=time.monotonic(),
+            code=None,
+            ran=None,
+            dids=set(),
+            pieces=[],
+            wait=None,
+            last=True,
+        )
         self.rows.append(row)
-        head = [("Host", "x"), ("Authorization", f"Bearer key-{tenant}"), ("Idempotency-Key", key),
-                ("Silverglade-Attempt", str(attempt)), ("Content-Length", str(len(body)))]
+        head = [
+            ("Host", "x"),
+            ("Authorization", f"Bearer key-{tenant}"),
+            ("Idempotency-Key", key),
+            ("Silverglade-Attempt", str(attempt)),
+            ("Content-Length", str(len(body))),
+        ]
         if prefix:
             head.append(("Silverglade-Prefix", prefix))
         try:
             async with httpcore.AsyncConnectionPool(max_keepalive_connections=0) as pool:
-                async with pool.stream("POST", f"http://{self.f.daemons[up]['http']}/v1/orders/{cls}",
-                                       headers=head, content=body, extensions={"timeout": SLOW}) as r:
+                async with pool.stream(
+                    "POST", f"http://{self.f.daemons[up]['http']}/v1/orders/{cls}", headers=head, content=body, extensions={"timeout": SLOW}
+                ) as r:
                     await self.take(row, r, c["classes"][cls])
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             row["code"] = row["code"] or "lost"
@@ -65,7 +86,7 @@
     async def visit(self, tenant, cls, prefix):
         row = await self.order(tenant=tenant, cls=cls, prefix=prefix)
         if row["code"] != 100 and self.open and self.rng.random() < 0.5:
-            await anyio.sleep(row["wait"] or 1)          # asks again elsewhere, as told
+            await anyio.sleep(row["wait"] or 1)  # asks again elsewhere, as told
             row["last"] = False
             await self.order(tenant=tenant, cls=cls, prefix=prefix, key=row["key"], attempt=2)
 
--- a/silverglade/rehearsal/watch.py
+++ b/silverglade/rehearsal/watch.py
@@ -1,4 +1,5 @@
 """What the oracle looks at all along (design 10.3): versions, reach of control, every message, retries."""
+
 from collections import deque
 from datetime import timedelta
 
@@ -7,7 +8,7 @@
 SEC = timedelta(seconds=1)
 GLANCE = timedelta(milliseconds=250)
 FORCE = timedelta(seconds=3)
-WORK = timedelta(seconds=5)              # the brief's bound on new work under what was changed
+WORK = timedelta(seconds=5)  # the brief's bound on new work under what was changed
 WINDOW = timedelta(seconds=30)
 
 
@@ -15,7 +16,7 @@
     """What operators asked for, and so what may be in force at a moment."""
 
     def __init__(self):
-        self.puts = []                   # dict(tag, asked, cfg, code, version, acked)
+        self.puts = []  # dict(tag, asked, cfg, code, version, acked)
 
     def asked(self, now, tag, cfg):
         self.puts.append(dict(tag=tag, asked=now, cfg=cfg, code=None, version=None, acked=None))
@@ -31,10 +32,12 @@
         The newest acknowledged longer ago than WORK (any before it is out of force by then), and
         all asked after that one which were not refused.
         """
-        firm = max((p for p in self.puts if p["code"] == 100 and p["acked"] <= now - WORK),
-                   key=lambda p: p["version"], default=None)
-        return [p["cfg"] for p in self.puts if p is firm or p["asked"] <= now and (
-            (firm is None or p["asked"] > firm["asked"]) and p["code"] in (None, 100, 503, 705))]
+        firm = max((p for p in self.puts if p["code"] == 100 and p["acked"] <= now - WORK), key=lambda p: p["version"], default=None)
+        return [
+            p["cfg"]
+            for p in self.puts
+            if p is firm or p["asked"] <= now and ((firm is None or p["asked"] > firm["asked"]) and p["code"] in (None, 100, 503, 705))
+        ]
 
     def homes(self, tenant, now):
         return {z for c in self.may(now) for z in c["tenants"].get(tenant, {"homes": ()})["homes"]}
@@ -110,8 +113,7 @@
         self.reach()
         t = self.w.now
         cores = [n for n in self.w.nodes.values() if n.core and n.hub is not None]
-        view = max((n.peek("control", "view") for n in cores if n.peek("control", "view")),
-                   default=None, key=lambda x: x[0])
+        view = max((n.peek("control", "view") for n in cores if n.peek("control", "view")), default=None, key=lambda x: x[0])
         if view is None:
             return
         prim = self.w.nodes[view[1]]
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -1,4 +1,5 @@
 """The simulator (design 10.1): the daemons' own hubs on a seeded clock, network and disk."""
+
 import heapq
 import random
 from datetime import timedelta
@@ -56,19 +57,31 @@
         self.hub, self.life, self.frozen, self.lives = None, "", None, 0
         self.disk = Disk(world.rng) if core else None
         self.pulses, self.held, self.skew = 0, [], ZERO
-        self.next = False                        # does it run the next program (10.5)?
+        self.next = False  # does it run the next program (10.5)?
 
     def boot(self):
         w = self.w
         self.lives += 1
         self.life = f"{self.name}.{self.lives}"
         saved = {t: dict(d) for t, d in self.disk.data.items()} if self.disk else None
-        self.hub = Hub(me=self.name, life=self.life, zone=self.zone, region=self.region, addr=self.addr,
-                       http=self.http, seeds=w.seeds, cores=w.named, opt=w.opt,
-                       rng=random.Random(w.rng.getrandbits(64)),
-                       disk=self.disk.id if self.disk else "", saved=saved, tolerance=w.tolerance,
-                       first=self.lives == 1, front=self.name if w.fronts and not self.core else "",
-                       lists=w.fronts and not self.core)
+        self.hub = Hub(
+            me=self.name,
+            life=self.life,
+            zone=self.zone,
+            region=self.region,
+            addr=self.addr,
+            http=self.http,
+            seeds=w.seeds,
+            cores=w.named,
+            opt=w.opt,
+            rng=random.Random(w.rng.getrandbits(64)),
+            disk=self.disk.id if self.disk else "",
+            saved=saved,
+            tolerance=w.tolerance,
+            first=self.lives == 1,
+            front=self.name if w.fronts and not self.core else "",
+            lists=w.fronts and not self.core,
+        )
         self.frozen, self.held, self.since = None, [], w.now
         w.after(span(w.rng.randrange(50)), self.pulse, self.life)
         w.note("boot", self.name)
@@ -115,27 +128,25 @@
             self.frozen = self.w.now
         elif self.frozen is not None:
             self.frozen, held, self.held = None, self.held, []
-            for ev in held:                     # what the kernel kept comes before the pulse
+            for ev in held:  # what the kernel kept comes before the pulse
                 self.feed(ev)
 
 
 class World:
-    def __init__(self, *, seed, daemons, config, delay_ms, replicas, opt=None, loss=0.0, fronts=False,
-                 tolerance=(1, 1, 1)):
+    def __init__(self, *, seed, daemons, config, delay_ms, replicas, opt=None, loss=0.0, fronts=False, tolerance=(1, 1, 1)):
         """daemons: (name, zone, region, core); replicas: keyword tables for Replica."""
         self.rng, self.seed, self.now, self.heap, self.num = random.Random(seed), seed, ZERO, [], 0
-        self.opt, self.loss, self.rate = opt or tuning(), loss, 20e6      # bytes a second, for what is bulky
-        self.fronts = fronts                     # do edge daemons take requests to be forwarded (15)?
+        self.opt, self.loss, self.rate = opt or tuning(), loss, 20e6  # bytes a second, for what is bulky
+        self.fronts = fronts  # do edge daemons take requests to be forwarded (15)?
         self.cores = tuple(d[0] for d in daemons if d[3])
-        self.nodes = {d[0]: Node(world=self, name=d[0], zone=d[1], region=d[2], core=d[3], n=i + 1)
-                      for i, d in enumerate(daemons)}
-        self.named, self.tolerance = self.cores[:3], tolerance    # as in the settings
+        self.nodes = {d[0]: Node(world=self, name=d[0], zone=d[1], region=d[2], core=d[3], n=i + 1) for i, d in enumerate(daemons)}
+        self.named, self.tolerance = self.cores[:3], tolerance  # as in the settings
         self.seeds = tuple(self.nodes[c].addr for c in self.named)
         self.by_addr = {n.addr: n for n in self.nodes.values()}
         self.delay, self.cuts, self.links, self.trace = delay_ms, set(), {}, []
         self.region = {z: d["region"] for z, d in config["zones"].items()}
         self.config, self.calls, self.asked, self.jobs = config, {}, {}, {}
-        self.oracle, self.reps, self.field = Oracle(world=self), 0, None     # field: what is forwarded (15)
+        self.oracle, self.reps, self.field = Oracle(world=self), 0, None  # field: what is forwarded (15)
         self.replicas = {r["rid"]: Replica(world=self, **r) for r in replicas}
         for n in self.nodes.values():
             n.boot()
@@ -183,12 +194,12 @@
         n = self.by_addr.get(to[1:]) if to.startswith("@") else self.nodes.get(to)
         if n is None:
             return
-        if self.num % 16 == 0:                    # some go through the codec, all could
+        if self.num % 16 == 0:  # some go through the codec, all could
             body = wire.unpack(wire.pack(frm=frm.name, life=frm.life, body=body)[4:])[2]
         self.oracle.watch.sent(frm, n, body)
         if not self.open(frm.name, n.name) or self.rng.random() < self.loss:
             return
-        bulk = body[0] in wire.BULK               # a connection of its own, as in daemons (3.1)
+        bulk = body[0] in wire.BULK  # a connection of its own, as in daemons (3.1)
         way = (frm.life, n.name, "bulk" if bulk else lane(body[0]))
         at = max(self.now + self.hop(frm.zone, n.zone), self.links.get(way, ZERO))
         if bulk and self.rate:
@@ -204,7 +215,7 @@
         if self.field:
             self.field.died(n)
         for cid in [c for c, name in self.asked.items() if name == n.name]:
-            del self.asked[cid]                   # its caller sees the connection break
+            del self.asked[cid]  # its caller sees the connection break
             self.after(ZERO, self.calls.pop(cid), 705, {})
         for did, (owner, r) in list(self.jobs.items()):
             if owner is n:
@@ -255,10 +266,10 @@
         if d.stall:
             return self.after(span(50), self.turn, d, n)
         group, d.queue = d.queue[:n], d.queue[n:]
-        lost = self.rng.random() < 0.5            # power went before this sync, or after
+        lost = self.rng.random() < 0.5  # power went before this sync, or after
         for node, life, token, ops in group:
             self.synced(d, node, life, token, ops, lost)
-        d.lost |= {life for n, life, *_ in group if n.life != life or n.hub is None}   # and what waited behind
+        d.lost |= {life for n, life, *_ in group if n.life != life or n.hub is None}  # and what waited behind
         d.busy = bool(d.queue)
         if d.busy:
             self.spin(d)
--- a/silverglade/replicas/elect.py
+++ b/silverglade/replicas/elect.py
@@ -1,4 +1,5 @@
 """Which replicas an order may go to, in order of preference (design 7.2)."""
+
 from .. import config
 from ..rank import score
 from .registry import PREFIXES, S_CAP, S_USED, ZONE, usable
@@ -13,8 +14,7 @@
     if not homes:
         return [], []
     region = {z: d["region"] for z, d in cfg["zones"].items()}
-    fit = {i: e for i, e in reps.items()
-           if usable(e, now=now, opt=opt, evac=evac, homes=homes, kind=kind)}
+    fit = {i: e for i, e in reps.items() if usable(e, now=now, opt=opt, evac=evac, homes=homes, kind=kind)}
     by = {}
     for i, (r, s, _) in fit.items():
         by.setdefault(region[r[ZONE]], []).append(i)
@@ -29,6 +29,7 @@
                 return (hot, burden[i] / max(1, fit[i][1][S_CAP]), score(tenant, i))
             k = int.from_bytes(score(f"{tenant}/{prefix}", i), "big")
             return (hot, prefix not in fit[i][0][PREFIXES], -k)
+
         return sorted(ids, key=key)
 
     home = region[homes[0]]
--- a/silverglade/replicas/ledger.py
+++ b/silverglade/replicas/ledger.py
@@ -1,4 +1,5 @@
 """Slot ledgers (design 7.3): one holder per replica hands out its slots, under an epoch."""
+
 from ..part import IDLE, ZERO, log, post, send
 from .registry import ADDR, INC, LEAVING, S_EPOCH, S_NUM, SLOTS, ZONE, evacuated
 
@@ -8,8 +9,8 @@
 
     def __init__(self, *, epoch, inc, now):
         self.epoch, self.inc, self.num, self.born = epoch, inc, 0, now
-        self.ghosts = []                         # leases ended with the run perhaps going on
-        self.leases, self.hungry = {}, {}        # lease -> (owner, tenant, till); tenant -> (owner, at)
+        self.ghosts = []  # leases ended with the run perhaps going on
+        self.leases, self.hungry = {}, {}  # lease -> (owner, tenant, till); tenant -> (owner, at)
         self.cap, self.state, self.warm, self.run = 1, "starting", False, 0
         self.use, self.served, self.due, self.heard = 0.0, 0.0, ZERO, None
 
@@ -37,12 +38,18 @@
             m = mine[rid]
             m.epoch, s = e, reps[rid][1]
             if s and s[S_EPOCH] == e and s[S_NUM] > m.num:
-                m.num = s[S_NUM]                 # told in an earlier life of mine: go on from there
+                m.num = s[S_NUM]  # told in an earlier life of mine: go on from there
 
     def room(m, rid, now):
         r = reps[rid][0]
-        if (m.state != "ready" or now - m.born < opt["learn"] or r[LEAVING] or r[ZONE] in evac
-                or fresh is None or now - fresh > opt["alone"]):
+        if (
+            m.state != "ready"
+            or now - m.born < opt["learn"]
+            or r[LEAVING]
+            or r[ZONE] in evac
+            or fresh is None
+            or now - fresh > opt["alone"]
+        ):
             return 0
         return max(0, min(m.cap, r[SLOTS]) - m.used())
 
@@ -67,9 +74,13 @@
 
     def tell(rid, m):
         m.num += 1
-        out.append(post("registry", "status", (
-            rid, m.inc, m.epoch, m.num, m.state, m.use, m.served, m.run,
-            min(m.cap, reps[rid][0][SLOTS]), m.used())))
+        out.append(
+            post(
+                "registry",
+                "status",
+                (rid, m.inc, m.epoch, m.num, m.state, m.use, m.served, m.run, min(m.cap, reps[rid][0][SLOTS]), m.used()),
+            )
+        )
 
     while True:
         now, ev = yield tuple(out)
@@ -81,14 +92,13 @@
                 roll = {x[0] for x in r}
             case ("book", b, _):
                 evac = evacuated(b)
-                duties = {k[12:]: v[0] for k, (_, v) in b.items()
-                          if k.startswith("duty/ledger/") and v[1] == me}
+                duties = {k[12:]: v[0] for k, (_, v) in b.items() if k.startswith("duty/ledger/") and v[1] == me}
                 open_(now)
             case ("replicas", rs):
                 reps = rs
                 open_(now)
             case ("froze",):
-                mine.clear()                         # a frozen holder distrusts its leases
+                mine.clear()  # a frozen holder distrusts its leases
                 open_(now)
             case ("pulse",):
                 for rid, m in mine.items():
@@ -111,11 +121,11 @@
                 m = mine.get(rid)
                 if m is None or inc != m.inc:
                     continue
-                if got is None or got[0] != m.inc:   # silent, or another life of it
+                if got is None or got[0] != m.inc:  # silent, or another life of it
                     continue
                 _, state, m.use, m.served, m.run, warm = got
                 m.heard = now
-                m.ghosts = m.ghosts[:m.run]
+                m.ghosts = m.ghosts[: m.run]
                 if warm and not m.warm:
                     m.cap = reps[rid][0][SLOTS]
                 if state != m.state:
@@ -137,7 +147,7 @@
                     out.append(send(frm, "unleased", lid, rid, "full"))
             case ("msg", frm, ("renew", str(rid), int(e), tuple(held))):
                 m = mine.get(rid)
-                if m and e == m.epoch:           # a holder new to it learns what is out
+                if m and e == m.epoch:  # a holder new to it learns what is out
                     for lid, tenant in held:
                         lease(m, lid, frm, tenant, now)
             case ("msg", frm, ("release", str(rid), str(lid), bool(good))):
@@ -146,9 +156,7 @@
                     if not good:
                         m.ghosts.append(now + opt["stale"])
                     elif m.run > len(m.leases) + len(m.ghosts):
-                        m.run -= 1                   # until the next probe says
+                        m.run -= 1  # until the next probe says
                     if good and m.cap < reps[rid][0][SLOTS]:
-                        m.cap += 1                   # the cold ramp
+                        m.cap += 1  # the cold ramp
                     offer(rid, m, now)
-
-
--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -1,5 +1,6 @@
 """Who lives (design 4): a daemon's record and what else it tells the cores; pulses to its few watchers;
 the roll and all soft state as the cores tell them."""
+
 from bisect import bisect
 
 from . import soft
@@ -11,18 +12,23 @@
 ID, LIFE, INC, BEAT, ZONE, REGION, ADDR, HTTP, CORE, STATE, DOUBTS, EXTRA = range(12)
 TYPES = (str, str, int, int, str, str, str, str, bool, str, tuple, tuple)
 STATES = ("joining", "ready", "leaving", "left")
-URGENT = ("version", "view")            # extras that do not wait
+URGENT = ("version", "view")  # extras that do not wait
 SECOND = span(1000)
-WAIT = {"news": SECOND, "parts": SECOND, "pace": SECOND / 2}     # a change waits so long, at least (4.5)
+WAIT = {"news": SECOND, "parts": SECOND, "pace": SECOND / 2}  # a change waits so long, at least (4.5)
 
 
-PULSE, OVER, ANSWER = range(3)          # an "alive": of many, the last to you, asked for
+PULSE, OVER, ANSWER = range(3)  # an "alive": of many, the last to you, asked for
 
 
 def record(r):
-    return (isinstance(r, tuple) and len(r) >= len(TYPES)      # a later program may add fields: passed on
-            and all(type(v) is t for v, t in zip(r, TYPES))
-            and r[STATE] in STATES and r[INC] > 0 and r[BEAT] >= 0)
+    return (
+        isinstance(r, tuple)
+        and len(r) >= len(TYPES)  # a later program may add fields: passed on
+        and all(type(v) is t for v, t in zip(r, TYPES))
+        and r[STATE] in STATES
+        and r[INC] > 0
+        and r[BEAT] >= 0
+    )
 
 
 def fit(r):
@@ -64,17 +70,19 @@
         far = far[:1] + [i for i in [second] if i] + [i for i in far[1:] if i != second]
     k = max(n // 2, n - len(far))
     w = near[:k]
-    return tuple(w + far[:n - len(w)])
+    return tuple(w + far[: n - len(w)])
 
 
 def differs(k, a, b):
     """Is a changed extra worth telling? Counts and rates: when a fifth off, or off zero (4.5)."""
+
     def off(x, y):
         if type(x) in (int, float) and type(y) in (int, float):
             return abs(x - y) > 0.2 * max(abs(x), abs(y))
         if type(x) is tuple and type(y) is tuple and len(x) == len(y):
             return any(off(p, q) for p, q in zip(x, y))
         return x != y
+
     if k == "pace":
         return off(a, b)
     if k == "parts" and type(a) is tuple and type(b) is tuple and len(a) == len(b):
@@ -86,16 +94,16 @@
     """place = (zone, region, addr, http, core). Events: pulse, msg, extra, state, publish, delta."""
     zone, region, addr, http, core = place
     t = soft.Table()
-    teller, moves = soft.Teller(t), 0            # for my zone, should I ask for it (5.7)
+    teller, moves = soft.Teller(t), 0  # for my zone, should I ask for it (5.7)
     inc, num, state, want, joined = 1, 0, "joining", "ready", False
-    mine, sent = {}, {}                          # (kind, key) -> (rank, value, scope); what was sent when
-    more, lately = {}, {}                        # extras wanted; when each was told
-    heard, doubted, doubts = {}, {}, 0           # whom I hear pulse, and when; whom I doubt
+    mine, sent = {}, {}  # (kind, key) -> (rank, value, scope); what was sent when
+    more, lately = {}, {}  # extras wanted; when each was told
+    heard, doubted, doubts = {}, {}, 0  # whom I hear pulse, and when; whom I doubt
     mates, at_core, contact, behind = (), "", None, None
     born = last = due = None
-    wanted = ZERO                                # the next pulse, as told to the hub
+    wanted = ZERO  # the next pulse, as told to the hub
     roll, shown, dead, stale, out = (), None, frozenset(), True, []
-    old_roll, retold = None, False               # held while a snapshot is awaited; was mine told again?
+    old_roll, retold = None, False  # held while a snapshot is awaited; was mine told again?
 
     def publish(kind, key, rank, value, scope=""):
         mine[kind, key] = (rank, value, scope)
@@ -113,13 +121,13 @@
             row = t.rows.get(k)
             if not every and row is not None and row[RANK] >= rank and k != ("daemon", me):
                 if row[RANK] > rank or value is None:
-                    del mine[k]                  # outranked by another's, or gone for good
+                    del mine[k]  # outranked by another's, or gone for good
                 continue
             if not every and k == ("daemon", me) and row is not None and row[RANK] == rank and row[VALUE] == value:
                 continue
             if not every and row is None and scope == CORES and k in sent:
                 if value is None and now - sent[k] > opt["gone"]:
-                    del mine[k]                  # cores tell nobody of these: sent a few times
+                    del mine[k]  # cores tell nobody of these: sent a few times
                 if now - sent[k] < opt["gone"] or k[0] == "via":
                     continue
             if every or now - sent.get(k, born - opt["settle"]) >= opt["settle"]:
@@ -188,7 +196,7 @@
         if own and (own[VALUE] is None or own[VALUE][LIFE] != life):
             outrank(own)
         if me in dead_ and not at_core.startswith("@"):
-            ask_of_me()                          # perhaps they ask the wrong one after me
+            ask_of_me()  # perhaps they ask the wrong one after me
         dead, stale = frozenset(dead_), stale or frozenset(dead_) != dead
         if soft.covers(vec, {o: n for o, n in t.vec.items() if t.log.get(o)}):
             t.vec, behind, old_roll, retold = vec, None, None, False
@@ -198,12 +206,12 @@
                 joined, state = True, want
                 present()
             return token
-        if behind is None:                       # it stands behind me: what is mine it hears again
+        if behind is None:  # it stands behind me: what is mine it hears again
             behind = now
         elif not retold and now - behind >= opt["beat"] / 2:
             at_core, retold = frm, True
             tell(now, True)
-        elif now - behind > opt["takeover"]:     # for good: it began anew, and so does this
+        elif now - behind > opt["takeover"]:  # for good: it began anew, and so does this
             old_roll, behind, t, stale = roll, None, soft.Table(), True
             teller = soft.Teller(t)
             out.append(log("table-anew", core=frm))
@@ -224,12 +232,14 @@
         ex[me] = list({**dict(ex.get(me, ())), **more}.items())
         own = mine["daemon", me][1]
         rs = {k[1]: r[VALUE] for k, r in t.rows.items() if k[0] == "daemon" and record(r[VALUE])}
-        rs = {i: r for i, r in rs.items() if i not in dead and r[STATE] != "left" and (
-            not cut or now - heard.get(i, born - opt["gone"]) < opt["gone"])}
+        rs = {
+            i: r
+            for i, r in rs.items()
+            if i not in dead and r[STATE] != "left" and (not cut or now - heard.get(i, born - opt["gone"]) < opt["gone"])
+        }
         if own[STATE] != "left":
             rs[me] = own
-        new = tuple(sorted((*r[:EXTRA], tuple(sorted(ex.get(i, ()), key=lambda e: e[0])), *r[EXTRA + 1:])
-                           for i, r in rs.items()))
+        new = tuple(sorted((*r[:EXTRA], tuple(sorted(ex.get(i, ()), key=lambda e: e[0])), *r[EXTRA + 1 :]) for i, r in rs.items()))
         if new != roll and old_roll is None:
             was, names = {x[ID] for x in roll}, {x[ID] for x in new}
             out.extend(log("daemon-live", daemon=i) for i in sorted(names - was))
@@ -248,7 +258,7 @@
         for i in [i for i in heard if i not in live and now - heard[i] > opt["gone"] * 2]:
             del heard[i]
         for i in [i for i in doubted if t.rows.get(("daemon", i), (None,) * 7)[VALUE] is None]:
-            del doubted[i]                       # forgotten: the cores drop what was said of it
+            del doubted[i]  # forgotten: the cores drop what was said of it
             mine.pop(("doubt", f"{i} {me}"), None)
 
     def listen(now):
@@ -274,7 +284,7 @@
             present()
         match ev:
             case ("pulse",):
-                if now - max(last, wanted) > opt["late"]:     # frozen: distrust what was held (4.4)
+                if now - max(last, wanted) > opt["late"]:  # frozen: distrust what was held (4.4)
                     out += [log("frozen", late_ms=ms(now - last)), ("cast", ("froze",))]
                     heard.update(dict.fromkeys(heard, now))
                     contact = contact and now
@@ -300,7 +310,7 @@
                     doubt(frm, None)
             case ("msg", frm, ("doubted",)):
                 out.append(send(frm, "alive", inc, ANSWER))
-            case ("core", c):                    # whom news asks from here on
+            case ("core", c):  # whom news asks from here on
                 if c != at_core:
                     at_core = c
                     call()
--- a/silverglade/scaler/chain.py
+++ b/silverglade/scaler/chain.py
@@ -3,6 +3,7 @@
 Works on floats and on Fractions alike. Summing the balance equations over the levels below
 k gives q[k,0] from level k-1 with no subtraction; (k,0)'s own balance then gives q[k,1].
 """
+
 from math import ceil, floor
 
 BIG = 1e200
@@ -69,7 +70,7 @@
         w = w_of(lam=lam, mu=mu, r=r, m=m, room=big, flow=flow)
         if w <= aim:
             return m, True
-        if old and abs(old - w) < SAME * w:      # hardly a state holds more than m: no larger m changes W
+        if old and abs(old - w) < SAME * w:  # hardly a state holds more than m: no larger m changes W
             break
         old = w
     return min(cap, max(1, ceil(lam / (fall * mu) - 1e-9))), False
--- a/silverglade/scaler/gauge.py
+++ b/silverglade/scaler/gauge.py
@@ -1,4 +1,5 @@
 """What both scalers measure and hold (design 9.3 to 9.5)."""
+
 from collections import deque
 from datetime import timedelta
 
@@ -9,7 +10,7 @@
     """What one kind's orders, or one service's requests, looked like here lately."""
 
     def __init__(self):
-        self.came, self.went = deque(), deque()       # times; (time, service seconds)
+        self.came, self.went = deque(), deque()  # times; (time, service seconds)
         self.past, self.mean, self.named, self.low = deque(), None, 0, None
 
     def rates(self, now, win, long=None):
--- a/silverglade/scaler/need.py
+++ b/silverglade/scaler/need.py
@@ -2,6 +2,7 @@
 
 The count it keeps orders nothing: set against the ready replicas it says what the region cannot take.
 """
+
 from collections import deque
 from datetime import timedelta
 
@@ -12,7 +13,7 @@
 from .gauge import Gauge
 
 SEC = timedelta(seconds=1)
-SERVICE, PLACE, ACTIVE, CAPACITY, READY = range(5)      # of a load
+SERVICE, PLACE, ACTIVE, CAPACITY, READY = range(5)  # of a load
 
 
 class Pool:
@@ -71,13 +72,21 @@
         lam = g.trend(now, came * count, opt)
         use = p.use(now, here, opt)
         each = max(1.0, places / ready) if ready else 1.0
-        sv = g.service(use=use, ready=ready, count=count, served=served, opt=opt,
-                       places=each if opt["need_latency"] == "place" else 1)
+        sv = g.service(use=use, ready=ready, count=count, served=served, opt=opt, places=each if opt["need_latency"] == "place" else 1)
         m, low = 0, lam > 0 and not ready
         if lam > 0 and sv:
             room = opt["need_room"] or room_of(capacity=round(each), mu=1 / sv, aim=aim)
-            m, met = smallest(lam=lam, mu=1 / sv, replicas=ready, aim=aim, room=room, fan=opt["scale_fan"],
-                              top=opt["scale_top"], fall=opt["scale_fall"], flow=opt["scale_flow"])
+            m, met = smallest(
+                lam=lam,
+                mu=1 / sv,
+                replicas=ready,
+                aim=aim,
+                room=room,
+                fan=opt["scale_fan"],
+                top=opt["scale_top"],
+                fall=opt["scale_fall"],
+                flow=opt["scale_flow"],
+            )
             low = low or not met and m >= opt["scale_fan"] * max(1, ready)
         m = g.hold(now, m, opt)
         return (m, ready, low or m > ready), dict(lam=lam, repeats=p.repeats(now, opt["scale_every"]), service_s=sv or 0.0, use=use)
@@ -89,8 +98,18 @@
             new[region, service], why = one(now, service, aim, count)
             if new[region, service] != told.get((region, service)):
                 m, ready, low = new[region, service]
-                out.append(log("need", region=region, service=service, wanted=m, ready=ready, short=low, daemons=count,
-                               **{k: f"{v:.4g}" for k, v in why.items()}))
+                out.append(
+                    log(
+                        "need",
+                        region=region,
+                        service=service,
+                        wanted=m,
+                        ready=ready,
+                        short=low,
+                        daemons=count,
+                        **{k: f"{v:.4g}" for k, v in why.items()},
+                    )
+                )
         for s in [s for s in pools if (region, s) not in new]:
             del pools[s]
         if new != told:
--- a/silverglade/scaler/scaler.py
+++ b/silverglade/scaler/scaler.py
@@ -1,4 +1,5 @@
 """The scaler inside every daemon (design 9): its part of the replicas its region needs."""
+
 from datetime import timedelta
 from math import ceil
 
@@ -35,19 +36,24 @@
             uses = [s[S_USE] for _, s in here if s and s[S_STATE] == "ready"]
             came, served = g.rates(now, opt["scale_every"])
             lam = g.trend(now, came * count, opt)
-            sv = g.service(use=sum(uses) / len(uses) if uses else 0.0, ready=len(uses),
-                           count=count, served=served, opt=opt)
+            sv = g.service(use=sum(uses) / len(uses) if uses else 0.0, ready=len(uses), count=count, served=served, opt=opt)
             m, met = 0, True
             if lam > 0 and sv:
-                m, met = smallest(lam=lam, mu=1 / sv, replicas=len(here), aim=aim / 1000,
-                                  room=opt["scale_room"], fan=opt["scale_fan"],
-                                  top=opt["scale_top"], fall=opt["scale_fall"],
-                                  flow=opt["scale_flow"])
+                m, met = smallest(
+                    lam=lam,
+                    mu=1 / sv,
+                    replicas=len(here),
+                    aim=aim / 1000,
+                    room=opt["scale_room"],
+                    fan=opt["scale_fan"],
+                    top=opt["scale_top"],
+                    fall=opt["scale_fall"],
+                    flow=opt["scale_flow"],
+                )
             m = max(g.hold(now, m, opt), least if here or kind == "model" else 0)
             parts.append((kind, m, m / count, round(lam, 3), round(sv or 0.0, 6), met))
         out.append(("post", "roster", ("extra", "parts", tuple(parts))))
-        out.append(log("scaler", region=region, daemons=count,
-                       parts=";".join(f"{p[0]}:{p[1]}:{p[2]:.2f}:{p[3]:.2f}" for p in parts)))
+        out.append(log("scaler", region=region, daemons=count, parts=";".join(f"{p[0]}:{p[1]}:{p[2]:.2f}:{p[3]:.2f}" for p in parts)))
 
     def totals():
         t = {}
@@ -71,7 +77,7 @@
             case ("arrived", kind):
                 gauges.setdefault(kind, Gauge()).came.append(now)
             case ("repeat", kind) if kind in gauges and gauges[kind].came:
-                gauges[kind].came.pop()          # its owner knew the key: a retry after all
+                gauges[kind].came.pop()  # its owner knew the key: a retry after all
             case ("served", f, took, _):
                 gauges.setdefault(f["kind"], Gauge()).went.append((now, took / SEC))
             case ("pulse",) if now < due:
--- a/silverglade/shards/budget.py
+++ b/silverglade/shards/budget.py
@@ -1,4 +1,5 @@
 """The retry budget (design 7.5): the fleet's, in shares that owners know through the roster."""
+
 from collections import deque
 
 from ..roster import ID, extra
@@ -15,7 +16,7 @@
     def __init__(self, *, me, opt):
         self.me, self.opt, self.log, self.n = me, opt, deque(), {"fresh": 0, "again": 0}
         self.total = {"fresh": 0, "again": 0, "refused": 0}
-        self.others = {}                         # daemon -> (fresh, again, when heard)
+        self.others = {}  # daemon -> (fresh, again, when heard)
 
     def _add(self, now, kind):
         self.log.append((now, kind))
--- a/silverglade/shards/follower.py
+++ b/silverglade/shards/follower.py
@@ -3,6 +3,7 @@
 Tables: "shard" shard -> epoch; "claim" "shard\\0key digest" -> (grant, state, number).
 States: "claimed" (may run), "ran" (a replica had it), "done".
 """
+
 from ..control import book as bk
 from ..part import send
 from .shard import aged
@@ -48,12 +49,18 @@
                 old = aged(claims[sh], opt["claims_most"])
                 for k in old:
                     del claims[sh][k]
-                write([("put", "claim", f"{sh}\0{kd}", (gid, "claimed", no))]
-                      + [("del", "claim", f"{sh}\0{k}") for k in old], frm, "claimed", sh, e, cid)
+                write(
+                    [("put", "claim", f"{sh}\0{kd}", (gid, "claimed", no))] + [("del", "claim", f"{sh}\0{k}") for k in old],
+                    frm,
+                    "claimed",
+                    sh,
+                    e,
+                    cid,
+                )
             case ("msg", frm, ("mark", str(sh), int(e), str(kd), str(gid), str(st))):
                 if epochs.get(sh) != e or claims[sh].get(kd, ("",))[0] != gid:
                     continue
-                if st == "free":             # surely never ran: the key may be claimed anew
+                if st == "free":  # surely never ran: the key may be claimed anew
                     del claims[sh][kd]
                     write([("del", "claim", f"{sh}\0{kd}")])
                 elif claims[sh][kd][1] != "done":
@@ -65,17 +72,23 @@
                     out.append(send(frm, "unadopted", sh, e, "none" if held is None else "old"))
                     continue
                 epochs[sh] = e
-                write([("put", "shard", sh, e)], frm, "adopted", sh, e,
-                      tuple((k, *v) for k, v in sorted(claims[sh].items())))
+                write([("put", "shard", sh, e)], frm, "adopted", sh, e, tuple((k, *v) for k, v in sorted(claims[sh].items())))
             case ("msg", frm, ("copy", str(sh), int(e), int(n), tuple(cs))):
                 if e < epochs.get(sh, 0):
                     out.append(send(frm, "unadopted", sh, e, "old"))
                     continue
                 old = claims.get(sh, {})
                 epochs[sh], claims[sh] = e, {k: tuple(c) for k, *c in cs}
-                write([("put", "shard", sh, e)] + [("del", "claim", f"{sh}\0{k}") for k in old]
-                      + [("put", "claim", f"{sh}\0{k}", tuple(c)) for k, *c in cs],
-                      frm, "copied", sh, e, n)
+                write(
+                    [("put", "shard", sh, e)]
+                    + [("del", "claim", f"{sh}\0{k}") for k in old]
+                    + [("put", "claim", f"{sh}\0{k}", tuple(c)) for k, *c in cs],
+                    frm,
+                    "copied",
+                    sh,
+                    e,
+                    n,
+                )
             case ("book", b, _):
                 for sh in [sh for sh in epochs if passed(b, me, sh, epochs[sh])]:
                     write([("del", "shard", sh)] + [("del", "claim", f"{sh}\0{k}") for k in claims[sh]])
--- a/silverglade/shards/shard.py
+++ b/silverglade/shards/shard.py
@@ -3,6 +3,7 @@
 Steps: adopt (fetch the follower's claims under my epoch), open, copy (a new follower gets
 every claim, then control names it, then adopt again). Unresumable orders wait while not open.
 """
+
 from boltons.cacheutils import LRI
 
 from ..part import log, send
@@ -19,16 +20,16 @@
 class Shard:
     def __init__(self, *, name, epoch, follower, me, claims, most):
         self.name, self.epoch, self.follower, self.me = name, epoch, follower, me
-        self.claims = claims          # None: not known here
+        self.claims = claims  # None: not known here
         self.open, self.sent, self.to, self.num = False, None, "", 0
-        self.life = None              # the follower's life as last seen
-        self.bad, self.since = {}, (None, None)   # cores that let me wait; (step, to) since when
+        self.life = None  # the follower's life as last seen
+        self.bad, self.since = {}, (None, None)  # cores that let me wait; (step, to) since when
         self.most, self.top = most, max((c[2] for c in (claims or {}).values()), default=0)
-        self.tried = LRI(max_size=most)   # resumable keys granted here, the last of them
-        self.asked = LRI(max_size=most)   # key digest -> the order that first asked with it
+        self.tried = LRI(max_size=most)  # resumable keys granted here, the last of them
+        self.asked = LRI(max_size=most)  # key digest -> the order that first asked with it
         self.step = "adopt" if follower else "copy"
         if not follower:
-            self.claims = {}          # no follower yet: nothing was ever claimed
+            self.claims = {}  # no follower yet: nothing was ever claimed
 
     def full(self, epoch):
         """Are my claims still whole under this epoch? Only if nobody owned it between."""
@@ -83,7 +84,7 @@
             mine = self.claims or {}
             self.claims = {**got, **mine}
             self.top = max([self.top] + [c[2] for c in got.values()])
-            if any(k not in got and c[2] > self.top - self.most for k, c in mine.items()):      # it holds less than I do: copy anew
+            if any(k not in got and c[2] > self.top - self.most for k, c in mine.items()):  # it holds less than I do: copy anew
                 self.step, self.sent = "copy", None
                 return []
             self.open, self.step = True, "open"
@@ -111,12 +112,10 @@
         elif late and self.step == "adopt" and self.claims is not None:
             self.bad[self.follower] = now
         self.bad = {c: t for c, t in self.bad.items() if now - t < opt["gone"] * 2}
-        if self.step == "open" and self.follower in live and self.follower not in self.bad \
-                and self.follower not in near:
+        if self.step == "open" and self.follower in live and self.follower not in self.bad and self.follower not in near:
             return []
         cs = [c for c in spare(self.name) if c not in self.bad]
-        gone = self.follower not in live or (
-            (self.follower in self.bad or self.follower in near) and bool(cs))
+        gone = self.follower not in live or ((self.follower in self.bad or self.follower in near) and bool(cs))
         if self.step in ("open", "adopt") and self.follower and gone and self.claims is not None:
             self.open, self.step, self.sent = False, "copy", None
         if self.step == "shut" and not gone and (self.sent is None or now - self.sent > opt["gone"]):
@@ -129,8 +128,11 @@
         if self.step == "copy":
             self.to = self.follower if not gone else cs[0] if cs else ""
             self.num += 1
-            return [send(self.to, "copy", self.name, self.epoch, self.num, tuple(
-                (k, *v) for k, v in sorted(self.claims.items())))] if self.to else []
+            return (
+                [send(self.to, "copy", self.name, self.epoch, self.num, tuple((k, *v) for k, v in sorted(self.claims.items())))]
+                if self.to
+                else []
+            )
         if self.step == "name":
             if self.to not in live:
                 self.step = "copy"
--- a/silverglade/soft.py
+++ b/silverglade/soft.py
@@ -5,11 +5,12 @@
 vector {origin: number} says which rows one has, or newer ones in their place.
 scope: "" for all, CORES for cores alone, else a region.
 """
+
 from zlib import crc32
 
 KIND, KEY, RANK, VALUE, SCOPE, ORIGIN, NUMBER = range(7)
 CORES = "*cores"
-KEPT = 64               # vectors that a core remembers by their token
+KEPT = 64  # vectors that a core remembers by their token
 
 
 def pairs(vec):
@@ -21,25 +22,36 @@
 
 
 def sound_vector(v):
-    return type(v) is tuple and all(type(p) is tuple and len(p) == 2 and type(p[0]) is str
-                                    and type(p[1]) is int and p[1] >= 0 for p in v)
+    return type(v) is tuple and all(type(p) is tuple and len(p) == 2 and type(p[0]) is str and type(p[1]) is int and p[1] >= 0 for p in v)
 
 
 def sound_told(rows):
-    return all(type(r) is tuple and len(r) >= 5 and type(r[KIND]) is str and type(r[KEY]) is str
-               and sound_rank(r[RANK]) and type(r[SCOPE]) is str for r in rows)
+    return all(
+        type(r) is tuple and len(r) >= 5 and type(r[KIND]) is str and type(r[KEY]) is str and sound_rank(r[RANK]) and type(r[SCOPE]) is str
+        for r in rows
+    )
 
 
 def sound_rows(rows):
-    return sound_told(rows) and all(len(r) >= 7 and type(r[ORIGIN]) is str and type(r[NUMBER]) is int
-                                    and r[NUMBER] >= 0 for r in rows)
+    return sound_told(rows) and all(len(r) >= 7 and type(r[ORIGIN]) is str and type(r[NUMBER]) is int and r[NUMBER] >= 0 for r in rows)
 
 
 def sound_delta(d):
     """What an answer brings: nothing, "say where you stand", or (token, vector, rows, dead)."""
-    return type(d) is tuple and (len(d) == 0 or len(d) == 1 and d[0] == -1 or (
-        len(d) >= 4 and type(d[0]) is int and sound_vector(d[1]) and type(d[2]) is tuple
-        and sound_rows(d[2]) and type(d[3]) is tuple and all(type(i) is str for i in d[3])))
+    return type(d) is tuple and (
+        len(d) == 0
+        or len(d) == 1
+        and d[0] == -1
+        or (
+            len(d) >= 4
+            and type(d[0]) is int
+            and sound_vector(d[1])
+            and type(d[2]) is tuple
+            and sound_rows(d[2])
+            and type(d[3]) is tuple
+            and all(type(i) is str for i in d[3])
+        )
+    )
 
 
 def higher(a, b):
@@ -62,7 +74,7 @@
 
     def __init__(self, *, life=""):
         self.life, self.rows, self.vec, self.buried = life, {}, {}, {}
-        self.log = {}                            # origin -> {number: (kind, key)}
+        self.log = {}  # origin -> {number: (kind, key)}
 
     def _set(self, row, now):
         k = row[:2]
@@ -108,7 +120,7 @@
             have = vec.get(o, -1)
             if self.vec.get(o, 0) <= have or not by:
                 continue
-            for n in reversed(by):               # mostly in order; merges may come out of it
+            for n in reversed(by):  # mostly in order; merges may come out of it
                 if n > have:
                     if want(row := self.rows[by[n]]):
                         out.append(row)
@@ -140,7 +152,7 @@
 
     def __init__(self, table):
         self.t, self.spot, self.dead = table, None, ()
-        self.past, self.cache = {}, {}           # token -> vector; (where, region) -> rows
+        self.past, self.cache = {}, {}  # token -> vector; (where, region) -> rows
 
     def move(self, dead):
         """The table stands elsewhere, or others are dead -> the token."""
@@ -160,6 +172,7 @@
         r = self.t.rows.get(("daemon", frm))
         k = (at, r[VALUE][5] if r and r[VALUE] else None)
         if k not in self.cache:
-            self.cache[k] = self.t.since(self.past[at] if type(at) is int else dict(at),
-                                         lambda row: row[SCOPE] in ("", k[1]) or k[1] is None and row[SCOPE] != CORES)
+            self.cache[k] = self.t.since(
+                self.past[at] if type(at) is int else dict(at), lambda row: row[SCOPE] in ("", k[1]) or k[1] is None and row[SCOPE] != CORES
+            )
         return (self.spot, pairs(self.past[self.spot]), self.cache[k], self.dead)
--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -1,11 +1,12 @@
 """A core's table of soft state (design 4): takes what daemons tell, agrees with the other cores by
 deltas, works out who is dead, and answers askers with what changed since they asked last."""
+
 from . import soft
 from .part import ZERO, send, span
 from .roster import ADDR, CORE, INC, LIFE, STATE, fit, watchers
 from .soft import CORES, KEY, KIND, RANK, SCOPE, VALUE
 
-PATIENCE = span(2)      # for each daemon of the fleet
+PATIENCE = span(2)  # for each daemon of the fleet
 
 
 def table(*, me, life, addr, seeds, opt):
@@ -17,8 +18,8 @@
     born = last = due = None
     spot, stirred, pressing, moved, out = None, False, False, ZERO, []
     teller = soft.Teller(t)
-    peers, met = {}, False                       # core -> dict(at, told, sent, when)
-    asked, probed, alive = {}, {}, {}            # daemon -> when: it asked here; doubt known; answered a probe
+    peers, met = {}, False  # core -> dict(at, told, sent, when)
+    asked, probed, alive = {}, {}, {}  # daemon -> when: it asked here; doubt known; answered a probe
     dead, mourned, shown, greeted = {}, {}, (), None
 
     def recs():
@@ -64,29 +65,28 @@
             if c not in (None, me) and c in live:
                 if live[c][CORE]:
                     heard = max(heard, peers[c]["at"] if c in peers else born)
-                else:                            # a proxy of its zone: as long as that lives
+                else:  # a proxy of its zone: as long as that lives
                     heard = max(heard, mourned.get(c, now))
             if now - heard > opt["gone"]:
                 new[x] = "silent"
                 if c == me and (x not in mute or mute[x][VALUE] != (live[x][INC], me)):
                     silent(x, (live[x][INC], me), now)
             elif c != me and x in mute and mute[x][VALUE] == (live[x][INC], c):
-                new[x] = "silent"                # says the core that it asked
+                new[x] = "silent"  # says the core that it asked
         for x, ws in votes.items():
             ws &= set(watchers(x, {**up, x: live[x]}, opt["watch"]))
             n = len(watchers(x, {**up, x: live[x]}, opt["watch"]))
-            if (x != me and ws and len(ws) >= min(2, n) and now - probed.get(x, now) > opt["settle"] / 3
-                    and alive.get(x, born) < probed[x]):
+            if x != me and ws and len(ws) >= min(2, n) and now - probed.get(x, now) > opt["settle"] / 3 and alive.get(x, born) < probed[x]:
                 new[x] = "doubted"
         for x in [x for x in probed if x not in votes]:
             del probed[x]
         return new
 
     def watch(now, all_):
-        for x in probed:                         # doubted: asked directly, twice a second
+        for x in probed:  # doubted: asked directly, twice a second
             out.append(send(x, "doubted"))
         for x in [x for x, at in alive.items() if x in probed and now - at < opt["doubt"]]:
-            probed[x] = now                      # it answers here: only a link of its watchers' is down
+            probed[x] = now  # it answers here: only a link of its watchers' is down
         mourned.update({x: now for x in dead if x not in mourned})
         for x in [x for x in mourned if x not in dead and all_.get(x, ("",) * 12)[STATE] != "left"]:
             del mourned[x]
@@ -99,15 +99,14 @@
             asked.pop(x, None), alive.pop(x, None)
         for k in [k for k, r in t.rows.items() if k[0] == "doubt" and r[VALUE] is not None]:
             x, w = k[1].split(" ", 1)
-            if x not in all_ or w not in all_:   # nobody is left to take it back
+            if x not in all_ or w not in all_:  # nobody is left to take it back
                 put("doubt", k[1], (*t.rows[k][RANK], 1)[:4], None, CORES, now)
 
     def bury(x, now):
         """One gone for long leaves tombstones, and later nothing."""
         del mourned[x]
         for k, r in list(t.rows.items()):
-            if r[VALUE] is not None and (k in (("daemon", x), ("via", x), ("silent", x))
-                                         or k[0] == "extra" and k[1].split(" ")[0] == x):
+            if r[VALUE] is not None and (k in (("daemon", x), ("via", x), ("silent", x)) or k[0] == "extra" and k[1].split(" ")[0] == x):
                 put(*k, (*r[RANK], 1)[:4], None, r[SCOPE], now)
 
     def base(c, now):
@@ -139,7 +138,7 @@
         if not stirred and d == shown and spot is not None:
             return
         if not pressing and d == shown and spot is not None and now - moved < len(t.of("daemon")) * PATIENCE:
-            return                               # counts and rates of a large fleet come together (4.5)
+            return  # counts and rates of a large fleet come together (4.5)
         if stirred:
             for c in sorted(peers):
                 if c in recs() and c not in dead:
@@ -155,7 +154,7 @@
             born = last = due = now
         match ev:
             case ("pulse",):
-                if now - max(last, due) > opt["late"]:     # frozen: what was not heard says nothing
+                if now - max(last, due) > opt["late"]:  # frozen: what was not heard says nothing
                     born = now
                     for d in (asked, alive, probed):
                         d.update(dict.fromkeys(d, now))
@@ -180,7 +179,7 @@
                         for c in sorted(peers):
                             sync(c, now)
                         mine = t.rows.get(("daemon", me))
-                        if mine:                 # sides that began apart find each other by their seeds
+                        if mine:  # sides that began apart find each other by their seeds
                             for s in seeds:
                                 if s != addr and s not in here:
                                     out.append(send("@" + s, "told", (mine[:5],)))
@@ -204,15 +203,14 @@
                 p = peers[frm]
                 p.update(at=now, told=vec if all_ else {**p["told"], **vec})
                 if all_ and vec.get(life, 0) < p["sent"]:
-                    p["sent"] = 0                # its own word goes before what was sent to it
+                    p["sent"] = 0  # its own word goes before what was sent to it
                 if soft.covers(t.vec, {**vec, **lacks}):
                     stirred |= not soft.covers(t.vec, vec)
                     t.adopt(vec)
                     met = True
-                    if all_ and any(vec.get(o, 0) < n for o, n in t.vec.items()
-                                    if o != life or now - p["when"] > opt["settle"]):
-                        sync(frm, now)           # it lacks what nobody will push to it
-                else:                            # it takes me to hold more: this is where I stand
+                    if all_ and any(vec.get(o, 0) < n for o, n in t.vec.items() if o != life or now - p["when"] > opt["settle"]):
+                        sync(frm, now)  # it lacks what nobody will push to it
+                else:  # it takes me to hold more: this is where I stand
                     sync(frm, now)
             case ("msg", frm, ("alive", *_)):
                 alive[frm] = now
--- a/silverglade/tools/client.py
+++ b/silverglade/tools/client.py
@@ -1,4 +1,5 @@
 """Calls of the operator's command line to daemons (design 11)."""
+
 import json
 from concurrent.futures import ThreadPoolExecutor
 
@@ -19,8 +20,14 @@
         with httpcore.ConnectionPool(max_keepalive_connections=0) as pool:
             r = pool.request(verb, f"http://{at}{path}", content=b, headers=hs, extensions={"timeout": SLOW})
             return r.status, json.loads(r.content), dict(r.headers)
-    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException,
-            httpcore.UnsupportedProtocol, ValueError, OSError) as e:
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+        httpcore.UnsupportedProtocol,
+        ValueError,
+        OSError,
+    ) as e:
         raise Fault(705, f"{at}: {type(e).__name__}") from e
 
 
@@ -41,5 +48,6 @@
             return name, good(ask(fleet[name]["http"], "GET", path, key=key))
         except Fault:
             return name, None
+
     with ThreadPoolExecutor(16) as pool:
         return fleet, dict(pool.map(one, sorted(fleet)))
--- a/silverglade/tools/operator.py
+++ b/silverglade/tools/operator.py
@@ -1,4 +1,5 @@
 """The operator's command line over the whole fleet (design 11.1)."""
+
 import difflib
 import json
 import secrets
@@ -32,10 +33,22 @@
     rows = [("DAEMON", "ZONE", "STATE", "VERSION", "VIEW", "PRIMARY", "NEWS", "AGE", "CONFIG", "EMPTIED")]
     for n, d in sorted(known.items()):
         s = got[n]
-        rows.append((n, d["zone"], d["state"], d["version"], "silent", "-", "-", "-", "-", "-") if s is None else
-                    (n, d["zone"], s["state"], s["version"], s["view"][0], s["view"][1], version(s["news"]),
-                     f"{s['age_ms']}ms" if s["age_ms"] is not None else "none", version(s["config"]),
-                     ",".join(s["evacuated"]) or "-"))
+        rows.append(
+            (n, d["zone"], d["state"], d["version"], "silent", "-", "-", "-", "-", "-")
+            if s is None
+            else (
+                n,
+                d["zone"],
+                s["state"],
+                s["version"],
+                s["view"][0],
+                s["view"][1],
+                version(s["news"]),
+                f"{s['age_ms']}ms" if s["age_ms"] is not None else "none",
+                version(s["config"]),
+                ",".join(s["evacuated"]) or "-",
+            )
+        )
     silent = sorted(n for n, s in got.items() if s is None)
     out(a, dict(fleet=known, status=got, silent=silent), table(rows))
     return PARTIAL if silent else DONE
@@ -115,8 +128,22 @@
     d = good(ask(a.at, "GET", "/v1/replicas", key=a.key))["replicas"]
     rows = [("REPLICA", "ZONE", "KIND", "STATE", "USED", "CAP", "SLOTS", "USE", "LEAVING", "AGE", "HOMES", "PREFIXES")]
     for i, r in sorted(d.items()):
-        rows.append((i, r["zone"], r["kind"], r["state"], r["used"], r["cap"], r["slots"], r["use"],
-                     r["leaving"], f"{r['age_ms']}ms", ",".join(r["homes"]), ",".join(r["prefixes"])))
+        rows.append(
+            (
+                i,
+                r["zone"],
+                r["kind"],
+                r["state"],
+                r["used"],
+                r["cap"],
+                r["slots"],
+                r["use"],
+                r["leaving"],
+                f"{r['age_ms']}ms",
+                ",".join(r["homes"]),
+                ",".join(r["prefixes"]),
+            )
+        )
     out(a, d, table(rows))
     return DONE
 
@@ -133,16 +160,14 @@
     for k, (e, own, fol) in sorted(duty.items()):
         if k.startswith("shard/"):
             n, s = held.get(k[6:], (None, {}))
-            rows.append((k[6:], e, own, fol or "-", s.get("open", "?") if n == own else "?",
-                         s.get("claims", "?"), s.get("waiting", "?")))
+            rows.append((k[6:], e, own, fol or "-", s.get("open", "?") if n == own else "?", s.get("claims", "?"), s.get("waiting", "?")))
     out(a, dict(duties=duty, held={t: s for t, (_, s) in held.items()}), table(rows))
     return PARTIAL if any(x is None for x in got.values()) else DONE
 
 
 def scaler(a):
     cfg = good(ask(a.at, "GET", "/v1/config", key=a.key))["config"] or {"zones": {}}
-    data = {g: good(ask(a.at, "GET", f"/v1/regions/{g}/orders", key=a.key))
-            for g in sorted({z["region"] for z in cfg["zones"].values()})}
+    data = {g: good(ask(a.at, "GET", f"/v1/regions/{g}/orders", key=a.key)) for g in sorted({z["region"] for z in cfg["zones"].values()})}
     rows = [("REGION", "KIND", "WANTED", "READY", "STARTING", "LEAST", "DAEMONS", "ARRIVALS")]
     for g, d in data.items():
         for kind, k in sorted(d["kinds"].items()):
@@ -156,8 +181,12 @@
     """One order by its key or id, at whichever daemons met it."""
     _, got = everywhere(a.at, f"/v1/trace/{a.order}", key=a.key)
     found = {n: d["orders"] for n, d in got.items() if d}
-    ls = [f"{n} {o['order']} {o.get('tenant', '?')}/{o['cls']} +{t}ms {what}"
-          for n, os_ in sorted(found.items()) for o in os_ for t, what in o["steps"]]
+    ls = [
+        f"{n} {o['order']} {o.get('tenant', '?')}/{o['cls']} +{t}ms {what}"
+        for n, os_ in sorted(found.items())
+        for o in os_
+        for t, what in o["steps"]
+    ]
     out(a, found, "\n".join(ls) or "no daemon remembers it")
     return DONE if found else PARTIAL
 
@@ -175,8 +204,8 @@
 
     def changing(p):
         p.add_argument("--change", default="", help="the id of a change asked for before")
-        p.add_argument("--wait", type=float, default=10.0, metavar="SECONDS",
-                       help="wait until it is in force everywhere; 0: do not")
+        p.add_argument("--wait", type=float, default=10.0, metavar="SECONDS", help="wait until it is in force everywhere; 0: do not")
+
     new("fleet", "every daemon's state")
     p = new("config", "the configuration in force, and changing it whole")
     p.add_argument("what", choices=["get", "check", "diff", "put"])
--- a/silverglade/tools/place.py
+++ b/silverglade/tools/place.py
@@ -2,35 +2,42 @@
 
 The result is a configuration to be reviewed and put by the operator; nothing is changed here.
 """
+
 import json
 
 from .. import check as c
 from .. import config as cf
 from ..faults import Fault
 
-SPEC = c.table({
-    "zones": c.named(c.table({"region": c.text(), "capacity": c.whole(most=100000)}), least=1),
-    "tenants": c.named(c.table({
-        "burden": c.whole(default=1, least=1, most=100000),
-        "homes": c.whole(default=2, least=1, most=50),
-        "regions": c.whole(default=1, least=1, most=50),
-        "keep": c.each(c.text(), default=(), unique=True),
-        "avoid": c.each(c.text(), default=(), unique=True),
-    }), least=1),
-    "apart": c.each(c.each(c.text(), least=2, unique=True), default=()),
-    "survive": c.oneof("none", "zone", "region", default="zone"),
-})
+SPEC = c.table(
+    {
+        "zones": c.named(c.table({"region": c.text(), "capacity": c.whole(most=100000)}), least=1),
+        "tenants": c.named(
+            c.table(
+                {
+                    "burden": c.whole(default=1, least=1, most=100000),
+                    "homes": c.whole(default=2, least=1, most=50),
+                    "regions": c.whole(default=1, least=1, most=50),
+                    "keep": c.each(c.text(), default=(), unique=True),
+                    "avoid": c.each(c.text(), default=(), unique=True),
+                }
+            ),
+            least=1,
+        ),
+        "apart": c.each(c.each(c.text(), least=2, unique=True), default=()),
+        "survive": c.oneof("none", "zone", "region", default="zone"),
+    }
+)
 
 
 def checked(raw):
     out, bad = c.run(SPEC, raw)
     bad = list(bad)
-    for t, d in (out["tenants"].items() if not bad else ()):
+    for t, d in out["tenants"].items() if not bad else ():
         for k in ("keep", "avoid"):
             bad += [(f"tenants.{t}.{k}", f"unknown zone {z}") for z in d[k] if z not in out["zones"]]
     if not bad:
-        bad += [(f"apart[{i}]", f"unknown tenant {t}") for i, g in enumerate(out["apart"])
-                for t in g if t not in out["tenants"]]
+        bad += [(f"apart[{i}]", f"unknown tenant {t}") for i, g in enumerate(out["apart"]) for t in g if t not in out["tenants"]]
     if bad:
         raise Fault(703, "; ".join(f"{p}: {s}" for p, s in bad))
     return out
@@ -39,6 +46,7 @@
 def model(spec, *, soft):
     """The constraints as a model. soft: each group hangs on a literal, to find who conflicts."""
     from ortools.sat.python import cp_model
+
     m, names = cp_model.CpModel(), {}
     zs, ts = spec["zones"], spec["tenants"]
     x = {(t, z): m.new_bool_var(f"{t}@{z}") for t in ts for z in zs}
@@ -49,6 +57,7 @@
             names[lit.index] = why
             con.only_enforce_if(lit)
             m.add_assumption(lit)
+
     for t, d in ts.items():
         hold(f"{t} wants {d['homes']} homes", m.add(sum(x[t, z] for z in zs) == d["homes"]))
         for z in d["keep"]:
@@ -66,12 +75,11 @@
         for z in zs:
             hold(f"{' and '.join(group)} apart in {z}", m.add(sum(x[t, z] for t in group) <= 1))
     # each tenant's burden shared by its homes, and carried by the rest when one is lost
-    share = {t: -(-d["burden"] * 1000 // max(1, d["homes"] - (spec["survive"] != "none" and d["homes"] > 1)))
-             for t, d in ts.items()}
+    share = {t: -(-d["burden"] * 1000 // max(1, d["homes"] - (spec["survive"] != "none" and d["homes"] > 1))) for t, d in ts.items()}
     for z, d in zs.items():
         hold(f"capacity of {z}", m.add(sum(share[t] * x[t, z] for t in ts) <= d["capacity"] * 1000))
-    top = m.new_int_var(0, 10 ** 12, "top")
-    for z, d in zs.items():                        # the fullest zone as empty as can be
+    top = m.new_int_var(0, 10**12, "top")
+    for z, d in zs.items():  # the fullest zone as empty as can be
         m.add(sum(share[t] * x[t, z] for t in ts) * 1000 <= top * max(1, d["capacity"]))
     if not soft:
         m.minimize(top)
@@ -81,6 +89,7 @@
 def solve(spec, *, seconds=20.0):
     """-> {tenant: homes}; Fault 704 names the constraints that cannot stand together."""
     from ortools.sat.python import cp_model
+
     s = cp_model.CpSolver()
     s.parameters.max_time_in_seconds = seconds
     s.parameters.num_workers = 1
@@ -89,17 +98,16 @@
     st = s.solve(m)
     if st in (cp_model.OPTIMAL, cp_model.FEASIBLE):
         cap = {z: d["capacity"] for z, d in spec["zones"].items()}
-        return {t: sorted((z for z in cap if s.value(x[t, z])),
-                          key=lambda z: (z not in spec["tenants"][t]["keep"], -cap[z], z))
-                for t in spec["tenants"]}
+        return {
+            t: sorted((z for z in cap if s.value(x[t, z])), key=lambda z: (z not in spec["tenants"][t]["keep"], -cap[z], z))
+            for t in spec["tenants"]
+        }
     m, _, names = model(spec, soft=True)
     st = s.solve(m)
     core = [names[i] for i in s.sufficient_assumptions_for_infeasibility() if i in names]
     raise Fault(704, "; ".join(sorted(set(core))) or "no placement was found in time")
 
 
-
-
 def parsers(sub):
     p = sub.add_parser("place", help="solve placements from a constraints file")
     p.add_argument("file")
--- a/silverglade/tools/restore.py
+++ b/silverglade/tools/restore.py
@@ -3,6 +3,7 @@
 Works on the stopped core's folder. It makes that core the sole source: its store is kept, the
 register is set to a view of a far higher epoch with fresh partners, which must come up empty.
 """
+
 from ..control import register as rg
 from ..daemon.disk import Store
 from ..faults import Fault
--- a/silverglade/wire.py
+++ b/silverglade/wire.py
@@ -1,4 +1,5 @@
 """Frames between daemons: length-prefixed ormsgpack tuples (design 3)."""
+
 import struct
 import zlib
 
@@ -7,10 +8,10 @@
 from .faults import Fault
 
 VERSION = 3
-SPOKEN = (3,)          # wire versions this program reads; in 2 a view had one backup
+SPOKEN = (3,)  # wire versions this program reads; in 2 a view had one backup
 CAP = 8 * 1024 * 1024
-PRESS = 16 * 1024      # a body above this travels compressed (3.1): configurations shrink to a tenth and less
-WIDE = 4 * CAP         # what a compressed body may unfold to
+PRESS = 16 * 1024  # a body above this travels compressed (3.1): configurations shrink to a tenth and less
+WIDE = 4 * CAP  # what a compressed body may unfold to
 HEAD = struct.Struct(">I")
 
 # may be large; they take a connection of their own, and may so be overtaken by what is small (3.1)
@@ -81,6 +82,6 @@
                 raise Fault(602, f"{n} bytes")
             if len(buf) < 4 + n:
                 break
-            got.append(bytes(buf[4:4 + n]))
-            del buf[:4 + n]
+            got.append(bytes(buf[4 : 4 + n]))
+            del buf[: 4 + n]
         out = tuple(got)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 A listed test that fails is printed and passed over; one that passes, or is not there, fails the run.
 """
+
 import pathlib
 
 import pytest
--- a/tests/plant.py
+++ b/tests/plant.py
@@ -1,4 +1,5 @@
 """Rules of the forwarding path that are fed by hand, for planted breaches."""
+
 from datetime import timedelta
 
 from silverglade import config
@@ -11,11 +12,28 @@
 
 def cfg(number, *routes, **kw):
     """Routes as (prefix, service) or (prefix, service, homes)."""
-    got, bad = config.checked(dict(
-        number=number, zones={"a1": {"region": "a"}, "b1": {"region": "b"}}, tenants={},
-        services=dict.fromkeys({s for _, s, *_ in routes}, {}),
-        routes=[dict(name=p, host="h", prefix=p, kind="streaming", due_ms=4000, homes=(r or [[]])[0],
-                     tries=3, shares=[dict(service=s, weight=1)]) for p, s, *r in routes], **kw))
+    got, bad = config.checked(
+        dict(
+            number=number,
+            zones={"a1": {"region": "a"}, "b1": {"region": "b"}},
+            tenants={},
+            services=dict.fromkeys({s for _, s, *_ in routes}, {}),
+            routes=[
+                dict(
+                    name=p,
+                    host="h",
+                    prefix=p,
+                    kind="streaming",
+                    due_ms=4000,
+                    homes=(r or [[]])[0],
+                    tries=3,
+                    shares=[dict(service=s, weight=1)],
+                )
+                for p, s, *r in routes
+            ],
+            **kw,
+        )
+    )
     assert not bad, bad
     return got
 
@@ -34,8 +52,9 @@
         return p
 
     def ask(self, attempt="a", path="/r/x", **kw):
-        self.r.asked(Sent(**dict(dict(attempt=attempt, at=self.now, life="d1", host="h", path=path, body=b"b",
-                                      service="s", tokens=(10, 80)), **kw)))
+        self.r.asked(
+            Sent(**dict(dict(attempt=attempt, at=self.now, life="d1", host="h", path=path, body=b"b", service="s", tokens=(10, 80)), **kw))
+        )
         return attempt
 
     def arrive(self, attempt="a", rep="r1", **kw):
@@ -45,8 +64,7 @@
         self.n += 1
         run = f"{rep}.{self.n}"
         self.arrive(attempt, rep, service=service)
-        self.r.ran(self.now, attempt, run=run, rep=rep, service=service, seal=rules.seal(run, attempt),
-                   **dict(dict(stride=1), **kw))
+        self.r.ran(self.now, attempt, run=run, rep=rep, service=service, seal=rules.seal(run, attempt), **dict(dict(stride=1), **kw))
         return run
 
     def head(self, run, attempt="a", status=200):
@@ -74,10 +92,13 @@
 def kept(into):
     def breach(rule):
         """A function (plant, good): with good it does the like of the breach rightly."""
+
         def keep(fn):
             into.append((rule, fn))
             return fn
+
         return keep
+
     return breach
 
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,4 +1,5 @@
 """Small scripted replicas, a stand-in for the part and a client that says exact bytes (loopback sockets)."""
+
 import asyncio
 import contextlib
 from datetime import timedelta
@@ -75,6 +76,7 @@
     def reset(self):
         import socket
         import struct
+
         s = self.w.get_extra_info("socket")
         s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.w.transport.abort()
@@ -137,8 +139,22 @@
 
 def one(addr, **kw):
     """A try's table."""
-    return {**dict(replica="i1", addr=addr, service="s", expect=True, urgency=None, deadline_ms=5000, last_event=None,
-                   connect=SEC, cap=4, stream=True, resume=False), **kw}
+    return {
+        **dict(
+            replica="i1",
+            addr=addr,
+            service="s",
+            expect=True,
+            urgency=None,
+            deadline_ms=5000,
+            last_event=None,
+            connect=SEC,
+            cap=4,
+            stream=True,
+            resume=False,
+        ),
+        **kw,
+    }
 
 
 def ends(rid, what):
@@ -157,12 +173,14 @@
 
 def simple(addr, **kw):
     """One try, and whatever comes of it."""
+
     def part(ev):
         match ev:
             case ("request", rid, _):
                 return (("try", rid, 1, one(addr[0], **kw)),)
             case ("tried", rid, 1, *what):
                 return ends(rid, tuple(what))
+
     return part
 
 
@@ -175,8 +193,7 @@
         await self.w.drain()
 
     async def ask(self, i="a1", path="/p", *, method="POST", body="hi", more=()):
-        rows = [f"{method} {path} HTTP/1.1", "Host: h.example:80", *([f"{ID}: {i}"] if i else []),
-                f"Content-Length: {len(body)}", *more]
+        rows = [f"{method} {path} HTTP/1.1", "Host: h.example:80", *([f"{ID}: {i}"] if i else []), f"Content-Length: {len(body)}", *more]
         await self.say("\r\n".join(rows) + "\r\n\r\n" + body)
 
     async def head(self):
@@ -241,6 +258,7 @@
     async def client():
         made.append(Client(*await asyncio.open_connection(*srv.sockets[0].getsockname())))
         return made[-1]
+
     try:
         yield d, client
     finally:
@@ -257,17 +275,21 @@
 
 def play(go):
     """Run a scene; one that hangs fails."""
+
     async def main():
         with anyio.fail_after(SECS):
             return await go()
+
     return anyio.run(main)
 
 
 def scene(script, talk, *, part=None, **kw):
     """A replica, a daemon with a simple part and a client -> (what `talk` returned, the daemon, the replica)."""
+
     async def go():
         async with replica(script) as rep:
             async with front((part or simple)([rep.addr], **kw)) as (d, client):
                 got = await talk(await client(), d, rep, client)
                 return got, d, rep
+
     return play(go)
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -1,4 +1,5 @@
 """Tenants apart (design 7.3): six of sixty fill every slot with long answers; the quiet ones go on."""
+
 from silverglade.options import tuning
 from silverglade.rehearsal.measure import SEC, apart
 
@@ -14,13 +15,17 @@
     assert lost == 0
     ws, lost, _, s = crowd()
     assert lost == 0 and s.o.faults == []
-    assert ws[int(len(ws) * .95)] < 3 * alone[int(len(alone) * .95)]
+    assert ws[int(len(ws) * 0.95)] < 3 * alone[int(len(alone) * 0.95)]
 
 
 def test_without_the_ledgers_fairness_they_are_not(monkeypatch):
-    without(monkeypatch, "silverglade.replicas.ledger", (
-        "return all(m.held(t) >= m.held(tenant) for t in m.hungry if t != tenant)",
-        "while room(m, rid, now) and m.hungry:"), ("return True", "while False:"), "silverglade.hub.ledger")
+    without(
+        monkeypatch,
+        "silverglade.replicas.ledger",
+        ("return all(m.held(t) >= m.held(tenant) for t in m.hungry if t != tenant)", "while room(m, rid, now) and m.hungry:"),
+        ("return True", "while False:"),
+        "silverglade.hub.ledger",
+    )
     assert crowd()[1] > 0
 
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,4 +1,5 @@
 """Further tries of a fleet without messages (design 16.1), against a sliding window."""
+
 import random
 from datetime import timedelta
 
@@ -17,11 +18,18 @@
     """The oracle: -> the worst of all windows by which the rule is broken (0: none). Times sorted."""
     from bisect import bisect_left as lo
     from bisect import bisect_right as hi
+
     worst, half = 0.0, win / 2
     starts = {x for x in extras} | {x - win for x in extras}
-    for q in asks:                               # windows that just lose or gain a request
-        starts |= {q, q + timedelta(microseconds=1), q + win, q + win + timedelta(microseconds=1),
-                   q + half + timedelta(microseconds=1), q - half}
+    for q in asks:  # windows that just lose or gain a request
+        starts |= {
+            q,
+            q + timedelta(microseconds=1),
+            q + win,
+            q + win + timedelta(microseconds=1),
+            q + half + timedelta(microseconds=1),
+            q - half,
+        }
     count = lambda d, a, b: hi(d, b) - lo(d, a)
     for s in starts:
         x = count(extras, s, s + win)
@@ -37,13 +45,13 @@
     def __init__(self, *, n, rng, make=Budget):
         self.rng, self.make, self.n = rng, make, n
         self.all = [make(opt=OPT, born=0 * SEC) for _ in range(n)]
-        self.side = [0] * n                       # who is cut from whom
+        self.side = [0] * n  # who is cut from whom
         self.knows = [n] * n
         self.asks, self.extras = [], []
 
     def restart(self, i, now):
         self.all[i] = self.make(opt=OPT, born=now)
-        self.knows[i] = sum(s == self.side[i] for s in self.side)   # only those it can reach
+        self.knows[i] = sum(s == self.side[i] for s in self.side)  # only those it can reach
 
     def cut(self, a, b):
         for i in range(a, b):
@@ -104,7 +112,7 @@
                     for _ in range(3):
                         f.again(i, at)
             if failing:
-                f.again(i, now + step)            # streams that go on elsewhere
+                f.again(i, now + step)  # streams that go on elsewhere
     return f
 
 
@@ -115,8 +123,10 @@
 
 def planted(**kw):
     """A class with one rule left out."""
+
     class Without(Budget):
         pass
+
     for k, v in kw.items():
         setattr(Without, k, v)
     return Without
@@ -149,6 +159,7 @@
 
 def test_the_oracle_finds_daemons_that_pick_the_best_of_the_three_counts_each_for_itself(monkeypatch):
     """Half of the fleet asked in one window, half in the next: the largest counts sum to more."""
+
     def run():
         f = Fleet(n=20, rng=random.Random(3))
         for i in range(20):
@@ -159,6 +170,7 @@
             for i in range(20):
                 f.again(i, 25 * SEC + j * SEC / 1000)
         return f.worst()
+
     assert run() == 0
     monkeypatch.setattr(module, "MIX", (1.0, 1.0, 1.0))
     assert run() > 0
@@ -166,6 +178,7 @@
 
 def test_the_oracle_finds_a_window_that_loses_its_requests():
     """Extras bounded by the last window's requests alone: a later window has the extras and not the requests."""
+
     class Plain(Budget):
         def spend(self, now, service, *, daemons):
             k = self.at(now)
@@ -187,6 +200,7 @@
             for i in range(3):
                 f.again(i, 30 * SEC + j * SEC / 1000)
         return f.worst()
+
     assert run(Plain) > 0
     assert run(Budget) == 0
 
--- a/tests/test_callout.py
+++ b/tests/test_callout.py
@@ -1,4 +1,5 @@
 """Answers of replicas (design 7.6): late, short, another's, an error; each an honest `ran`."""
+
 import anyio
 import httpcore
 import pytest
@@ -36,6 +37,7 @@
 
             async def __aexit__(self, *e):
                 return False
+
         return Cm()
 
 
@@ -47,34 +49,41 @@
 
     async def room():
         pass
+
     pool = Pool(rsp)
-    anyio.run(lambda: callout.dispatch(pool=pool, did="o.1", addr="1.2.3.4:5", meta=dict(META, stream=stream),
-                                       body=b"{}", tell=tell, room=room))
+    anyio.run(
+        lambda: callout.dispatch(pool=pool, did="o.1", addr="1.2.3.4:5", meta=dict(META, stream=stream), body=b"{}", tell=tell, room=room)
+    )
     return said
 
 
 OK = {"Silverglade-Dispatch": "o.1", "Content-Length": "4"}
 
 
-@pytest.mark.parametrize("rsp,said", [
-    (Rsp(200, OK, [b"ab", b"cd"]), [("whole", b"abcd")]),
-    (Rsp(200, OK, [b"ab"]), [("fault", "yes")]),                                     # short
-    (Rsp(200, {**OK, "Silverglade-Dispatch": "o.2"}, [b"abcd"]), [("fault", "maybe")]),    # another's
-    (Rsp(200, {"Silverglade-Dispatch": "o.1"}, [b"abcd"]), [("fault", "yes")]),      # no length
-    (Rsp(500, OK, [b"abcd"]), [("fault", "maybe")]),
-    (Rsp(503, OK, []), [("fault", "maybe")]),                                        # no word of not having run
-    (Rsp(503, {"Silverglade-Ran": "no"}, []), [("refused",)]),
-    (Rsp(200, OK, [b"ab"], httpcore.ReadError()), [("fault", "maybe")]),
-    (httpcore.ConnectError(), [("refused",)]), (httpcore.ConnectTimeout(), [("refused",)]),
-    (httpcore.WriteError(), [("fault", "maybe")]), (httpcore.RemoteProtocolError(), [("fault", "maybe")])])
+@pytest.mark.parametrize(
+    "rsp,said",
+    [
+        (Rsp(200, OK, [b"ab", b"cd"]), [("whole", b"abcd")]),
+        (Rsp(200, OK, [b"ab"]), [("fault", "yes")]),  # short
+        (Rsp(200, {**OK, "Silverglade-Dispatch": "o.2"}, [b"abcd"]), [("fault", "maybe")]),  # another's
+        (Rsp(200, {"Silverglade-Dispatch": "o.1"}, [b"abcd"]), [("fault", "yes")]),  # no length
+        (Rsp(500, OK, [b"abcd"]), [("fault", "maybe")]),
+        (Rsp(503, OK, []), [("fault", "maybe")]),  # no word of not having run
+        (Rsp(503, {"Silverglade-Ran": "no"}, []), [("refused",)]),
+        (Rsp(200, OK, [b"ab"], httpcore.ReadError()), [("fault", "maybe")]),
+        (httpcore.ConnectError(), [("refused",)]),
+        (httpcore.ConnectTimeout(), [("refused",)]),
+        (httpcore.WriteError(), [("fault", "maybe")]),
+        (httpcore.RemoteProtocolError(), [("fault", "maybe")]),
+    ],
+)
 def test_a_plain_answer_is_a_success_only_when_whole_and_its_own(rsp, said):
     assert run(rsp) == said
 
 
 def test_a_stream_without_its_mark_of_success_is_a_fault():
     two = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-    assert run(Rsp(200, OK, [two, b"event: done\nid: 2\n\n"]), True) == [
-        ("piece", 1, b"a"), ("piece", 2, b"b"), ("done", 2)]
+    assert run(Rsp(200, OK, [two, b"event: done\nid: 2\n\n"]), True) == [("piece", 1, b"a"), ("piece", 2, b"b"), ("done", 2)]
     assert run(Rsp(200, OK, [two]), True)[-1] == ("fault", "yes")
     assert run(Rsp(200, OK, [two, b"event: fault\n\n"]), True)[-1] == ("fault", "yes")
     assert run(Rsp(200, OK, [two], httpcore.ReadError()), True)[-1] == ("fault", "maybe")
@@ -85,8 +94,10 @@
 
     async def nothing(*a):
         pass
-    anyio.run(lambda: callout.dispatch(pool=p, did="o.1", addr="1.2.3.4:5", meta=dict(META, stream=False),
-                                       body=b"{}", tell=nothing, room=nothing))
+
+    anyio.run(
+        lambda: callout.dispatch(pool=p, did="o.1", addr="1.2.3.4:5", meta=dict(META, stream=False), body=b"{}", tell=nothing, room=nothing)
+    )
     verb, url, head, body = p.sent
     assert (verb, url, body) == ("POST", "http://1.2.3.4:5/v1/run", b"{}")
     assert head["Silverglade-Dispatch"] == "o.1" and head["Silverglade-Due"] == "1000"
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -1,4 +1,5 @@
 """Which replicas there are, read by few and told to all: readers, lists that fail, lives that are over."""
+
 import random
 from datetime import timedelta
 
@@ -58,7 +59,7 @@
     for i in ids:
         got = readers(edges(*ids, blind=(i,)))
         assert i not in got and len(got) == 2
-    assert set(readers(edges("a1", blind=("a1",)))) == {"a1"}          # all blind: somebody still tries
+    assert set(readers(edges("a1", blind=("a1",)))) == {"a1"}  # all blind: somebody still tries
     assert readers(roll(("k1", "a", True, "ready", ()), ("a1", "a", False, "leaving", ()))) == ()
 
 
@@ -77,7 +78,7 @@
     b = Bench(out)
     b.feed("roll", edges(*ids))
     assert ("list",) in b.go()
-    assert ("list",) not in b.go()                                     # one at a time
+    assert ("list",) not in b.go()  # one at a time
     b.feed("read", None)
     assert ("list",) in b.go()
     b.feed("read", (rep("1"),))
@@ -166,7 +167,7 @@
     assert b.published("load")[-1][2][0] == -1
     need = [e[2][1] for e in b.sent if e[0] == "post" and e[1] == "need"]
     assert need[-1] == {"1": ("s", "a", 0, 8, False)}
-    b.feed("asked", "9", (1, 1, 1))                                    # not one that is there
+    b.feed("asked", "9", (1, 1, 1))  # not one that is there
 
 
 def test_without_a_list_nothing_is_read():
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -1,4 +1,5 @@
 """The paper's chain (design 9.1) against its printed equations, a linear solve and a simulation."""
+
 import random
 from fractions import Fraction as F
 
@@ -66,8 +67,8 @@
     for (s, t), x in balance(lam, mu, r, m, room).items():
         a[at[s]][at[s]] -= x
         a[at[t]][at[s]] += x
-    a[-1] = [F(1)] * (len(ids) + 1)                # in place of one equation: they sum to 1
-    for i in range(len(ids)):                      # Gauss and Jordan, exactly
+    a[-1] = [F(1)] * (len(ids) + 1)  # in place of one equation: they sum to 1
+    for i in range(len(ids)):  # Gauss and Jordan, exactly
         p = next(j for j in range(i, len(ids)) if a[j][i])
         a[i], a[p] = a[p], a[i]
         a[i] = [x / a[i][i] for x in a[i]]
@@ -118,11 +119,11 @@
 
 def test_no_m_busier_than_the_top_and_failing_the_aim_the_fall():
     assert smallest(lam=0.79, aim=100.0, **KW) == (1, True)
-    assert smallest(lam=0.81, aim=100.0, **KW) == (2, True)         # above 0.8 on one
-    assert smallest(lam=3.0, aim=0.5, **KW) == (5, False)           # 3/0.65 = 4.6
-    assert smallest(lam=2.6, aim=0.5, **KW) == (4, False)           # 2.6/0.65 = 4, at most
+    assert smallest(lam=0.81, aim=100.0, **KW) == (2, True)  # above 0.8 on one
+    assert smallest(lam=3.0, aim=0.5, **KW) == (5, False)  # 3/0.65 = 4.6
+    assert smallest(lam=2.6, aim=0.5, **KW) == (4, False)  # 2.6/0.65 = 4, at most
     assert smallest(lam=0.0, aim=0.5, **KW) == (0, True)
-    assert smallest(lam=1e6, aim=0.5, **KW) == (150, False)         # fifty times the replicas
+    assert smallest(lam=1e6, aim=0.5, **KW) == (150, False)  # fifty times the replicas
 
 
 def test_long_chains_neither_overflow_nor_vanish():
@@ -133,6 +134,7 @@
 def whole(*, lam, mu, replicas, aim, room, fan, top, fall, flow="printed"):
     """The smallest m by the printed rule alone, every m tried, every state held."""
     from math import ceil
+
     cap, big = fan * replicas, room * replicas
     for m in range(max(1, ceil(lam / (top * mu) - 1e-9)), min(cap, big) + 1):
         q = [(1.0, 0.0)]
@@ -151,9 +153,17 @@
     rng, bad = random.Random(seed), []
     for _ in range(150):
         mu = rng.choice((0.5, 1.0, 30.0))
-        kw = dict(lam=rng.uniform(0.01, 12) * mu, mu=mu, replicas=rng.randrange(1, 5), aim=rng.uniform(0.3, 8) / mu,
-                  room=rng.choice((1, 3, 7, 20, 60)), fan=rng.choice((3, 12)), top=0.8, fall=0.65,
-                  flow=rng.choice(("printed", "served")))
+        kw = dict(
+            lam=rng.uniform(0.01, 12) * mu,
+            mu=mu,
+            replicas=rng.randrange(1, 5),
+            aim=rng.uniform(0.3, 8) / mu,
+            room=rng.choice((1, 3, 7, 20, 60)),
+            fan=rng.choice((3, 12)),
+            top=0.8,
+            fall=0.65,
+            flow=rng.choice(("printed", "served")),
+        )
         if smallest(**kw) != whole(**kw):
             bad.append(kw)
     return bad
@@ -172,5 +182,5 @@
 
 def test_the_room_is_what_runs_and_what_can_still_begin_within_the_aim():
     assert room_of(capacity=64, mu=100.0, aim=0.6) == 124
-    assert room_of(capacity=6, mu=2.0, aim=0.4) == 6          # nobody who waits would be in time
+    assert room_of(capacity=6, mu=2.0, aim=0.4) == 6  # nobody who waits would be in time
     assert room_of(capacity=1, mu=2.5, aim=2.0) == 6
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,4 +1,5 @@
 """Claims at their follower under fuzz (design 6.3), with a plain model as oracle."""
+
 import random
 
 from silverglade.options import tuning
@@ -27,12 +28,13 @@
                 else:
                     ans.append(e)
             return [a[2] for a in ans if a[0] == "send"]
+
         for step in range(400):
             k = rng.random()
             kd, gid = f"k{rng.randrange(40)}", f"g{rng.randrange(60)}"
             e = (epoch or 1) + rng.choice([0, 0, 0, 0, 0, 0, -1, 1])
             if k < 0.02:
-                g = start(follower(me="f", saved={t: dict(d) for t, d in disk.items()}, opt=OPT))   # power
+                g = start(follower(me="f", saved={t: dict(d) for t, d in disk.items()}, opt=OPT))  # power
             elif k < 0.06:
                 if send("adopt", "s", e):
                     pass
@@ -40,8 +42,7 @@
                     epoch = e
             elif k < 0.08 and (epoch is None or e >= epoch):
                 epoch = e
-                assert send("copy", "s", e, step, tuple((x, *c) for x, c in held.items())) == [
-                    ("copied", "s", e, step)]
+                assert send("copy", "s", e, step, tuple((x, *c) for x, c in held.items())) == [("copied", "s", e, step)]
             elif k < 0.8:
                 got = send("claim", "s", e, gid, kd, gid, held[kd][2] if kd in held else top + 1)
                 if epoch is None or e != epoch:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,4 +1,5 @@
 """Codecs under fuzz, with an oracle (design 3)."""
+
 import random
 
 import pytest
@@ -10,10 +11,15 @@
 
 def some(rng, d=3):
     k = rng.randrange(7 if d else 5)
-    return [lambda: rng.getrandbits(40), lambda: "x" * rng.randrange(9), lambda: rng.random() < 0.5,
-            lambda: rng.randbytes(rng.randrange(9)), lambda: None,
-            lambda: tuple(some(rng, d - 1) for _ in range(rng.randrange(4))),
-            lambda: {"k": some(rng, d - 1)}][k]()
+    return [
+        lambda: rng.getrandbits(40),
+        lambda: "x" * rng.randrange(9),
+        lambda: rng.random() < 0.5,
+        lambda: rng.randbytes(rng.randrange(9)),
+        lambda: None,
+        lambda: tuple(some(rng, d - 1) for _ in range(rng.randrange(4))),
+        lambda: {"k": some(rng, d - 1)},
+    ][k]()
 
 
 def test_frames_come_out_as_they_went_in_however_the_bytes_are_cut():
@@ -38,7 +44,7 @@
         for _ in range(rng.randrange(1, 4)):
             b[rng.randrange(len(b))] = rng.getrandbits(8)
         try:
-            _, _, body = wire.unpack(bytes(b[:rng.randrange(len(b) + 1)]))
+            _, _, body = wire.unpack(bytes(b[: rng.randrange(len(b) + 1)]))
             assert isinstance(body[0], str)
         except Fault as f:
             codes.add(f.code)
@@ -71,8 +77,14 @@
 
 def test_only_messages_of_the_stated_shape_reach_a_part():
     assert messages.checked(("get", 1, (0, 0)))
-    for bad in (("get", 1, (0,)), ("get", "1", (0, 0)), ("get", 1), ("nothing", 1),
-                ("op", 1, "", ("evac", "z"), ""), ("news", 1, (1, 1), (("k", (1,), 0),), 5, 0)):
+    for bad in (
+        ("get", 1, (0,)),
+        ("get", "1", (0, 0)),
+        ("get", 1),
+        ("nothing", 1),
+        ("op", 1, "", ("evac", "z"), ""),
+        ("news", 1, (1, 1), (("k", (1,), 0),), 5, 0),
+    ):
         assert not messages.checked(bad)
 
 
@@ -90,6 +102,6 @@
         except Fault as f:
             codes.add(f.code)
     assert codes <= {601, 602} and codes
-    with pytest.raises(Fault) as e:                    # a little that unfolds to very much
+    with pytest.raises(Fault) as e:  # a little that unfolds to very much
         wire.unpack(wire.pack(frm="a", life="l", body=("news", b"0" * (wire.WIDE + 1)))[4:])
     assert e.value.code == 602
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,4 +1,5 @@
 """Cold replicas in a fleet without messages (design 16.2), against a sliding second."""
+
 import random
 from bisect import bisect_left
 from datetime import timedelta
@@ -46,8 +47,7 @@
 
     def gossip(self, now):
         live = [i for i in self.ids if self.lives(i)]
-        old = {x: dict.fromkeys((i for i in live if self.side[i] == x and now - self.up[i] >= self.lag), now)
-               for x in (0, 1)}
+        old = {x: dict.fromkeys((i for i in live if self.side[i] == x and now - self.up[i] >= self.lag), now) for x in (0, 1)}
         for i in live:
             self.seen[i][i] = now
             if now - self.up[i] >= self.lag:
@@ -69,7 +69,7 @@
 
     def thaw(self, i, now):
         if self.frozen.pop(i, None):
-            self.seen[i] = dict.fromkeys(self.seen[i], now)       # a roster that was frozen believes in all anew
+            self.seen[i] = dict.fromkeys(self.seen[i], now)  # a roster that was frozen believes in all anew
             self.d[i].froze(now)
 
     def rush(self, now, per_s, k, replica="r"):
@@ -90,7 +90,7 @@
     f = Fleet(n=n, rng=rng, make=make)
     per_s = rng.choice((1.0, 3.5, 8.0, 11.0, 25.0, 60.0, 200.0))
     cut, heal = rng.uniform(2, 20), rng.uniform(20, 40)
-    side = f.ids[:max(1, n // 3)]
+    side = f.ids[: max(1, n // 3)]
     ev = [(cut, "cut", None), (heal, "heal", None)]
     for _ in range(rng.randrange(6)):
         i, t = rng.choice(f.ids), rng.uniform(1, 30)
@@ -205,15 +205,16 @@
         t = 12 * SEC + tick * SEC / 20
         got[tick] = sum(c.may(t, "r", per_s=None, me="a", members=names) for _ in range(100))
     sums = [sum(got[i] for i in range(a, a + 10)) for a in range(0, 80, 10)]
-    assert sums[0] == 2 and sums[1] == 0                   # the cold share in its first second
-    assert sums[2] == 4 and 4 <= sums[3] <= 8              # then twice as much each half second
-    assert got[60] == 100                                  # and in the end what comes
+    assert sums[0] == 2 and sums[1] == 0  # the cold share in its first second
+    assert sums[2] == 4 and 4 <= sums[3] <= 8  # then twice as much each half second
+    assert got[60] == 100  # and in the end what comes
     assert c.may(30 * SEC, "never-cold", per_s=None, me="a", members=names)
 
 
 def planted(**kw):
     class Without(Cold):
         pass
+
     for k, v in kw.items():
         setattr(Without, k, v)
     return Without
@@ -239,11 +240,13 @@
         for t in (10.9, 11.0):
             f.rush(t * SEC, 30.0, 40)
         return most(f.sent)
+
     assert run(planted(count=count)) > 30 * EXCESS + SLACK >= run(Cold)
 
 
 def test_the_oracle_finds_daemons_that_know_only_who_is_in_touch():
     """A cut that lasts longer than the roster's memory, both sides still reaching the replica."""
+
     def run(recall):
         opt = {**OPT, "cold_recall": recall}
         f = Fleet(n=9, rng=random.Random(1))
@@ -254,12 +257,14 @@
             f.gossip(t * SEC)
             f.rush(t * SEC, 27.0, 30)
         return most(f.sent)
+
     assert run(0 * SEC) > 27 * EXCESS + SLACK
     assert run(OPT["cold_recall"]) <= 27
 
 
 def test_the_oracle_finds_daemons_that_do_not_settle():
     """All are killed and started at once, and none knows another yet."""
+
     def run(opt):
         f = Fleet(n=9, rng=random.Random(1))
         f.lag = 2 * SEC
@@ -267,17 +272,19 @@
             f.kill(i)
             f.start(i, 0 * SEC)
             f.d[i] = Cold(opt=opt, born=0 * SEC)
-            f.seen[i].update(dict.fromkeys(f.ids[:2], 0 * SEC))       # its seeds
+            f.seen[i].update(dict.fromkeys(f.ids[:2], 0 * SEC))  # its seeds
         for t in range(0, 120):
             f.gossip(t * SEC / 10)
             f.rush(t * SEC / 10, 11.0, 12)
         return most(f.sent)
+
     assert run({**OPT, "cold_settle": 0 * SEC}) > 11 * EXCESS + SLACK
     assert run(OPT) <= 11
 
 
 def test_the_oracle_finds_thawed_daemons_that_go_on_as_if_nothing_had_been():
     """Frozen for longer than the others remember it, a side comes back while its part is spent by others."""
+
     def run(make):
         f, opt = Fleet(n=8, rng=random.Random(1)), {**OPT, "cold_recall": 70 * SEC}
         for i in f.ids:
@@ -289,9 +296,10 @@
             if t == 150:
                 for i in f.ids[:4]:
                     f.thaw(i, now)
-                f.rush(now, 24.0, 30)             # before anyone heard of it
+                f.rush(now, 24.0, 30)  # before anyone heard of it
             f.gossip(now)
             f.rush(now, 24.0, 30)
         return most(f.sent)
+
     assert run(planted(froze=lambda self, now: None)) > 24
     assert run(Cold) <= 24
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,4 +1,5 @@
 """The view register under fuzz (design 5.2), with an oracle that sees every choice."""
+
 import random
 
 from silverglade.control import book as bk
@@ -14,7 +15,7 @@
         self.rng, self.n = random.Random(seed), 0
         self.disk = {c: c + "0" for c in NAMES}
         self.reg = {c: rg.blank() for c in NAMES}
-        first = (1, "a", ("b",), tuple((c, self.disk[c]) for c in NAMES[:3 + 2 * (seed % 2)]))
+        first = (1, "a", ("b",), tuple((c, self.disk[c]) for c in NAMES[: 3 + 2 * (seed % 2)]))
         for c in rg.disks(first):
             self.reg[c] = dict(rg.blank(), base=first, promised=(1, "a"))
         self.chosen, self.rounds, self.mail, self.top = {1: first}, {}, [], 1
@@ -28,20 +29,20 @@
         if dict(v[3])[me] != self.disk[me]:
             return
         names = set(rg.disks(v))
-        if r.random() < 0.5:                   # several come and go at once
+        if r.random() < 0.5:  # several come and go at once
             names ^= set(r.sample(NAMES, r.randrange(1, 4)))
         names |= {me}
         if len(names) < 3:
             return
         ds = {c: rg.disks(v).get(c, self.disk[c]) for c in names}
-        if r.random() < 0.7:                   # admit the disks seen now
+        if r.random() < 0.7:  # admit the disks seen now
             ds = {c: self.disk[c] for c in names}
         pool = sorted(names - {me})
         self.top += r.randrange(1, 3)
         b = (self.top, me)
         want = (v[0] + 1, me, tuple(r.sample(pool, r.randrange(1, min(3, len(pool)) + 1))), tuple(sorted(ds.items())))
         assert rg.sound(want)
-        near = [c for c in rg.disks(v) if r.random() < self.reach]         # who can be reached this time
+        near = [c for c in rg.disks(v) if r.random() < self.reach]  # who can be reached this time
         self.rounds[b] = (rg.round_(me=me, ballot=b, base=v, want=want), near)
         self.post(b, next(self.rounds[b][0]))
 
@@ -66,14 +67,14 @@
         k = r.random()
         if k < 0.02:
             return self.propose()
-        if k < 0.025:                           # a disk lost; a majority of the newest view keeps its own
+        if k < 0.025:  # a disk lost; a majority of the newest view keeps its own
             gone, most = self.bare()
             c = r.choice(NAMES)
             if gone < most or c not in dict(self.chosen[max(self.chosen)][3]):
                 self.n += 1
                 self.disk[c], self.reg[c] = f"{c}{self.n}", rg.blank()
             return None
-        if k < 0.04:                           # someone tells what was chosen
+        if k < 0.04:  # someone tells what was chosen
             c, v = r.choice(NAMES), self.chosen[r.choice(sorted(self.chosen))]
             self.reg[c] = rg.based(self.reg[c], v)
         if not self.mail:
@@ -124,6 +125,7 @@
 
 def test_an_emptied_witness_that_voted_as_before_would_let_two_views_win(monkeypatch):
     """The guard out: votes counted whatever the disk. The bench must notice."""
+
     class Any(dict):
         def get(self, k, d=None):
             return Same()
@@ -134,6 +136,7 @@
 
         def __hash__(self):
             return 0
+
     real = rg.disks
     monkeypatch.setattr(rg, "disks", lambda v: Any(real(v)))
     assert falls()
@@ -145,6 +148,7 @@
 
     def round_(*, me, ballot, base, want):
         return real(me=me, ballot=ballot, base=(base[0], base[1], base[2], want[3]), want=want)
+
     monkeypatch.setattr(rg, "round_", round_)
     assert falls()
 
@@ -171,6 +175,7 @@
                 if f is rg.prepare and step[0] == "acc":
                     break
         return got
+
     assert run("b", 2, v1, v2, "bac", "ac") == v2
     assert run("c", 3, v2, v3, "cde", "cde") == v3
     run("a", 4, v1, (2, "a", ("b",), v1[3]), "ab", "abc")
@@ -185,6 +190,7 @@
         if ballot < reg["promised"]:
             return reg, ("nack", ballot, reg["promised"])
         return dict(promised=ballot, base=base, ballot=ballot, view=view), ("accd", ballot)
+
     monkeypatch.setattr(rg, "accept", careless)
     chosen, again = overwritten()
     assert again not in (None, chosen)
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -1,4 +1,5 @@
 """The cores alone (design 10.6): every fault of the core over many seeds, and a planted breach for every check."""
+
 import pytest
 
 from silverglade.control import register as rg
@@ -27,8 +28,9 @@
         assert t <= 6 and c.acks
 
 
-@pytest.mark.parametrize("size,tolerance,seeds", [(3, (1, 1, 1), 12), (5, (2, 1, 1), 36), (5, (1, 1, 1), 12),
-                                                  (7, (2, 1, 1), 12), (9, (2, 2, 1), 5)])
+@pytest.mark.parametrize(
+    "size,tolerance,seeds", [(3, (1, 1, 1), 12), (5, (2, 1, 1), 36), (5, (1, 1, 1), 12), (7, (2, 1, 1), 12), (9, (2, 2, 1), 5)]
+)
 def test_what_was_acknowledged_outlives_every_loss_that_the_tolerance_names(size, tolerance, seeds):
     for seed in range(seeds):
         c, t = trials.last(seed=seed, size=size, tolerance=tolerance)
@@ -102,40 +104,107 @@
 
 BOOK, REG = "silverglade.control.book", "silverglade.control.register"
 BREACHES = [
-    ("answered before the backups have synced", last(), {"both-won", "read-old"}, CORE,
-     '''                    if pend is p and ok:
-                        replicate()''', '''                    if pend is p and ok:
+    (
+        "answered before the backups have synced",
+        last(),
+        {"both-won", "read-old"},
+        CORE,
+        """                    if pend is p and ok:
+                        replicate()""",
+        """                    if pend is p and ok:
                         replicate()
-                        answer(p["cid"], p["res"])''', USED),
-    ("answered when one of two backups has synced", the_slower_backup_alone_is_left, {"both-won", "read-old"}, CORE,
-     'pend["mine"] and pend["done"] >= set(view[2])', 'pend["mine"] and pend["done"]', USED),
-    ("a backup's word before its own sync", the_slower_backup_alone_is_left, {"both-won", "read-old"}, CORE,
-     "return write_items(items, cp.take(store, items), lambda k, t: out.append(tell) if k else None, now)",
-     "out.append(tell)\n        return write_items(items, cp.take(store, items), lambda k, t: None, now)", USED),
-    ("a read that nobody confirmed", a_cut_off_primary_is_read, {"read-old"}, CORE,
-     '''            else:
+                        answer(p["cid"], p["res"])""",
+        USED,
+    ),
+    (
+        "answered when one of two backups has synced",
+        the_slower_backup_alone_is_left,
+        {"both-won", "read-old"},
+        CORE,
+        'pend["mine"] and pend["done"] >= set(view[2])',
+        'pend["mine"] and pend["done"]',
+        USED,
+    ),
+    (
+        "a backup's word before its own sync",
+        the_slower_backup_alone_is_left,
+        {"both-won", "read-old"},
+        CORE,
+        "return write_items(items, cp.take(store, items), lambda k, t: out.append(tell) if k else None, now)",
+        "out.append(tell)\n        return write_items(items, cp.take(store, items), lambda k, t: None, now)",
+        USED,
+    ),
+    (
+        "a read that nobody confirmed",
+        a_cut_off_primary_is_read,
+        {"read-old"},
+        CORE,
+        """            else:
                 replicate()
 
-    def write_items''', '''            else:
+    def write_items""",
+        """            else:
                 commit(now)
 
-    def write_items''', USED),
-    ("views chosen by less than a majority", both_sides_of_a_cut_lead, {"two-views"}, REG,
-     "return n // 2 + 1", "return n // 2", REG + ".majority"),
-    ("two primaries of one epoch", both_sides_of_a_cut_lead, {"two-primaries"}, REG,
-     "return n // 2 + 1", "return n // 2", REG + ".majority"),
-    ("a change on a number that is not in force", storm(), {"same-base", "both-won"}, BOOK,
-     "if base != held:\n                return (\"refuse\", 501, f\"in force is {held}\")\n            cfg, bad = config.checked(raw)"
-     "\n            if not bad and not number == cfg[\"number\"] > held:",
-     "cfg, bad = config.checked(raw)\n            if False:", BOOK + ".decide"),
-    ("another text is read than was sent", last(), {"read-foreign"}, BOOK,
-     '("source", source)', '("source", source + "?")', BOOK + ".decide"),
-    ("nobody takes over", one(trials.primary_loses_power), {"not-back"}, CORE,
-     "        return bad or (", "        return None if bad == 'silent' else bad or (", USED),
-    ("nobody steps aside when it leaves", one(trials.all_leave_in_turn), {"not-back"}, CORE,
-     'writes.leaving, due = s != "ready", now', "due = now", USED),
-    ("nobody is admitted", one(trials.a_disk_is_lost), {"not-whole", "not-formed"}, CORE,
-     "wish = new and (now, new)", "wish = None", USED),
+    def write_items""",
+        USED,
+    ),
+    (
+        "views chosen by less than a majority",
+        both_sides_of_a_cut_lead,
+        {"two-views"},
+        REG,
+        "return n // 2 + 1",
+        "return n // 2",
+        REG + ".majority",
+    ),
+    (
+        "two primaries of one epoch",
+        both_sides_of_a_cut_lead,
+        {"two-primaries"},
+        REG,
+        "return n // 2 + 1",
+        "return n // 2",
+        REG + ".majority",
+    ),
+    (
+        "a change on a number that is not in force",
+        storm(),
+        {"same-base", "both-won"},
+        BOOK,
+        'if base != held:\n                return ("refuse", 501, f"in force is {held}")\n            cfg, bad = config.checked(raw)'
+        '\n            if not bad and not number == cfg["number"] > held:',
+        "cfg, bad = config.checked(raw)\n            if False:",
+        BOOK + ".decide",
+    ),
+    (
+        "another text is read than was sent",
+        last(),
+        {"read-foreign"},
+        BOOK,
+        '("source", source)',
+        '("source", source + "?")',
+        BOOK + ".decide",
+    ),
+    (
+        "nobody takes over",
+        one(trials.primary_loses_power),
+        {"not-back"},
+        CORE,
+        "        return bad or (",
+        "        return None if bad == 'silent' else bad or (",
+        USED,
+    ),
+    (
+        "nobody steps aside when it leaves",
+        one(trials.all_leave_in_turn),
+        {"not-back"},
+        CORE,
+        'writes.leaving, due = s != "ready", now',
+        "due = now",
+        USED,
+    ),
+    ("nobody is admitted", one(trials.a_disk_is_lost), {"not-whole", "not-formed"}, CORE, "wish = new and (now, new)", "wish = None", USED),
 ]
 
 
@@ -154,9 +223,9 @@
 
 
 def test_a_set_of_cores_is_weighed_by_what_may_be_lost_of_it():
-    assert score("abcde", 3) == (2, 1, 1)          # a majority of five is left after two, a zone, a region
+    assert score("abcde", 3) == (2, 1, 1)  # a majority of five is left after two, a zone, a region
     assert score("abc", 2) == (1, 1, 1)
-    assert score("abcd", 3) == (1, 1, 0)           # the region of a and d
+    assert score("abcd", 3) == (1, 1, 0)  # the region of a and d
     assert score("abd", 2) == (1, 1, 0) and score("ad", 1) == (1, 1, 0)
     assert score("ab", 3) == (-1, -1, -1)
     assert score("abc", 2, places={}) == (1, 0, 0)  # of cores that nobody placed nothing is counted on
@@ -165,29 +234,31 @@
 def test_backups_are_spread_and_those_there_are_stay():
     def pick(me, names, was=(), tolerance=(2, 1, 1)):
         return spread.backups(me=me, names=names, was=was, places=PLACES, tolerance=tolerance)
+
     assert set(pick("a", "abcde", was="bc")) == {"b", "c"}
-    assert set(pick("a", "abde")) & {"b", "e"}     # never d alone, which is in its region
+    assert set(pick("a", "abde")) & {"b", "e"}  # never d alone, which is in its region
     assert pick("a", "ad") == ("d",) and pick("a", "a") is None
     assert pick("a", "abcde", tolerance=(1, 1, 1))[0] in "bce" and len(pick("a", "abcde", tolerance=(1, 2, 1))) == 2
 
 
 def test_witnesses_grow_while_that_bears_no_less_and_shrink_only_with_time():
     def pick(was, live, gone=(), tolerance=(2, 1, 1), places=PLACES):
-        return "".join(sorted(spread.witnesses(was=tuple(was), live=live, gone=set(gone), places=places,
-                                               tolerance=tolerance)))
+        return "".join(sorted(spread.witnesses(was=tuple(was), live=live, gone=set(gone), places=places, tolerance=tolerance)))
+
     assert pick("abc", "abc") == "abc"
-    assert pick("abc", "abcd") == "abc"            # four would not bear the region of a and d
+    assert pick("abc", "abcd") == "abc"  # four would not bear the region of a and d
     assert pick("abc", "abcde") == "abcde"
-    assert pick("abcde", "abcd") == "abcde"        # silent, not gone
+    assert pick("abcde", "abcd") == "abcde"  # silent, not gone
     assert pick("abcde", "abcd", gone="e") == "abcd"
     more = {**PLACES, "f": ("ze", "y")}
-    assert pick("abcde", "abcdf", places=more) == "abcdf"      # its place is taken
-    assert pick("abcdf", "abcdef", places=more) == "abcdf"     # and it waits when it is back
-    assert pick("abc", "ab", gone="c", tolerance=(1, 1, 1)) == "abc"   # never fewer than three
+    assert pick("abcde", "abcdf", places=more) == "abcdf"  # its place is taken
+    assert pick("abcdf", "abcdef", places=more) == "abcdf"  # and it waits when it is back
+    assert pick("abc", "ab", gone="c", tolerance=(1, 1, 1)) == "abc"  # never fewer than three
 
 
 def test_seeds_that_come_back_empty_form_no_second_first_view(monkeypatch):
     """More disks lost than the tolerance names: control stays shut rather than begin again."""
+
     def play():
         c = council.settled(seed=4, size=5, tolerance=(2, 1, 1))
         for n, x in c.cores.items():
@@ -197,6 +268,7 @@
         n = len(c.acks)
         c.run(8)
         return len(c.acks) > n, {rg.epoch(c.cores[m].peek("view")) for m in c.named}
+
     assert play() == (False, {0})
     without(monkeypatch, CORE, 'may_form = me in cores and (first or meta.get("first", False))', "may_form = me in cores", USED)
     assert play()[0]
@@ -209,12 +281,13 @@
         x.power()
     assert all(x.peek("view") is None for x in c.cores.values() if x.gen)
     for x in c.cores.values():
-        x.boot()                                   # with `first` false, as after any start but the first
+        x.boot()  # with `first` false, as after any start but the first
     assert c.run(10, until=c.sound) is not None
 
 
 def test_a_core_that_is_gone_for_long_is_no_witness_any_more():
     from silverglade.options import tuning
+
     c = council.settled(seed=2, size=5, tolerance=(1, 1, 1), opt=tuning(core_forget=20))
     x = trials.lead(c)
     x.power()
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,4 +1,5 @@
 """The data folder (design 5.1): refused when damaged, foreign or shared; nothing overwritten."""
+
 import os
 import sqlite3
 
@@ -49,11 +50,11 @@
     (c / FILE).write_bytes(b"not a database at all" * 100)
     assert refused(folder=str(c), name="c1") == 702
     s = Store(folder=str(d), name="c1")
-    assert refused(folder=str(d), name="c1") == 702      # in use
+    assert refused(folder=str(d), name="c1") == 702  # in use
     s.close()
-    assert refused(folder=str(d), name="c2") == 702      # another daemon's
+    assert refused(folder=str(d), name="c2") == 702  # another daemon's
     raw = bytearray((d / FILE).read_bytes())
-    raw[4096 + 8:4096 + 600] = b"\xff" * 592             # a page of it lost
+    raw[4096 + 8 : 4096 + 600] = b"\xff" * 592  # a page of it lost
     (d / FILE).write_bytes(raw)
     assert refused(folder=str(d), name="c1") == 702
     assert (d / FILE).read_bytes() == bytes(raw)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -1,4 +1,5 @@
 """The model of a replica (design 15): each of its ways, and each of its troubles."""
+
 from datetime import timedelta
 
 import pytest
@@ -60,8 +61,7 @@
     b = Bed()
     b.ask(1, parts=(("a", 1000), ("b", 500)), tokens=(1500, 8))
     b.run()
-    for key, parts, read in ((2, (("a", 1000), ("c", 500)), 500), (3, (("x", 1000), ("b", 500)), 1500),
-                             (4, (("a", 1000), ("b", 500)), 1)):
+    for key, parts, read in ((2, (("a", 1000), ("c", 500)), 500), (3, (("x", 1000), ("b", 500)), 1500), (4, (("a", 1000), ("b", 500)), 1)):
         was = b.e.read
         b.ask(key, parts=parts, tokens=(1500, 8))
         b.run()
@@ -98,10 +98,10 @@
 def test_what_is_turned_away_never_ran():
     b = Bed(capacity=1, queue=9)
     b.ask(0, tokens=(1, 2000), body=b"0")
-    b.ask(1, left=50 * MS)                                # passes its time in the queue
+    b.ask(1, left=50 * MS)  # passes its time in the queue
     b.ask(2, attempt="")
     b.ask(3, expect="another")
-    b.ask(4, tokens=(10 ** 6, 5))                         # larger than the memory
+    b.ask(4, tokens=(10**6, 5))  # larger than the memory
     b.ask(5, expect="r")
     b.run()
     assert [b.of(i)[0][:3] for i in (1, 2, 3, 4)] == [("refuse", i, c) for i, c in ((1, 503), (2, 400), (3, 421), (4, 503))]
@@ -151,8 +151,7 @@
 
 
 @pytest.mark.parametrize("work", [ZERO, 20 * MS])
-@pytest.mark.parametrize("kind,ends", [
-    ("fail", ["run", "head", "body", "end"]), ("garbage", ["run", "garbage"]), ("lost", ["run", "cut"])])
+@pytest.mark.parametrize("kind,ends", [("fail", ["run", "head", "body", "end"]), ("garbage", ["run", "garbage"]), ("lost", ["run", "cut"])])
 def test_troubles_of_one_answer(kind, ends, work):
     b = Bed(work=work)
     b.e.troubles[kind] = 1.0
@@ -222,4 +221,5 @@
             b.run(0.02)
         b.run()
         return b.said
+
     assert day() == day()
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -1,4 +1,5 @@
 """Replicas as real servers on loopback, met by the real shell: what they say, their troubles, the list of them."""
+
 import json
 from datetime import timedelta
 
@@ -24,9 +25,15 @@
 
     def __init__(self):
         self.r, self.now = Rules(), timedelta(seconds=1)
-        cfg, bad = config.checked(dict(
-            number=1, zones={"z": {"region": "g"}}, tenants={}, services={"s": {}}, routes=[dict(
-                name="p", host="h.example", prefix="/", kind="streaming", due_ms=900, shares=[dict(service="s", weight=1)])]))
+        cfg, bad = config.checked(
+            dict(
+                number=1,
+                zones={"z": {"region": "g"}},
+                tenants={},
+                services={"s": {}},
+                routes=[dict(name="p", host="h.example", prefix="/", kind="streaming", due_ms=900, shares=[dict(service="s", weight=1)])],
+            )
+        )
         assert not bad
         self.r.told(self.now, self.r.put(self.now, cfg, base=0), True)
 
@@ -35,8 +42,20 @@
             case "arrived":
                 self.r.arrived(self.now, a.attempt, rep=server.id, service="s", zone="z", region="g", sent=self.now, touch=True)
             case "ran":
-                self.r.ran(self.now, a.attempt, run=more[0], rep=server.id, service="s", seal=more[1], stride=server.spec.stride,
-                           last=a.last, method=a.method, path=a.path, body=a.body, plain=bool(server.spec.work))
+                self.r.ran(
+                    self.now,
+                    a.attempt,
+                    run=more[0],
+                    rep=server.id,
+                    service="s",
+                    seal=more[1],
+                    stride=server.spec.stride,
+                    last=a.last,
+                    method=a.method,
+                    path=a.path,
+                    body=a.body,
+                    plain=bool(server.spec.work),
+                )
             case "failed" | "turned":
                 getattr(self.r, what)(a.attempt, *more)
 
@@ -88,8 +107,9 @@
 
 
 @pytest.mark.parametrize("spec", [FAST, PLAIN], ids=["model", "plain"])
-@pytest.mark.parametrize("kind,want", [("fail", {500}), ("garbage", {502}), ("lost", {502}), ("unsealed", {502}),
-                                       ("again", {200, 502}), ("late", {200, 502})])
+@pytest.mark.parametrize(
+    "kind,want", [("fail", {500}), ("garbage", {502}), ("lost", {502}), ("unsealed", {502}), ("again", {200, 502}), ("late", {200, 502})]
+)
 def test_troubles_keep_every_rule(spec, kind, want):
     j = Judge()
     got = play(lambda: one(j, spec, lambda s: s.e.troubles.update({kind: 1.0}), gap=0.1 if kind == "late" else 0.0))
@@ -155,6 +175,7 @@
             with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError, OSError)):
                 await get(addr, OWN.health)
             tg.cancel_scope.cancel()
+
     play(go)
 
 
@@ -183,6 +204,7 @@
             lst.mode, lst.rate = "", 2
             assert (await get(addr, n.list))[0] == 429
             tg.cancel_scope.cancel()
+
     play(go)
 
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,4 +1,5 @@
 """The splitter of event streams (design 15.3) against an oracle, for every way of cutting the bytes."""
+
 import itertools
 import random
 
@@ -12,9 +13,9 @@
     """-> [(line, its end)] of whole lines, letter by letter; CR LF is one end."""
     out, cur, i = [], b"", 0
     while i < len(raw):
-        c = raw[i:i + 1]
+        c = raw[i : i + 1]
         i += 1
-        if c == b"\r" and raw[i:i + 1] == b"\n":
+        if c == b"\r" and raw[i : i + 1] == b"\n":
             i += 1
         if c in (b"\r", b"\n"):
             out.append((cur, i))
@@ -26,7 +27,7 @@
 
 def whole(raw):
     """The oracle: all bytes up to the last empty line."""
-    return raw[:max((at for ln, at in lines(raw) if not ln), default=0)]
+    return raw[: max((at for ln, at in lines(raw) if not ln), default=0)]
 
 
 def apart(raw):
@@ -85,14 +86,14 @@
             out += rng.choice((b"id: %d", b"id:%d", b"data: x%d", b": %d", b"data: id: %d", b"%d")) % rng.randrange(99)
             out += rng.choice((b"\r", b"\n", b"\r\n"))
         out += rng.choice((b"\r", b"\n", b"\r\n"))
-    return out[:rng.randrange(len(out) + 1)] if rng.random() < 0.3 else out
+    return out[: rng.randrange(len(out) + 1)] if rng.random() < 0.3 else out
 
 
 def cuts(rng, raw):
     at, out = 0, []
     while at < len(raw):
         n = rng.choice((1, 1, 2, 3, 7, 50))
-        out.append(raw[at:at + n])
+        out.append(raw[at : at + n])
         at += n
     return out
 
@@ -117,7 +118,7 @@
         raw, last = whole(text(rng)), rng.randrange(99)
         es = apart(raw)
         new = [i for i, e in enumerate(es) if (named(e) or "").isdigit() and int(named(e)) > last]
-        assert beyond(raw, str(last)) == ((b"".join(es[new[0]:]), True) if new else (b"", False))
+        assert beyond(raw, str(last)) == ((b"".join(es[new[0] :]), True) if new else (b"", False))
 
 
 def test_an_event_without_an_end_is_given_up():
@@ -127,13 +128,16 @@
         s.feed(b"x")
 
 
-@pytest.mark.parametrize("bad", [
-    lambda b, start=0: b.rfind(b"\n\n") + 2 if b"\n\n" in b else 0,                       # one kind of line end only
-    lambda b, start=0: len(b) if b[-1:] in b"\r\n" else 0,                                # ends of lines, not of events
-    lambda b, start=0: len(b),                                                            # whatever came
-    lambda b, start=0: events_border(b, start + 3),                                       # looks too late behind a cut
-    lambda b, start=0: (lambda at: at - (at and b[at - 2:at] == b"\r\n"))(events_border(b, start)),   # CR LF cut in two
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        lambda b, start=0: b.rfind(b"\n\n") + 2 if b"\n\n" in b else 0,  # one kind of line end only
+        lambda b, start=0: len(b) if b[-1:] in b"\r\n" else 0,  # ends of lines, not of events
+        lambda b, start=0: len(b),  # whatever came
+        lambda b, start=0: events_border(b, start + 3),  # looks too late behind a cut
+        lambda b, start=0: (lambda at: at - (at and b[at - 2 : at] == b"\r\n"))(events_border(b, start)),  # CR LF cut in two
+    ],
+)
 def test_planted_breaches_of_the_splitter_are_seen(monkeypatch, bad):
     monkeypatch.setattr(events, "border", bad)
     with pytest.raises(AssertionError):
--- a/tests/test_face.py
+++ b/tests/test_face.py
@@ -1,4 +1,5 @@
 """The clients' face (design 15.7): heads, bodies and times within limits; what is refused; one request after another."""
+
 import asyncio
 import socket
 from datetime import timedelta
@@ -31,6 +32,7 @@
 
 def raw(*said, lim=None, until=None):
     """A client says these bytes -> (its answer, whether it was closed, the daemon, the replica)."""
+
     async def talk(c, d, rep, client):
         if lim:
             d.shell.limits = lim
@@ -39,27 +41,31 @@
             await c.say(b)
         got = await c.answer()
         return got, await c.closed() if until != "open" else None
+
     (got, closed), d, rep = scene(script, talk)
     assert d.bodies == 0 and d.shell.asks == {}
     return got, closed, d, rep
 
 
-@pytest.mark.parametrize("said,status", [
-    ((FIRST + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",), 400),
-    ((FIRST + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n",), 400),
-    ((FIRST + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",), 400),
-    ((FIRST + "Content-Length: -2\r\n\r\nok",), 400),
-    ((FIRST + "Transfer-Encoding: gzip\r\n\r\n",), 501),
-    ((FIRST + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",), 400),
-    ((FIRST + "Host: g\r\n\r\n",), 400),
-    ((FIRST + "Bad : 1\r\n\r\n",), 400),
-    ((FIRST + "Bad\0: 1\r\n\r\n",), 400),
-    (("POST /p HTTP/1.1\r\n\r\n",), 400),
-    (("POST  /p HTTP/1.1\r\nHost: h\r\n\r\n",), 400),
-    (("POST /p\r\n\r\n",), 400),
-    (("garbage\r\n\r\n",), 400),
-    (("CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n",), 400),
-])
+@pytest.mark.parametrize(
+    "said,status",
+    [
+        ((FIRST + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",), 400),
+        ((FIRST + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n",), 400),
+        ((FIRST + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",), 400),
+        ((FIRST + "Content-Length: -2\r\n\r\nok",), 400),
+        ((FIRST + "Transfer-Encoding: gzip\r\n\r\n",), 501),
+        ((FIRST + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",), 400),
+        ((FIRST + "Host: g\r\n\r\n",), 400),
+        ((FIRST + "Bad : 1\r\n\r\n",), 400),
+        ((FIRST + "Bad\0: 1\r\n\r\n",), 400),
+        (("POST /p HTTP/1.1\r\n\r\n",), 400),
+        (("POST  /p HTTP/1.1\r\nHost: h\r\n\r\n",), 400),
+        (("POST /p\r\n\r\n",), 400),
+        (("garbage\r\n\r\n",), 400),
+        (("CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n",), 400),
+    ],
+)
 def test_what_is_no_proper_request_is_refused_and_closed(said, status):
     got, closed, d, rep = raw(*said)
     assert got[0] in (400, status) and closed and rep.conns == [] and d.told == []
@@ -67,8 +73,10 @@
 
 def test_a_request_inside_a_body_stays_a_body():
     inner = "POST /evil HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
-    for said in (FIRST + f"Content-Length: {len(inner)}\r\n\r\n" + inner,
-                 FIRST + "Transfer-Encoding: chunked\r\n\r\n" + chunk(inner) + "0\r\n\r\n"):
+    for said in (
+        FIRST + f"Content-Length: {len(inner)}\r\n\r\n" + inner,
+        FIRST + "Transfer-Encoding: chunked\r\n\r\n" + chunk(inner) + "0\r\n\r\n",
+    ):
         got, _, d, rep = raw(said, until="open")
         assert got[0] == 200 and [(f, b) for f, _, b in rep.seen] == [("POST /p HTTP/1.1", inner.encode())]
 
@@ -76,14 +84,17 @@
 LIM = limits(header_bytes=400, body_bytes=100)
 
 
-@pytest.mark.parametrize("said,status", [
-    ((FIRST + "X: " + "y" * 400 + "\r\n\r\n",), 431),
-    ((FIRST + "X: " + "y" * 390, "y" * 400), 400),                            # dribbled: h11's own bound
-    ((FIRST + "Content-Length: 101\r\n\r\n",), 413),
-    ((FIRST + "Content-Length: 99999999999999999999\r\n\r\n",), 413),
-    ((FIRST + "Transfer-Encoding: chunked\r\n\r\n", chunk("x" * 60), chunk("x" * 41)), 413),
-    ((FIRST + "Transfer-Encoding: chunked\r\n\r\n" + chunk("x" * 101) + "0\r\n\r\n",), 413),
-])
+@pytest.mark.parametrize(
+    "said,status",
+    [
+        ((FIRST + "X: " + "y" * 400 + "\r\n\r\n",), 431),
+        ((FIRST + "X: " + "y" * 390, "y" * 400), 400),  # dribbled: h11's own bound
+        ((FIRST + "Content-Length: 101\r\n\r\n",), 413),
+        ((FIRST + "Content-Length: 99999999999999999999\r\n\r\n",), 413),
+        ((FIRST + "Transfer-Encoding: chunked\r\n\r\n", chunk("x" * 60), chunk("x" * 41)), 413),
+        ((FIRST + "Transfer-Encoding: chunked\r\n\r\n" + chunk("x" * 101) + "0\r\n\r\n",), 413),
+    ],
+)
 def test_more_than_the_limits_is_refused(said, status):
     got, closed, d, rep = raw(*said, lim=LIM)
     assert got[0] == status and closed and rep.conns == [] and d.told == []
@@ -100,10 +111,14 @@
     assert got[0] == 503 and closed and "retry-after" in got[1] and d.told == []
 
 
-@pytest.mark.parametrize("said,status", [
-    ((FIRST,), None),                                                         # a head half sent
-    ((FIRST + "Content-Length: 5\r\n\r\n", "abc"), 408),                      # a body half sent
-    ((), None)])
+@pytest.mark.parametrize(
+    "said,status",
+    [
+        ((FIRST,), None),  # a head half sent
+        ((FIRST + "Content-Length: 5\r\n\r\n", "abc"), 408),  # a body half sent
+        ((), None),
+    ],
+)
 def test_what_takes_too_long_is_ended(said, status):
     got, closed, d, rep = raw(*said, lim=limits(header_timeout=20 * MS, idle_timeout=20 * MS))
     assert (got and got[0]) == status and closed and d.told == []
@@ -128,10 +143,12 @@
 
         def feed(ev):
             if ev[0] == "request":
-                face, = (a.client for a in daemons[0].shell.asks.values())
-                timers.append((face.head_timer, face.timeout_keep_alive_task))     # while it waits for its answer
+                (face,) = (a.client for a in daemons[0].shell.asks.values())
+                timers.append((face.head_timer, face.timeout_keep_alive_task))  # while it waits for its answer
             return simple(ev)
+
         return feed
+
     daemons, timers = [], []
     assert scene(late, talk, part=part)[0] == (200, True)
     assert timers == [(None, None)]
@@ -146,6 +163,7 @@
         for i in ("a3", "a4", "a5"):
             await c.ask(i, body=i)
         return out + [(await c.answer())[1][ID] for _ in range(3)]
+
     got, d, rep = scene(script, talk)
     assert got == ["a1", "a2", "a3", "a4", "a5"] and [b for *_, b in rep.seen] == [b"", b"", b"a3", b"a4", b"a5"]
 
@@ -161,6 +179,7 @@
         *_, i = await c.request()
         await c.say(f"HTTP/1.1 200 OK\r\n{ID}: {i}\r\n{SEAL}: s\r\nContent-Length: 77\r\n\r\n")
         await script(c)
+
     assert scene(heads, talk)[0] == (200, b"ok")
 
 
@@ -176,6 +195,7 @@
                 pass
         except ConnectionResetError:
             return "reset"
+
     assert scene(old, talk)[0] == "reset"
 
 
@@ -187,26 +207,34 @@
         c.close()
         while d.bodies:
             await asyncio.sleep(0)
+
     _, d, rep = scene(script, talk)
     assert d.told == [] and rep.conns == [] and d.lg.said == []
 
 
 def test_a_fault_in_the_shell_ends_its_own_request_alone():
     async def talk(c, d, rep, client):
-        d.shell.request = None                        # planted
+        d.shell.request = None  # planted
         await c.ask()
         got = await c.answer()
         del d.shell.request
         e = await client()
         await e.ask("a2")
         return got, (await e.answer())[0]
+
     (got, status), d, _ = scene(script, talk)
     assert got is None and status == 200 and (1, "gone") in d.words() and len(d.lg.said) == 1
 
 
 def test_names_and_numbers_of_a_head():
     assert [host(b) for b in (b"Nony24.Example:80", b"a", b"[::1]:8", b"[::1]", b"a:b", b"")] == [
-        "nony24.example", "a", "[::1]", "[::1]", "a:b", ""]
+        "nony24.example",
+        "a",
+        "[::1]",
+        "[::1]",
+        "a:b",
+        "",
+    ]
     assert parts(b"5c:800, 91:410") == (("5c", 800), ("91", 410))
     assert [parts(b) for b in (None, b"", b"x", b"x:", b":1", b"x:-1", b"x:1,")] == [()] * 7
     assert [pair(b) for b in (b"1,2", b"1", b"a,b", None, b"1, 2")] == [(1, 2), None, None, None, (1, 2)]
@@ -221,16 +249,20 @@
 
 def test_small_packets_are_not_held_back():
     """Without its protocol named, a listening socket hands on connections that wait for acknowledgements."""
+
     async def go():
         seen = []
-        srv = await asyncio.start_server(lambda r, w: seen.append(w.get_extra_info("socket").getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_NODELAY)), sock=bound("127.0.0.1:0"))
+        srv = await asyncio.start_server(
+            lambda r, w: seen.append(w.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)),
+            sock=bound("127.0.0.1:0"),
+        )
         r, w = await asyncio.open_connection(*srv.sockets[0].getsockname())
         while not seen:
             await asyncio.sleep(0)
         w.transport.abort()
         srv.close()
         return seen[0]
+
     assert scripted.play(go)
 
 
@@ -269,5 +301,6 @@
                 d.closing.set()
             d.shell.pool.shut()
             return got
+
     front, own, other = scripted.play(go)
     assert front == (200, b"ok") and own == (200, b'{"daemon": "d"}\n') and other[0] == 404 and b"507" in other[1]
