--- a/silverglade/control/heartbeat.py
+++ b/silverglade/control/heartbeat.py
@@ -1,59 +1,105 @@
 """What a core knows of the other cores by their heartbeats (design 5.10).
 
-A heartbeat: (epoch, shown version, fit, disk, sealed, blank, stamp, echo, age). `stamp` is the
-sender's clock, `echo` the newest stamp of ours that it has seen, `age` that of its proof that the
-primary is still primary (-1: none); all in ms. So a core knows not only whom it hears but who
-hears it: one that is deaf is of no use as a member.
+A heartbeat carries the sender's clock (`stamp`) and the newest stamp of ours that it has seen (`echo`), so a core knows
+not only whom it hears but who hears it: one that is deaf is of no use as a member.
 """
 
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
 from ..part import span
-from . import book as bk
+from .messages import Heartbeat
+
 
-HB = (int, tuple, bool, str, int, bool, int, int, int)
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """What another core said last.
 
+    heard_at: when. echoed: the newest time of our own clock that it has seen, or None. steady_since: since when it has been
+    steady (see `Peers.is_steady`) with this disk without a break.
+    """
 
-def sound(m):
-    return len(m) == len(HB) and all(type(x) is t for x, t in zip(m, HB)) and bk.sound_version(m[1])
+    heard_at: timedelta
+    fit: bool
+    disk: str
+    sealed: int
+    blank: bool
+    stamp: int
+    echoed: timedelta | None
+    steady_since: timedelta
 
 
+@dataclass(slots=True)
 class Peers:
-    def __init__(self, *, opt):
-        self.opt, self.table = opt, {}
+    """The other cores, by name. tuning: the time settings, shared by all parts and never written here."""
 
-    def clear(self):
+    tuning: Mapping[str, Any]
+    table: dict[str, Peer] = field(default_factory=dict)
+
+    def clear(self) -> None:
+        """Forget all: this core was frozen, so what it heard says nothing of now."""
         self.table.clear()
 
-    def heard(self, c, m, now):
-        e, _, fit, disk, sealed, blank, stamp, echo, _ = m
-        was = self.table.get(c)
-        p = self.table[c] = dict(
-            at=now, epoch=e, fit=fit, disk=disk, sealed=sealed, blank=blank, stamp=stamp, back=span(echo) if echo >= 0 else None, since=now
-        )
-        if was and was["disk"] == disk and fit and self.steady(was, now):
-            p["since"] = was["since"]
-
-    def steady(self, p, now):
-        return (
-            p["fit"]
-            and now - p["at"] <= self.opt["takeover"]
-            and p["back"] is not None
-            and now - p["back"] <= self.opt["takeover"] + self.opt["heartbeat"]
+    def heard(self, name: str, beat: Heartbeat, now: timedelta) -> None:
+        """Take in a heartbeat."""
+        was, since = self.table.get(name), now
+        if was and was.disk == beat.disk and beat.fit and self.is_steady(was, now):
+            since = was.steady_since
+        self.table[name] = Peer(
+            heard_at=now,
+            fit=beat.fit,
+            disk=beat.disk,
+            sealed=beat.sealed,
+            blank=beat.blank,
+            stamp=beat.stamp,
+            echoed=span(beat.echo) if beat.echo >= 0 else None,
+            steady_since=since,
         )
 
-    def up(self, c, now):
+    def is_steady(self, peer: Peer, now: timedelta) -> bool:
         """Heard of late, hearing us, and with a disk that takes writes."""
-        return c in self.table and self.steady(self.table[c], now)
+        takeover, heartbeat = self.tuning["takeover"], self.tuning["heartbeat"]
+        return bool(peer.fit and now - peer.heard_at <= takeover and peer.echoed is not None and now - peer.echoed <= takeover + heartbeat)
+
+    def get(self, name: str) -> Peer | None:
+        """What that core said last; None if nothing."""
+        return self.table.get(name)
+
+    def disk(self, name: str) -> str | None:
+        """The disk that it named last; None if nothing was heard."""
+        peer = self.table.get(name)
+        return peer.disk if peer else None
+
+    def sealed(self, name: str) -> int:
+        """The epoch that it said it sealed; 0 if nothing was heard."""
+        peer = self.table.get(name)
+        return peer.sealed if peer else 0
+
+    def is_blank(self, name: str) -> bool:
+        """Did it say that it is empty and may form the first view?"""
+        peer = self.table.get(name)
+        return peer is not None and peer.blank
 
-    def long(self, c, now, t):
-        """Up without a break for t."""
-        return self.up(c, now) and now - self.table[c]["since"] >= t
+    def is_up(self, name: str, now: timedelta) -> bool:
+        """Is it steady?"""
+        peer = self.table.get(name)
+        return peer is not None and self.is_steady(peer, now)
 
-    def silent(self, c, now, since, t):
-        """Not heard for t, of which we were awake and listening."""
-        return now - max(since, self.get(c, "at", since)) > t
+    def is_up_for(self, name: str, now: timedelta, time: timedelta) -> bool:
+        """Has it been steady without a break for this time?"""
+        peer = self.table.get(name)
+        return peer is not None and self.is_steady(peer, now) and now - peer.steady_since >= time
 
-    def get(self, c, k, d=None):
-        return self.table[c][k] if c in self.table else d
+    def is_silent(self, name: str, now: timedelta, awake_since: timedelta, time: timedelta) -> bool:
+        """Was it not heard for this time, of which we were awake and listening?"""
+        peer = self.table.get(name)
+        return now - max(awake_since, peer.heard_at if peer else awake_since) > time
 
-    def echo(self, c):
-        return self.get(c, "stamp", -1)
+    def echo(self, name: str) -> int:
+        """Its newest stamp, to be sent back to it; -1 if none."""
+        peer = self.table.get(name)
+        return peer.stamp if peer else -1
--- /dev/null
+++ b/silverglade/control/liveness.py
@@ -0,0 +1,109 @@
+"""Heartbeats between cores, and the proof that the primary is still primary (design 5.10, 5.7)."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from ..part import ZERO, ms, span
+from . import book as bk
+from . import serving
+from .context import CoreContext
+from .messages import ChosenView, Heartbeat, Pull
+from .view import View
+
+
+def send_heartbeat(core: CoreContext, to: str, now: timedelta) -> None:
+    """Say to another core how this one is."""
+    state = core.state
+    state.heartbeat_sent[to] = now
+    core.send(
+        to,
+        Heartbeat(
+            epoch=core.epoch,
+            shown=state.shown_version,
+            fit=state.writes.fit,
+            disk=core.settings.disk,
+            sealed=state.sealed,
+            blank=state.view is None and state.register.view is None and core.settings.may_form,
+            stamp=ms(now),
+            echo=state.peers.echo(to),
+            age=serving.proof_age(core, now),
+        ),
+    )
+
+
+def is_told_regularly(core: CoreContext, name: str, now: timedelta) -> bool:
+    """All by the primary, it by all; by one who misses it, or seeks, all (design 5.10)."""
+    state, view = core.state, core.state.view
+    if view is None or state.seeker is not None:
+        return True
+    return core.me == view.primary or name == view.primary or not state.peers.is_up(view.primary, now)
+
+
+def send_due_heartbeats(core: CoreContext, now: timedelta) -> None:
+    """The round of every half a second."""
+    interval, sent = core.settings.tuning["heartbeat"], core.state.heartbeat_sent
+    backed, opened = core.backed_view(), core.open_view()
+    for name in core.others():
+        # a backup answers its primary at once; the primary tells the rest when its proof is new
+        told_anyway = backed is not None and name == backed.primary or opened is not None and name not in opened.backups
+        wait = interval * (0.5 + told_anyway)
+        if is_told_regularly(core, name, now) and now - sent.get(name, -2 * interval) >= wait:
+            send_heartbeat(core, name, now)
+
+
+def on_heartbeat(core: CoreContext, sender: str, beat: Heartbeat, now: timedelta) -> None:
+    """Another core says how it is."""
+    state = core.state
+    state.peers.heard(sender, beat, now)
+    state.met.add(sender)
+    if beat.epoch < core.epoch:
+        core.send(sender, ChosenView(state.view))
+    if wants_answer(core, sender, beat, now):
+        send_heartbeat(core, sender, now)
+    if state.view is None or beat.epoch != state.view.epoch or beat.echo < 0:
+        return
+    opened = core.open_view()
+    if opened is not None and sender in opened.backups and beat.sealed < beat.epoch:
+        note_proof(core, opened, sender, beat, now)
+    if beat.shown > state.shown_version:  # what any core of this view shows was acknowledged
+        pull_shown_items(core, sender, now)
+    elif beat.age >= 0:
+        age = 0 if is_proof_itself(core, state.view, sender, beat) else beat.age
+        state.proven_at = max(state.proven_at or ZERO, span(beat.echo - age))
+
+
+def wants_answer(core: CoreContext, sender: str, beat: Heartbeat, now: timedelta) -> bool:
+    """The primary's heartbeat is answered at once: that is the proof; so is one who asks, but not too often."""
+    backed, interval = core.backed_view(), core.settings.tuning["heartbeat"]
+    if backed is not None and sender == backed.primary:
+        return True
+    asks = beat.epoch > core.epoch or not is_told_regularly(core, sender, now)
+    return bool(asks and now - core.state.heartbeat_sent.get(sender, -interval) >= interval / 2)
+
+
+def note_proof(core: CoreContext, view: View, backup: str, beat: Heartbeat, now: timedelta) -> None:
+    """A backup that has not sealed its epoch has heard the primary; when all have, the others are told of it."""
+    state, interval = core.state, core.settings.tuning["heartbeat"]
+    state.proofs[backup] = max(state.proofs.get(backup, ZERO), span(beat.echo))
+    if len(state.proofs) == len(view.backups):
+        state.proven_at = max(state.proven_at or ZERO, min(state.proofs.values()))
+        for name in core.others():
+            if name not in view.backups and now - state.heartbeat_sent.get(name, ZERO) >= interval / 2:
+                send_heartbeat(core, name, now)
+
+
+def pull_shown_items(core: CoreContext, sender: str, now: timedelta) -> None:
+    """Ask for what the sender shows and this core does not; at first it may be on its way."""
+    state, interval = core.state, core.settings.tuning["heartbeat"]
+    late = state.pulled_at is not None and now - state.pulled_at >= interval / 2
+    if state.shown_version == bk.START or late:
+        core.send(sender, Pull(state.shown_version))
+        state.pulled_at = None
+    state.pulled_at = state.pulled_at or now
+
+
+def is_proof_itself(core: CoreContext, view: View, sender: str, beat: Heartbeat) -> bool:
+    """An only backup that has not sealed is itself the proof that its primary still led when it spoke."""
+    unsealed = max(beat.sealed, core.state.sealed) < beat.epoch
+    return sender == view.primary and view.backups == (core.me,) and core.backed_view() is not None and unsealed
--- /dev/null
+++ b/silverglade/control/messages.py
@@ -0,0 +1,236 @@
+"""The messages between cores, one class a kind (design 5).
+
+On the wire each is an array of its kind and its fields in the order given here (silverglade/messages.py checks the shapes of
+all kinds before any part sees them; wire.py packs them). `decode` checks a body once, at the door of the control part;
+behind it messages are matched by class.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from . import book as bk
+from .view import Ballot, View, ballot_of, is_ballot, is_view, is_view_or_none, plain, view_of
+
+Version = tuple[int, int]
+"""Of an item or of a whole store: (epoch, number)."""
+
+Item = tuple[str, Version, Any]
+"""A key, the version of the change that set it, its value."""
+
+Items = tuple[Item, ...]
+
+Result = tuple[Any, ...]
+"""What a client is told: ("ok", version[, value]), ("refuse", code, detail), ("elsewhere", primary) or ("unknown",)."""
+
+
+class Heartbeat(NamedTuple):
+    """What a core says of itself; `stamp` is its clock, `echo` the newest stamp it has seen of ours, `age` that of its proof
+    that the primary is still primary (all in ms; -1: none)."""
+
+    epoch: int
+    shown: Version
+    fit: bool
+    disk: str
+    sealed: int
+    blank: bool
+    stamp: int
+    echo: int
+    age: int
+
+
+class ChosenView(NamedTuple):
+    """A view that is known to be chosen."""
+
+    view: View | None
+
+
+class Prepare(NamedTuple):
+    """A proposer asks a witness to promise its ballot."""
+
+    ballot: Ballot
+
+
+class Accept(NamedTuple):
+    """A proposer asks a witness to accept `view` as the one that follows `base`."""
+
+    ballot: Ballot
+    base: View | None
+    view: View
+
+
+class Promise(NamedTuple):
+    """A witness will take no lower ballot; what it accepted so far, and the newest view it knows to be chosen."""
+
+    ballot: Ballot
+    disk: str
+    accepted: Ballot
+    view: View | None
+    base: View | None
+
+
+class Accepted(NamedTuple):
+    """A witness accepted the view of this ballot."""
+
+    ballot: Ballot
+    disk: str
+
+
+class Rejected(NamedTuple):
+    """A witness has promised a higher ballot, or knows a later base."""
+
+    ballot: Ballot
+    disk: str
+    promised: Ballot
+
+
+class Snapshot(NamedTuple):
+    """A whole store: for a recruit of the view with that epoch (`view` is None), or to open `view`."""
+
+    epoch: int
+    nonce: int
+    view: View | None
+    items: Items
+
+
+class SnapshotSynced(NamedTuple):
+    """A member has synced the snapshot; on which disk."""
+
+    epoch: int
+    nonce: int
+    disk: str
+
+
+class Replicate(NamedTuple):
+    """One change for a backup to sync; without items the question whether the view still holds."""
+
+    epoch: int
+    nonce: int
+    previous: Version
+    version: Version
+    items: Items
+
+
+class Replicated(NamedTuple):
+    """A backup has synced the change, or confirms the view."""
+
+    epoch: int
+    nonce: int
+
+
+class ShownItems(NamedTuple):
+    """What was acknowledged after `previous`, up to `version`; a backup holds the items already when none come."""
+
+    epoch: int
+    previous: Version
+    version: Version
+    items: Items
+
+
+class Pull(NamedTuple):
+    """A core asks for what was acknowledged after a version."""
+
+    version: Version
+
+
+class NewsRequest(NamedTuple):
+    """A daemon asks for news after a version; `position` is where it stands in soft state."""
+
+    number: int
+    version: Version
+    position: Any
+
+
+class Operation(NamedTuple):
+    """A client's operation; `change` is its id for repeats, `digest` that of its text."""
+
+    number: int
+    change: str
+    operation: tuple[Any, ...]
+    digest: str
+
+
+class OperationResult(NamedTuple):
+    """The answer to a client's operation."""
+
+    number: int
+    result: Result
+
+
+Message = (
+    Heartbeat
+    | ChosenView
+    | Prepare
+    | Accept
+    | Promise
+    | Accepted
+    | Rejected
+    | Snapshot
+    | SnapshotSynced
+    | Replicate
+    | Replicated
+    | ShownItems
+    | Pull
+    | NewsRequest
+    | Operation
+    | OperationResult
+)
+
+
+def _is(kind: type) -> Callable[[Any], bool]:
+    return lambda value: type(value) is kind
+
+
+def _anything(value: Any) -> bool:
+    return True
+
+
+INT, TEXT, FLAG, ARRAY = _is(int), _is(str), _is(bool), _is(tuple)
+VERSION, ITEMS = bk.sound_version, bk.sound
+
+Fields = tuple[Callable[[Any], bool], ...]
+
+KINDS: dict[str, tuple[Callable[..., Message], Fields]] = {
+    "hb": (Heartbeat, (INT, VERSION, FLAG, TEXT, INT, FLAG, INT, INT, INT)),
+    "view": (ChosenView, (is_view_or_none,)),
+    "prep": (Prepare, (is_ballot,)),
+    "acc": (Accept, (is_ballot, is_view_or_none, is_view)),
+    "prom": (Promise, (is_ballot, TEXT, is_ballot, is_view_or_none, is_view_or_none)),
+    "accd": (Accepted, (is_ballot, TEXT)),
+    "nack": (Rejected, (is_ballot, TEXT, is_ballot)),
+    "snap": (Snapshot, (INT, INT, is_view_or_none, ITEMS)),
+    "snapok": (SnapshotSynced, (INT, INT, TEXT)),
+    "repl": (Replicate, (INT, INT, VERSION, VERSION, ITEMS)),
+    "repd": (Replicated, (INT, INT)),
+    "items": (ShownItems, (INT, VERSION, VERSION, ITEMS)),
+    "pull": (Pull, (VERSION,)),
+    "get": (NewsRequest, (INT, VERSION, _anything)),
+    "op": (Operation, (INT, TEXT, ARRAY, TEXT)),
+    "opr": (OperationResult, (INT, ARRAY)),
+}
+NAMES: dict[type, str] = {kind: name for name, (kind, _) in KINDS.items() if isinstance(kind, type)}
+TYPED: dict[Callable[[Any], bool], Callable[[Any], Any]] = {is_ballot: ballot_of, is_view: view_of, is_view_or_none: view_of}
+HOLD_VIEWS_OR_BALLOTS = frozenset(name for name, (_, fields) in KINDS.items() if not TYPED.keys().isdisjoint(fields))
+
+
+def encode(message: Message) -> tuple[Any, ...]:
+    """The array that travels."""
+    name = NAMES[type(message)]
+    if name in HOLD_VIEWS_OR_BALLOTS:
+        return (name, *[plain(field) for field in message])
+    return (name, *message)
+
+
+def decode(body: tuple[Any, ...]) -> Message | None:
+    """The message of a body; None for a kind that control does not hear, or one that is not well formed."""
+    known = KINDS.get(body[0])
+    if known is None:
+        return None
+    kind, checks = known
+    fields = body[1:]
+    if len(fields) != len(checks) or not all(check(field) for check, field in zip(checks, fields)):
+        return None
+    if body[0] in HOLD_VIEWS_OR_BALLOTS:
+        return kind(*[TYPED[check](field) if check in TYPED else field for check, field in zip(checks, fields)])
+    return kind(*fields)
--- a/silverglade/control/plan.py
+++ b/silverglade/control/plan.py
@@ -1,79 +1,109 @@
 """When a member seeks a new view, and which (design 5.4, 5.9). Pure: what is known comes in."""
 
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+from datetime import timedelta
+from typing import Any
+
 from . import register as rg
 from . import spread
+from .heartbeat import Peers
+from .spread import Places, Tolerance
+from .view import View
 
 
-def why(*, me, disk, view, peers, sealed, fit, torn, fair, now):
+def why(
+    *, me: str, disk: str, view: View | None, peers: Peers, sealed: int, fit: bool, torn: bool, fair: bool, now: timedelta
+) -> str | None:
     """What is wrong with the view, as one of its members sees it; None if nothing is.
 
     fair: have the others had the time to be heard?
     """
-    if not view or me not in rg.members(view) or not fit or rg.disks(view).get(me) != disk:
+    if view is None or me not in rg.members(view) or not fit or rg.disks(view).get(me) != disk:
         return None
-    ds = rg.disks(view)
-    for c in view[2] if me == view[1] else view[1:2]:  # backups watch the primary alone
-        if not peers.up(c, now):
+    disks = rg.disks(view)
+    for name in view.backups if me == view.primary else (view.primary,):  # backups watch the primary alone
+        if not peers.is_up(name, now):
             if fair:
                 return "silent"
-        elif peers.get(c, "disk") != ds[c]:
+        elif peers.disk(name) != disks[name]:
             return "emptied"
-        if peers.get(c, "sealed", 0) >= view[0]:
+        if peers.sealed(name) >= view.epoch:
             return "sealed"
-    if sealed >= view[0]:
+    if sealed >= view.epoch:
         return "sealed"
     return "torn" if torn else None
 
 
-def live(*, me, disk, peers, now, names, t=None):
-    """Cores that may be named in a view now: name -> disk. t: steady for so long."""
-    return {me: disk, **{c: peers.get(c, "disk") for c in names if (peers.up(c, now) if t is None else peers.long(c, now, t))}}
+def live(*, me: str, disk: str, peers: Peers, now: timedelta, names: Iterable[str], steady_for: timedelta | None = None) -> dict[str, str]:
+    """Cores that may be named in a view now: name -> disk. steady_for: only those that were up without a break so long."""
+    found = {me: disk}
+    for name in names:
+        if peers.is_up(name, now) if steady_for is None else peers.is_up_for(name, now, steady_for):
+            found[name] = peers.table[name].disk
+    return found
 
 
-def first(*, me, disk, cores, peers, places, tolerance, now):
+def first(*, me: str, disk: str, cores: Collection[str], peers: Peers, places: Places, tolerance: Tolerance, now: timedelta) -> View | None:
     """The first view, when every core of the settings says that it is empty (design 5.5)."""
-    if me != min(cores) or not all(peers.up(c, now) and peers.get(c, "blank") for c in cores if c != me):
+    others = [name for name in cores if name != me]
+    if me != min(cores) or not all(peers.is_up(name, now) and peers.is_blank(name) for name in others):
         return None
-    ds = {me: disk, **{c: peers.get(c, "disk") for c in cores if c != me}}
-    bs = spread.backups(me=me, names=ds, was=(), places=places, tolerance=tolerance)
-    return (1, me, bs, tuple(sorted(ds.items())))
+    disks = {me: disk, **{name: peers.table[name].disk for name in others}}
+    backups = spread.backups(me=me, names=disks, was=(), places=places, tolerance=tolerance)
+    return View(1, me, backups, tuple(sorted(disks.items()))) if backups else None
 
 
-def after(*, me, view, here, places, tolerance, names=None):
+def after(
+    *, me: str, view: View, here: Mapping[str, str], places: Places, tolerance: Tolerance, names: Iterable[str] | None = None
+) -> View | None:
     """The view that member `me` wants after `view`, with the live cores `here`; None where it cannot be.
 
     names: the witnesses wanted; by default those there are, each with the disk that it has now.
     """
     was = rg.disks(view)
-    ds = {c: here.get(c, was.get(c)) for c in names or was}
-    bs = spread.backups(
+    disks = {name: here[name] if name in here else was[name] for name in names or was}
+    backups = spread.backups(
         me=me,
-        names=[c for c in here if c in ds],
+        names=[name for name in here if name in disks],
         places=places,
         tolerance=tolerance,
-        was=[c for c in rg.members(view) if here.get(c) == was.get(c)],
+        was=[name for name in rg.members(view) if here.get(name) == was.get(name)],
     )
-    if bs is None or len(bs) < min(spread.count(tolerance), len(ds) // 2):
+    if backups is None or len(backups) < min(spread.count(tolerance), len(disks) // 2):
         return None
-    return (view[0] + 1, me, bs, tuple(sorted(ds.items())))
+    return View(view.epoch + 1, me, backups, tuple(sorted(disks.items())))
 
 
-def better(*, me, disk, view, peers, names, places, tolerance, awake, opt, now):
+def better(
+    *,
+    me: str,
+    disk: str,
+    view: View,
+    peers: Peers,
+    names: Iterable[str],
+    places: Places,
+    tolerance: Tolerance,
+    awake_since: timedelta,
+    tuning: Mapping[str, Any],
+    now: timedelta,
+) -> View | None:
     """What the primary of a view that works would rather have; None where it is content."""
     was = rg.disks(view)
-    far = [c for c in was if c != me and not peers.up(c, now)]
-    gone = {c for c in far if peers.silent(c, now, awake, opt["core_forget"])}
-    if any(not peers.silent(c, now, awake, opt["takeover"] * 2) for c in far):
+    far = [name for name in was if name != me and not peers.is_up(name, now)]
+    gone = {name for name in far if peers.is_silent(name, now, awake_since, tuning["core_forget"])}
+    if any(not peers.is_silent(name, now, awake_since, tuning["takeover"] * 2) for name in far):
         return None  # it may be back in a moment
-    here = live(me=me, disk=disk, peers=peers, now=now, names=names, t=opt["settle"])
-    if sum(here.get(c) == d for c, d in was.items()) < rg.majority(len(was)):
+    here = live(me=me, disk=disk, peers=peers, now=now, names=names, steady_for=tuning["settle"])
+    if sum(here.get(name) == held for name, held in was.items()) < rg.majority(len(was)):
         return None
-    names = spread.witnesses(was=tuple(was), live=here, gone=gone, places=places, tolerance=tolerance)
-    new = after(me=me, view=view, here=here, places=places, tolerance=tolerance, names=names)
+    wanted = spread.witnesses(was=tuple(was), live=here, gone=gone, places=places, tolerance=tolerance)
+    new = after(me=me, view=view, here=here, places=places, tolerance=tolerance, names=wanted)
     if new is None:
         return None
 
-    def worth(bs):
-        return sum(spread.bears((me, *bs), need=1, places=places, tolerance=tolerance)), len(bs)
+    def worth(backups: tuple[str, ...]) -> tuple[int, int]:
+        return sum(spread.bears((me, *backups), need=1, places=places, tolerance=tolerance)), len(backups)
 
-    return new if new[3] != view[3] or worth(new[2]) > worth(view[2]) else None
+    return new if new.witnesses != view.witnesses or worth(new.backups) > worth(view.backups) else None
--- a/silverglade/control/register.py
+++ b/silverglade/control/register.py
@@ -1,138 +1,184 @@
 """The view register (design 5.2): which view follows which, chosen by a majority under ballots.
 
-view = (epoch, primary, backups, ((core, disk), ...)). Each view is chosen by the witnesses that
-the view before it names, its base: an instance of single-value agreement for every epoch. A
-witness holds the newest base it knows to be chosen and what it has accepted to follow that one.
-A vote counts only while the base names its disk, so that an emptied disk cannot vote twice and a
-new core cannot vote itself in.
+Each view is chosen by the witnesses that the view before it names, its base: an instance of single-value agreement for
+every epoch. A witness holds the newest base it knows to be chosen and what it has accepted to follow that one. A vote
+counts only while the base names its disk, so that an emptied disk cannot vote twice and a new core cannot vote itself in.
 """
 
-NONE = (0, "")
-MOST = 9  # witnesses in a view
-
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any, NamedTuple
+
+from .messages import Accept, Accepted, Prepare, Promise, Rejected
+from .view import NO_BALLOT, Ballot, View, ballot_of, disks, epoch, members, plain, view_of
+
+__all__ = [
+    "Behind",
+    "Chosen",
+    "Lost",
+    "Register",
+    "Round",
+    "View",
+    "accept",
+    "based",
+    "disks",
+    "epoch",
+    "majority",
+    "members",
+    "prepare",
+    "read",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Register:
+    """What a witness holds, on disk before it says so.
+
+    promised: no lower ballot is taken any more. base: the newest view known to be chosen. accepted, view: the ballot and
+    the view last accepted to follow the base. `accepted <= promised`, and `view` has the epoch after `base`'s, or is None.
+    """
 
-def blank():
-    """promised ballot; chosen base; accepted ballot and view, which would follow the base."""
-    return {"promised": NONE, "base": None, "ballot": NONE, "view": None}
+    promised: Ballot = NO_BALLOT
+    base: View | None = None
+    accepted: Ballot = NO_BALLOT
+    view: View | None = None
 
+    def stored(self) -> dict[str, Any]:
+        """As it lies on disk."""
+        return {
+            "promised": plain(self.promised),
+            "base": plain(self.base),
+            "ballot": plain(self.accepted),
+            "view": plain(self.view),
+        }
 
-def based(reg, base):
-    """The register of one who learns that `base` is chosen."""
-    if epoch(base) <= epoch(reg["base"]):
-        return reg
-    keep = epoch(reg["view"]) == epoch(base) + 1
-    return dict(reg, base=base, **({} if keep else {"ballot": NONE, "view": None}))
 
+def read(meta: Mapping[str, Any]) -> Register:
+    """The register on disk; one written before views had several backups is understood."""
+    stored = meta.get("reg")
+    if not stored:
+        return Register()
+    promised, accepted = ballot_of(stored["promised"]), ballot_of(stored["ballot"])
+    if "base" in stored:
+        return Register(promised=promised, base=view_of(stored["base"]), accepted=accepted, view=view_of(stored["view"]))
 
-def prepare(reg, ballot, /):
-    """-> (new state, answer body)."""
-    if ballot <= reg["promised"]:
-        return reg, ("nack", ballot, reg["promised"])
-    reg = dict(reg, promised=ballot)
-    return reg, ("prom", ballot, reg["ballot"], reg["view"], reg["base"])
-
+    def with_backups(view: Any) -> View | None:
+        return view_of(view and (*view[:2], (view[2],) if isinstance(view[2], str) else view[2], view[3]))
 
-def accept(reg, ballot, base, view, /):
-    if ballot < reg["promised"] or epoch(base) < epoch(reg["base"]):
-        return reg, ("nack", ballot, reg["promised"])
-    return dict(promised=ballot, base=base, ballot=ballot, view=view), ("accd", ballot)
+    base = with_backups((meta.get("view") or (NO_BALLOT, None))[1])
+    view = with_backups(stored["view"])
+    if epoch(view) != epoch(base) + 1:
+        return Register(promised=promised, base=base)
+    return Register(promised=promised, base=base, accepted=accepted, view=view)
 
 
-def epoch(view):
-    return view[0] if view else 0
+def based(register: Register, base: View | None) -> Register:
+    """The register of one who learns that `base` is chosen."""
+    if epoch(base) <= epoch(register.base):
+        return register
+    if epoch(register.view) == epoch(base) + 1:
+        return replace(register, base=base)
+    return Register(promised=register.promised, base=base)
 
 
-def members(view):
-    return (view[1], *view[2]) if view else ()
+def prepare(register: Register, message: Prepare, /, *, disk: str) -> tuple[Register, Promise | Rejected]:
+    """A witness with this disk is asked for a promise -> (its register, its answer)."""
+    ballot = message.ballot
+    if ballot <= register.promised:
+        return register, Rejected(ballot, disk, register.promised)
+    register = replace(register, promised=ballot)
+    return register, Promise(ballot, disk, register.accepted, register.view, register.base)
 
 
-def disks(view):
-    return dict(view[3]) if view else {}
+def accept(register: Register, message: Accept, /, *, disk: str) -> tuple[Register, Accepted | Rejected]:
+    """A witness with this disk is asked to accept a view -> (its register, its answer)."""
+    ballot, base, view = message
+    if ballot < register.promised or epoch(base) < epoch(register.base):
+        return register, Rejected(ballot, disk, register.promised)
+    return Register(promised=ballot, base=base, accepted=ballot, view=view), Accepted(ballot, disk)
 
 
-def majority(n):
+def majority(n: int) -> int:
+    """How many of n are more than half."""
     return n // 2 + 1
 
 
-def sound_ballot(b):
-    return isinstance(b, tuple) and len(b) == 2 and type(b[0]) is int and isinstance(b[1], str)
-
+class Chosen(NamedTuple):
+    """The end of a round: this view is chosen."""
 
-def texts(t, least, most):
-    return isinstance(t, tuple) and least <= len(t) <= most and all(isinstance(x, str) for x in t)
+    view: View
 
 
-def sound(v):
-    return v is None or (
-        isinstance(v, tuple)
-        and len(v) == 4
-        and type(v[0]) is int
-        and v[0] > 0
-        and isinstance(v[1], str)
-        and texts(v[2], 1, MOST - 1)
-        and len({v[1], *v[2]}) == 1 + len(v[2])
-        and isinstance(v[3], tuple)
-        and 3 <= len(v[3]) <= MOST
-        and all(texts(p, 2, 2) for p in v[3])
-        and len(dict(v[3])) == len(v[3])
-        and {v[1], *v[2]} <= {p[0] for p in v[3]}
-    )
+class Behind(NamedTuple):
+    """The end of a round: a later view was chosen meanwhile."""
 
+    view: View
 
-def read(meta):
-    """The register on disk; one written before views had several backups is understood."""
-    reg = meta.get("reg") or blank()
-    if "base" in reg:
-        return reg
 
-    def view(v):
-        return v and (*v[:2], (v[2],) if isinstance(v[2], str) else v[2], v[3])
+class Lost(NamedTuple):
+    """The end of a round: a witness has promised a higher ballot."""
 
-    was = view((meta.get("view") or (NONE, None))[1])
-    new = view(reg["view"])
-    follows = epoch(new) == epoch(was) + 1
-    return dict(promised=reg["promised"], base=was, ballot=reg["ballot"] if follows else NONE, view=new if follows else None)
+    promised: Ballot
 
 
-def round_(*, me, ballot, base, want):
-    """One proposer's round, a generator (design 5.2).
+@dataclass(slots=True)
+class Round:
+    """One proposer's round: prepare, then accept (design 5.2).
 
-    Yields ("prep"|"acc"|"wait"|"chosen"|"lost"|"behind", ...); is sent (core, disk, answer).
-    `base` is the chosen view that `want` would follow; what another had accepted to follow it
-    is completed instead. First forming (no base): every witness of `want` must promise.
+    `base` is the chosen view that `want` would follow; what another had accepted to follow it is completed instead. First
+    forming (no base): every witness of `want` must promise. value: the view proposed, once enough have promised, until then
+    None. promises: by core. accepts: the witnesses who accepted, each with the disk that the base names.
     """
-    proms = {}
-    step = ("prep", ballot)
-    while True:
-        frm, disk, ans = yield step
-        step = ("wait",)
-        if ans[0] == "nack":
-            if ans[1] == ballot:
-                yield ("lost", ans[2])
-                return
-            continue
-        if ans[0] != "prom" or ans[1] != ballot:
-            continue
-        if epoch(ans[4]) > epoch(base):  # a later view was chosen meanwhile
-            yield ("behind", ans[4])
-            return
-        proms[frm] = (disk, ans[2], ans[3])
-        _, found = max(((b, v) for _, b, v in proms.values() if epoch(v) == epoch(base) + 1), key=lambda t: t[0], default=(NONE, None))
-        voters = disks(base or found or want)
-        good = [f for f, (d, _, _) in proms.items() if voters.get(f) == d]
-        if len(good) >= (majority(len(voters)) if base or found else len(voters)):
-            break
-    value, acks = found or want, set()
-    voters = disks(base or value)
-    step = ("acc", ballot, base, value)
-    while True:
-        frm, disk, ans = yield step
-        step = ("wait",)
-        if ans[0] == "nack" and ans[1] == ballot:
-            yield ("lost", ans[2])
-            return
-        if ans[0] == "accd" and ans[1] == ballot and voters.get(frm) == disk:
-            acks.add(frm)
-            if len(acks) >= majority(len(voters)):
-                yield ("chosen", ballot, value)
-                return
+
+    ballot: Ballot
+    base: View | None
+    want: View
+    value: View | None = None
+    promises: dict[str, Promise] = field(default_factory=dict)
+    accepts: set[str] = field(default_factory=set)
+
+    def begin(self) -> Prepare:
+        """What to ask the witnesses first."""
+        return Prepare(self.ballot)
+
+    def answer(self, sender: str, message: Promise | Accepted | Rejected) -> Accept | Chosen | Behind | Lost | None:
+        """A witness's answer -> what to ask the witnesses now, or how the round ended; None: nothing yet."""
+        if message.ballot != self.ballot:
+            return None
+        match message:
+            case Rejected():
+                return Lost(message.promised)
+            case Promise() if self.value is None:
+                return self.promised(sender, message)
+            case Accepted() if self.value is not None:
+                return self.accepted(sender, message, self.value)
+        return None
+
+    def promised(self, sender: str, promise: Promise) -> Accept | Behind | None:
+        """The first half: enough promises let the round go on to a value."""
+        if promise.base is not None and epoch(promise.base) > epoch(self.base):
+            return Behind(promise.base)
+        self.promises[sender] = promise
+        found = self.found()
+        voters = disks(self.base or found or self.want)
+        votes = sum(voters.get(name) == p.disk for name, p in self.promises.items())
+        if votes < (majority(len(voters)) if self.base or found else len(voters)):
+            return None
+        self.value = found or self.want
+        return Accept(self.ballot, self.base, self.value)
+
+    def found(self) -> View | None:
+        """What was accepted to follow the base under the highest ballot, among those who promised."""
+        follows = [p for p in self.promises.values() if epoch(p.view) == epoch(self.base) + 1]
+        return max(follows, key=lambda p: p.accepted).view if follows else None
+
+    def accepted(self, sender: str, message: Accepted, value: View) -> Chosen | None:
+        """The second half: a majority of the voters makes the value chosen."""
+        voters = disks(self.base or value)
+        if voters.get(sender) == message.disk:
+            self.accepts.add(sender)
+            if len(self.accepts) >= majority(len(voters)):
+                return Chosen(value)
+        return None
--- a/silverglade/control/seek.py
+++ b/silverglade/control/seek.py
@@ -1,64 +1,166 @@
-"""Seeking a new view (design 5.4): seal, copy to the recruits, then the register's round."""
+"""Seeking a new view (design 5.4): seal, copy to the recruits, then the register's round.
 
-from ..part import log, send, span
+The seeker is a machine of its own: it is asked at each pulse and given each answer, and says in typed actions what the
+core is to do. It never writes or sends itself.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Any, NamedTuple
+
+from ..part import span
 from . import register as rg
+from .messages import Accept, Accepted, Prepare, Promise, Rejected
+from .register import Behind, Chosen, Lost, Round
+from .view import NO_BALLOT, Ballot, View
+
+PAUSE = span(50)
+"""The least wait after an attempt that failed."""
+
+
+class Goal(NamedTuple):
+    """What is sought: `view` after `base`, with a copy of the store to `recruits` first."""
+
+    base: View | None
+    view: View
+    recruits: tuple[str, ...]
+
+
+class Step(Enum):
+    """How far an attempt has come."""
+
+    REST = "rest"
+    SEAL = "seal"
+    COPY = "copy"
+    ROUND = "round"
+
+
+class Seal(NamedTuple):
+    """To do: note on disk that no more changes are taken in this epoch, then tell the seeker by this nonce."""
+
+    goal: Goal
+    nonce: int
+
+
+class CopyTo(NamedTuple):
+    """To do: send the store to these recruits."""
+
+    recruits: tuple[str, ...]
+    epoch: int
+    nonce: int
+
+
+class Ask(NamedTuple):
+    """To do: send this to these witnesses."""
+
+    witnesses: tuple[str, ...]
+    message: Prepare | Accept
+
+
+class Learn(NamedTuple):
+    """To do: take this view, which is chosen."""
+
+    view: View
+
+
+Action = Seal | CopyTo | Ask | Learn
+
+
+@dataclass(slots=True)
+class Seeker:
+    """One member's attempts to have a new view chosen.
+
+    due: when the next attempt begins. begun: when this one did. nonce: of this attempt's seal and copies; sealed: that the
+    seal with it is on disk. highest: the highest ballot seen. `goal` is set in every step but REST, `round` in ROUND once
+    the witnesses were asked.
+    """
+
+    due: timedelta
+    step: Step = Step.REST
+    goal: Goal | None = None
+    begun: timedelta | None = None
+    nonce: int = 0
+    sealed: bool = False
+    copied_at: timedelta | None = None
+    round: Round | None = None
+    highest: Ballot = NO_BALLOT
+
+    def is_due(self, now: timedelta) -> bool:
+        """May a new attempt begin?"""
+        return self.step is Step.REST and now >= self.due
+
+    def begin(self, goal: Goal, now: timedelta, rng: random.Random) -> list[Action]:
+        """A new attempt."""
+        self.goal, self.begun, self.nonce, self.round, self.sealed = goal, now, rng.getrandbits(48), None, False
+        if not goal.recruits:
+            self.step = Step.ROUND
+            return []
+        self.step = Step.SEAL
+        return [Seal(goal, self.nonce)]
+
+    def seal_written(self, nonce: int) -> None:
+        """A seal is on disk; only that of this attempt counts."""
+        self.sealed = self.sealed or nonce == self.nonce
+
+    def advance(
+        self, *, me: str, now: timedelta, recruits_synced: Mapping[tuple[str, int, int], str], tuning: Mapping[str, Any], rng: random.Random
+    ) -> list[Action]:
+        """A pulse: go on with the attempt as far as it can; end it when it has taken too long."""
+        if self.goal is None or self.begun is None:
+            return []
+        actions: list[Action] = []
+        if self.step is Step.SEAL and self.sealed:
+            self.step, self.copied_at = Step.COPY, None
+        if self.step is Step.COPY:
+            actions += self.copy(self.goal, now, recruits_synced, tuning)
+        if self.step is Step.ROUND and self.round is None:
+            self.round = Round(ballot=Ballot(self.highest.number + 1, me), base=self.goal.base, want=self.goal.view)
+            actions.append(self.ask(self.goal, self.round.begin()))
+        if self.step is not Step.REST and now - self.begun > tuning["takeover"]:
+            self.retry_later(now, tuning, rng)
+        return actions
+
+    def copy(
+        self, goal: Goal, now: timedelta, recruits_synced: Mapping[tuple[str, int, int], str], tuning: Mapping[str, Any]
+    ) -> list[Action]:
+        """The store to those recruits who have not synced it, from time to time; then on to the round."""
+        epoch, disks = goal.view.epoch, rg.disks(goal.view)
+        missing = tuple(name for name in goal.recruits if recruits_synced.get((name, epoch, self.nonce)) != disks[name])
+        if not missing:
+            self.step = Step.ROUND
+        elif self.copied_at is None or now - self.copied_at >= tuning["takeover"] / 2:
+            self.copied_at = now
+            return [CopyTo(missing, epoch, self.nonce)]
+        return []
+
+    def answer(
+        self, sender: str, message: Promise | Accepted | Rejected, now: timedelta, tuning: Mapping[str, Any], rng: random.Random
+    ) -> list[Action]:
+        """A witness has answered."""
+        if self.step is not Step.ROUND or self.round is None or self.goal is None:
+            return []
+        if isinstance(message, Rejected):
+            self.highest = max(self.highest, message.promised)
+        match self.round.answer(sender, message):
+            case Accept() as accept:
+                return [self.ask(self.goal, accept)]
+            case Chosen(view) | Behind(view):
+                self.step, self.due = Step.REST, now + tuning["settle"]
+                return [Learn(view)]
+            case Lost():
+                self.retry_later(now, tuning, rng)
+        return []
 
+    def retry_later(self, now: timedelta, tuning: Mapping[str, Any], rng: random.Random) -> None:
+        """Rest for a random time, so that two seekers do not overtake each other for ever."""
+        self.step, self.due = Step.REST, now + tuning["settle"] * rng.random() + PAUSE
 
-def seeker(*, me, opt, rng, plan, seal, snapok, copy, wait):
-    """Generator; sent (now, event, highest ballot seen, effects to fill). `wait` before the first try."""
-    rnd = nonce = goal = None
-    step, at, top, due = "rest", None, rg.NONE, None
-    sealing = {"done": None}
-
-    def ask(m, out):
-        base, want = goal[:2]
-        out.extend(send(c, *m) for c in sorted(rg.disks(base or want)))
-
-    while True:
-        now, ev, seen, out = yield
-        top = max(top, seen)
-        if due is None:
-            due = now + wait
-        if ev[0] == "pulse":
-            if step == "rest" and now >= due:
-                goal = plan(now)
-                if goal is None:
-                    due = now + opt["beat"]
-                    continue
-                recruits = goal[2]
-                step, at, nonce = ("seal" if recruits else "round"), now, rng.getrandbits(48)
-                if recruits:
-                    out.append(log("seek", epoch=goal[1][0], recruits=",".join(recruits)))
-                    sealing["done"] = None
-                    seal(now, lambda n=nonce: sealing.update(done=n))
-                rnd = None
-            if step == "seal" and sealing["done"] == nonce:
-                step, sent = "copy", None
-            if step == "copy":
-                disks = rg.disks(goal[1])
-                todo = [r for r in recruits if snapok.get((r, goal[1][0], nonce)) != disks[r]]
-                if not todo:
-                    step = "round"
-                elif sent is None or now - sent >= opt["takeover"] / 2:
-                    sent = now
-                    out += [send(r, "snap", goal[1][0], nonce, None, copy()) for r in todo]
-            if step == "round" and rnd is None:
-                rnd = rg.round_(me=me, ballot=(top[0] + 1, me), base=goal[0], want=goal[1])
-                ask(next(rnd), out)
-            if step != "rest" and now - at > opt["takeover"]:
-                step, due = "rest", now + opt["settle"] * rng.random() + span(50)
-        elif ev[0] == "answer" and step == "round" and rnd is not None:
-            _, frm, disk, ans = ev
-            if ans[0] == "nack" and len(ans) == 3 and rg.sound_ballot(ans[2]):
-                top = max(top, ans[2])
-            if ans[0] == "prom" and not (len(ans) == 5 and rg.sound_ballot(ans[2]) and rg.sound(ans[3]) and rg.sound(ans[4])):
-                continue
-            got = rnd.send((frm, disk, ans))
-            match got[0]:
-                case "acc":
-                    ask(got, out)
-                case "chosen" | "behind":
-                    out.append(("post", "control", ("chosen", got[-1])))
-                    step, due = "rest", now + opt["settle"]
-                case "lost":
-                    step, due = "rest", now + opt["settle"] * rng.random() + span(50)
+    @staticmethod
+    def ask(goal: Goal, message: Prepare | Accept) -> Ask:
+        """The witnesses who decide are those of the base; of the view itself where there is none."""
+        return Ask(tuple(sorted(rg.disks(goal.base or goal.view))), message)
--- /dev/null
+++ b/silverglade/control/snapshots.py
@@ -0,0 +1,111 @@
+"""Snapshots of the whole store (design 5.4): to recruits of a later view, and to the backups of one that opens."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from . import book as bk
+from . import liveness, replication, serving, store, view_change
+from . import register as rg
+from .context import CoreContext
+from .messages import Snapshot, SnapshotSynced
+from .state import OpeningSnapshot, StoreOnDisk
+from .view import View
+from .writes import Outgoing, WholeStoreWritten, keep
+
+
+def send_opening(core: CoreContext, view: View, now: timedelta) -> None:
+    """The new primary's whole store, synced by itself and its backups, before anything else."""
+    state = core.state
+    if state.store_on_disk is StoreOnDisk.TORN:
+        core.write_whole_store(now)
+    if state.opening and now - state.opening.sent < core.settings.tuning["takeover"] / 2:
+        return
+    state.opening = OpeningSnapshot(state.opening.nonce if state.opening else core.rng.getrandbits(48), now)
+    missing = [name for name in view.backups if name not in state.snapshot_synced_by]
+    if missing:
+        snapshot = Snapshot(view.epoch, state.opening.nonce, view, store.rows(state.store))
+        for name in missing:
+            core.send(name, snapshot)
+
+
+def open_if_synced(core: CoreContext, now: timedelta) -> None:
+    """A primary opens its view when it and all backups have synced its store."""
+    state, view = core.state, core.led_view()
+    if view is None or state.open_epoch == view.epoch or state.sealed >= view.epoch:
+        return
+    if state.store_on_disk is not StoreOnDisk.WHOLE or not state.snapshot_synced_by >= set(view.backups):
+        return
+    state.open_epoch = view.epoch
+    core.log("primary-open", epoch=view.epoch)
+    serving.show(core, store.rows(state.store), bk.version(state.store), now)
+    if state.pending:  # now part of the synced store
+        replication.commit(core, view, state.pending, now)
+    for name in core.others():
+        liveness.send_heartbeat(core, name, now)
+    serving.serve(core, now)
+
+
+def on_whole_store_written(core: CoreContext, written: WholeStoreWritten, ok: bool) -> None:
+    """A write of the whole store has ended; it says something of the disk only within the view in which it began."""
+    if written.epoch == core.epoch:
+        core.state.store_on_disk = StoreOnDisk.WHOLE if ok else StoreOnDisk.TORN
+    if ok and written.outgoing:
+        core.send_outgoing(written.outgoing)
+
+
+def on_snapshot(core: CoreContext, sender: str, snapshot: Snapshot, now: timedelta) -> None:
+    """A whole store comes from one who opens its view, or who seeks a later one."""
+    if snapshot.view is not None:
+        accepted = accept_opening(core, sender, snapshot, snapshot.view, now)
+    else:
+        accepted = accept_recruiting(core, snapshot)
+    if accepted:
+        take_snapshot(core, sender, snapshot, now)
+
+
+def accept_opening(core: CoreContext, sender: str, snapshot: Snapshot, view: View, now: timedelta) -> bool:
+    """Is this the snapshot that opens a view of which this core is a backup? A late one never undoes synced changes."""
+    state = core.state
+    if snapshot.epoch != view.epoch or sender != view.primary or core.me not in view.backups:
+        return False
+    if not core.is_named_in(view) or view.epoch < core.epoch or state.sealed >= view.epoch:
+        return False
+    view_change.adopt(core, view, now)
+    newest = max((version for _, version, _ in snapshot.items), default=bk.START)
+    if state.served == view.epoch and newest < bk.version(state.store):
+        return False
+    state.served = view.epoch
+    return True
+
+
+def accept_recruiting(core: CoreContext, snapshot: Snapshot) -> bool:
+    """Is this the snapshot of one who seeks a later view? A member that is recruited takes no more changes in this one."""
+    state = core.state
+    if snapshot.epoch <= core.epoch or snapshot.epoch < state.recruited:
+        return False
+    if core.me in rg.members(state.view):
+        state.sealed = max(state.sealed, core.epoch)
+    replication.abandon(core)
+    return True
+
+
+def take_snapshot(core: CoreContext, sender: str, snapshot: Snapshot, now: timedelta) -> None:
+    """The snapshot in place of the store; its sender is told when it is on disk."""
+    state = core.state
+    state.recruited = max(state.recruited, snapshot.epoch)
+    state.store = {key: (version, value) for key, version, value in snapshot.items}
+    kept = keep(recruited=state.recruited, served=state.served, sealed=state.sealed, reg=state.register.stored())
+    synced = Outgoing(sender, SnapshotSynced(snapshot.epoch, snapshot.nonce, core.settings.disk))
+    core.write(store.whole(state.store) + kept, WholeStoreWritten(core.epoch, synced), now)
+
+
+def on_snapshot_synced(core: CoreContext, sender: str, synced: SnapshotSynced, now: timedelta) -> None:
+    """A recruit, or a backup of the view that opens, has synced a snapshot."""
+    state, led = core.state, core.led_view()
+    state.recruits_synced[sender, synced.epoch, synced.nonce] = synced.disk
+    if led is None or state.opening is None or synced.nonce != state.opening.nonce or synced.epoch != led.epoch:
+        return
+    if sender in led.backups and synced.disk == rg.disks(led)[sender]:
+        state.snapshot_synced_by.add(sender)
+        open_if_synced(core, now)
--- a/silverglade/control/spread.py
+++ b/silverglade/control/spread.py
@@ -3,69 +3,85 @@
 places: {core: (zone, region)}. tolerance = (machines, zones, regions) that may be lost at once.
 """
 
+from __future__ import annotations
+
 from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from itertools import combinations
 
 from . import register as rg
+from .view import LEAST_WITNESSES, MOST_WITNESSES
+
+Place = tuple[str, str]
+Places = Mapping[str, Place]
+Tolerance = tuple[int, int, int]
 
-NOWHERE = ("", "")
+NOWHERE: Place = ("", "")
+MOST_POOL = MOST_WITNESSES + 3
+"""Of so many cores at most the sets of witnesses are weighed."""
 
 
-def bears(names, *, need, places, tolerance):
+def bears(names: Collection[str], *, need: int, places: Places, tolerance: Tolerance) -> tuple[int, int, int]:
     """-> how many machines, zones, regions may go, up to the tolerance, with `need` names left.
 
     -1: even without a loss there are too few.
     """
 
-    def most(sizes, top):
+    def most(sizes: Sequence[int], top: int) -> int:
         left = len(names)
-        for k in range(top + 1):
+        for lost in range(top + 1):
             if left < need:
-                return k - 1
-            left -= sizes[k] if k < len(sizes) else 0
+                return lost - 1
+            left -= sizes[lost] if lost < len(sizes) else 0
         return top
 
-    zones, regions = (sorted(Counter(places.get(n, NOWHERE)[i:] for n in names).values(), reverse=True) for i in (0, 1))
+    zones, regions = (sorted(Counter(places.get(name, NOWHERE)[level:] for name in names).values(), reverse=True) for level in (0, 1))
     return (most([1] * len(names), tolerance[0]), most(zones, tolerance[1]), most(regions, tolerance[2]))
 
 
-def count(tolerance):
+def count(tolerance: Tolerance) -> int:
     """Backups wanted: one member is left whatever of the tolerance is lost."""
     return max(1, *tolerance)
 
 
-def backups(*, me, names, was, places, tolerance):
+def backups(*, me: str, names: Iterable[str], was: Collection[str], places: Places, tolerance: Tolerance) -> tuple[str, ...] | None:
     """The best backups for primary `me` among `names` (live witnesses), those of `was` by preference.
 
     -> a tuple, or None where there is nobody.
     """
-    pool = sorted(set(names) - {me}, key=lambda n: (n not in was, n))
-    k = min(count(tolerance), len(pool))
-    if not k:
+    pool = sorted(set(names) - {me}, key=lambda name: (name not in was, name))
+    wanted = min(count(tolerance), len(pool))
+    if not wanted:
         return None
-    return max(
-        combinations(pool, k), key=lambda c: (sum(bears((me, *c), need=1, places=places, tolerance=tolerance)), sum(n in was for n in c))
-    )
+
+    def worth(chosen: tuple[str, ...]) -> tuple[int, int]:
+        return sum(bears((me, *chosen), need=1, places=places, tolerance=tolerance)), sum(name in was for name in chosen)
+
+    return max(combinations(pool, wanted), key=worth)
 
 
-def witnesses(*, was, live, gone, places, tolerance):
+def witnesses(
+    *, was: tuple[str, ...], live: Collection[str], gone: Collection[str], places: Places, tolerance: Tolerance
+) -> tuple[str, ...]:
     """The best set of witnesses out of those there were and the live cores.
 
     Nobody who is silent leaves unless a live core takes its place or it is `gone` for long; a live
     core comes in where that makes the set bear no less. Fewer changes go before more.
     """
 
-    def worth(s):
-        here = [n for n in s if n in live]
+    def worth(names: tuple[str, ...]) -> tuple[int, int, int, int]:
+        here = [name for name in names if name in live]
         return (
-            sum(bears(here, need=rg.majority(len(s)), places=places, tolerance=tolerance)),
+            sum(bears(here, need=rg.majority(len(names)), places=places, tolerance=tolerance)),
             len(here),
-            -len(s),
-            sum(n in was for n in s),
+            -len(names),
+            sum(name in was for name in names),
         )
 
-    kept = [n for n in was if n not in gone]
-    least = max(3, len(kept)) if len([n for n in kept if n in live]) >= 2 else len(was)
-    pool = sorted(set(kept) | set(live))[: rg.MOST + 3]
-    best = max((c for k in range(least, min(rg.MOST, len(pool)) + 1) for c in combinations(pool, k)), key=worth, default=None)
-    return best if best and worth(best) > worth(tuple(was)) else tuple(was)
+    kept = [name for name in was if name not in gone]
+    enough_live = len([name for name in kept if name in live]) >= 2
+    least = max(LEAST_WITNESSES, len(kept)) if enough_live else len(was)
+    pool = sorted(set(kept) | set(live))[:MOST_POOL]
+    sizes = range(least, min(MOST_WITNESSES, len(pool)) + 1)
+    best = max((names for size in sizes for names in combinations(pool, size)), key=worth, default=None)
+    return best if best and worth(best) > worth(was) else was
--- /dev/null
+++ b/silverglade/control/state.py
@@ -0,0 +1,209 @@
+"""The state of a core's control part (design 5): typed, copyable, and with a fingerprint of the whole."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+from typing import Any, NamedTuple
+
+from ..part import ZERO
+from . import book as bk
+from . import register as rg
+from .heartbeat import Peers
+from .messages import Items, Result, Version
+from .register import Register
+from .seek import Seeker
+from .spread import Place, Tolerance
+from .store import Store
+from .view import View
+from .writes import Writes
+
+Client = tuple[str, int]
+"""Who waits for an operation: the daemon and the number of its request there."""
+
+
+@dataclass(frozen=True, slots=True)
+class CoreSettings:
+    """What a core is told when it starts, and never changes. named: the cores that form the first view; tuning: the time
+    settings, shared by all parts of the daemon and never written here."""
+
+    name: str
+    disk: str
+    named: tuple[str, ...]
+    may_form: bool
+    formed_before: bool
+    tolerance: Tolerance
+    tuning: Mapping[str, Any]
+
+    def __deepcopy__(self, memo: dict[int, Any]) -> CoreSettings:
+        return self
+
+
+class StoreOnDisk(Enum):
+    """Is the store on this core's disk as it is held in memory?"""
+
+    WHOLE = "whole"
+    WRITING = "writing"  # it is being written anew
+    TORN = "torn"  # a write of it failed
+
+
+class QueuedOperation(NamedTuple):
+    """An operation that waits for its turn; nobody is told of it where `client` is None."""
+
+    client: Client | None
+    change: str
+    operation: tuple[Any, ...]
+    digest: str
+
+
+@dataclass(slots=True)
+class PendingChange:
+    """The one operation in flight, or the question of a read or a refusal whether the view still holds (then no items).
+
+    It is answered when `synced_here` and `synced_by` holds every backup. version: that of the store with it; previous: before.
+    """
+
+    client: Client | None
+    result: Result
+    items: Items
+    version: Version
+    previous: Version
+    synced_here: bool
+    nonce: int
+    sent: timedelta
+    synced_by: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class OpeningSnapshot:
+    """The snapshot with which a new primary opens its view, and when it was last sent."""
+
+    nonce: int
+    sent: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class BetterView:
+    """The view that the primary would rather have, and since when it has been the same."""
+
+    since: timedelta
+    view: View
+
+
+class HeldRequest(NamedTuple):
+    """A daemon's request for news that is held until there is some."""
+
+    received: timedelta
+    sender: str
+    number: int
+    version: Version
+    position: Any
+
+
+@dataclass(slots=True)
+class CoreState:
+    """All that a core's control part knows. One step changes it at a time; nothing else does.
+
+    On disk before anything is said that rests on it: `register`, `sealed`, `recruited`, `served` and `store`; `shown_items` and
+    `shown_version` follow by and by, and may be behind on disk.
+
+    Invariants:
+    - `view.epoch` never falls; `sealed`, `recruited`, `served`, `shown_version` and the register's promise never fall.
+    - `register.base` is a view known to be chosen, with `view`'s epoch or a later one that was told with a vote.
+    - `open_epoch` is 0 or `view.epoch`, and is not 0 only on the primary, after all backups have synced its whole store.
+    - A backup takes changes of `view` only while `served == view.epoch > sealed`.
+    - `pending` is None or was begun in `view`, or (on a primary that has just been chosen) is part of `store`.
+    - Every version in `shown_items` is at most `shown_version`, and was acknowledged or synced by all members of a view.
+    - `proofs` and `snapshot_synced_by` name backups of `view` alone.
+    """
+
+    # the register, and the newest view known to be chosen
+    register: Register
+    view: View | None
+    # epochs: no more changes are taken under `sealed`; recruited for; the one whose opening snapshot the store began from
+    sealed: int
+    recruited: int
+    served: int
+    # what control holds, and what of it may be told to others (design 5.7)
+    store: Store
+    shown_items: Store
+    shown_version: Version
+    store_on_disk: StoreOnDisk
+    writes: Writes
+    # the other cores
+    peers: Peers
+    places: dict[str, Place]
+    met: set[str] = field(default_factory=set)  # by the roll, or by a heartbeat
+    heartbeat_sent: dict[str, timedelta] = field(default_factory=dict)
+    # when the next round of heartbeats is due (None before the first event); since when this core is awake in its view
+    next_heartbeat: timedelta | None = None
+    awake_since: timedelta = ZERO
+    # primary: the epoch in which it is open, changes, the snapshot that opens the view, proofs that it still leads
+    open_epoch: int = 0
+    queue: list[QueuedOperation] = field(default_factory=list)
+    pending: PendingChange | None = None
+    opening: OpeningSnapshot | None = None
+    snapshot_synced_by: set[str] = field(default_factory=set)
+    proofs: dict[str, timedelta] = field(default_factory=dict)
+    # the newest time at which the primary was proved to be primary; when the last pull of shown items was sent
+    proven_at: timedelta | None = None
+    pulled_at: timedelta | None = None
+    # seeking a new view: the seeker; a better view; the epoch that this core sealed to seek the next; recruits' syncs
+    seeker: Seeker | None = None
+    better: BetterView | None = None
+    sealed_by_me: int = 0
+    recruits_synced: dict[tuple[str, int, int], str] = field(default_factory=dict)  # (core, epoch, nonce) -> disk
+    # daemons that wait for news; where the table of soft state stands (design 4.3)
+    held: list[HeldRequest] = field(default_factory=list)
+    table_position: Any = None
+
+
+def may_form_first_view(*, name: str, named: Iterable[str], first: bool, formed_before: bool) -> bool:
+    """May this core form the first view (design 5.5)? It started with `first`, now or, by its own note on disk, before."""
+    return name in named and (first or formed_before)
+
+
+def initial_state(
+    *, settings: CoreSettings, meta: Mapping[str, Any], store: Mapping[str, Any], shown: Mapping[str, Any], place: Place
+) -> CoreState:
+    """The state after a start, from what was last synced."""
+    register = rg.read(meta)
+    return CoreState(
+        register=register,
+        view=register.base,
+        sealed=meta.get("sealed", 0),
+        recruited=meta.get("recruited", 0),
+        served=meta.get("served", 0),
+        store=dict(store),
+        shown_items=dict(shown),
+        shown_version=meta.get("shown", bk.START),
+        store_on_disk=StoreOnDisk.WHOLE,
+        writes=Writes(settings.tuning),
+        peers=Peers(settings.tuning),
+        places={settings.name: place},
+    )
+
+
+def canonical(value: Any) -> Any:
+    """A value as nested tuples whose text is the same for equal values, whatever the order of sets and maps."""
+    if isinstance(value, Mapping):
+        return ("map", *sorted(((repr(canonical(k)), canonical(v)) for k, v in value.items()), key=lambda pair: pair[0]))
+    if isinstance(value, set | frozenset):
+        return ("set", *sorted(repr(canonical(x)) for x in value))
+    if isinstance(value, tuple | list):
+        return (type(value).__name__, *[canonical(x) for x in value])
+    if dataclasses.is_dataclass(value):
+        return (type(value).__name__, *[canonical(getattr(value, f.name)) for f in dataclasses.fields(value) if f.name != "tuning"])
+    if isinstance(value, random.Random):
+        return ("random", value.getstate())
+    return value
+
+
+def fingerprint(*values: Any) -> bytes:
+    """Sixteen bytes that are the same for equal values, in any process."""
+    return hashlib.blake2b(repr(canonical(values)).encode(), digest_size=16).digest()
--- /dev/null
+++ b/silverglade/control/view.py
@@ -0,0 +1,96 @@
+"""A view and a ballot as values, and the checks of those that come from outside (design 5.2).
+
+Both travel and are stored as plain arrays: `plain` makes them so, `view_of` and `ballot_of` take them in.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+MOST_WITNESSES = 9
+LEAST_WITNESSES = 3
+
+Witness = tuple[str, str]
+"""A core and the id of the disk with which it may vote."""
+
+
+class View(NamedTuple):
+    """Who holds control in one epoch: the members (primary and backups), and the witnesses who choose its successor."""
+
+    epoch: int
+    primary: str
+    backups: tuple[str, ...]
+    witnesses: tuple[Witness, ...]
+
+
+class Ballot(NamedTuple):
+    """The number of a proposal; ties are broken by the name of the proposer."""
+
+    number: int
+    proposer: str
+
+
+NO_BALLOT = Ballot(0, "")
+
+
+def epoch(view: View | None) -> int:
+    """The epoch of a view; 0 before the first."""
+    return view[0] if view else 0
+
+
+def members(view: View | None) -> tuple[str, ...]:
+    """The primary, then the backups."""
+    return (view[1], *view[2]) if view else ()
+
+
+def disks(view: View | None) -> dict[str, str]:
+    """Each witness with its disk."""
+    return dict(view[3]) if view else {}
+
+
+def is_text_tuple(value: Any, least: int, most: int) -> bool:
+    """Is this a tuple of texts, of a length within the bounds?"""
+    return isinstance(value, tuple) and least <= len(value) <= most and all(isinstance(x, str) for x in value)
+
+
+def is_ballot(value: Any) -> bool:
+    """Is this a ballot, as far as its shape says?"""
+    return isinstance(value, tuple) and len(value) == 2 and type(value[0]) is int and isinstance(value[1], str)
+
+
+def is_view(value: Any) -> bool:
+    """Is this a view: at least one backup, three to nine witnesses, all members among them?"""
+    return (
+        isinstance(value, tuple)
+        and len(value) == 4
+        and type(value[0]) is int
+        and value[0] > 0
+        and isinstance(value[1], str)
+        and is_text_tuple(value[2], 1, MOST_WITNESSES - 1)
+        and len({value[1], *value[2]}) == 1 + len(value[2])
+        and isinstance(value[3], tuple)
+        and LEAST_WITNESSES <= len(value[3]) <= MOST_WITNESSES
+        and all(is_text_tuple(pair, 2, 2) for pair in value[3])
+        and len(dict(value[3])) == len(value[3])
+        and {value[1], *value[2]} <= {pair[0] for pair in value[3]}
+    )
+
+
+def is_view_or_none(value: Any) -> bool:
+    """Is this a view, or None for the time before the first?"""
+    return value is None or is_view(value)
+
+
+def view_of(value: Any) -> View | None:
+    """A checked array as a view; None stays None."""
+    return None if value is None else View(*value)
+
+
+def ballot_of(value: Any) -> Ballot:
+    """A checked array as a ballot."""
+    return Ballot(*value)
+
+
+def plain(value: Any) -> Any:
+    """A view or a ballot as the array that travels and is stored; anything else as it is."""
+    return tuple(value) if isinstance(value, View | Ballot) else value
--- a/silverglade/rehearsal/council.py
+++ b/silverglade/rehearsal/council.py
@@ -65,8 +65,10 @@
         c.after(span(c.rng.randrange(50)), self.pulse, self.life)
         c.rolled()
 
-    def peek(self, k):
-        return self.gen.gi_frame.f_locals[k]
+    @property
+    def state(self):
+        """The state of its control part, while it is up: to be read alone."""
+        return self.gen.state
 
     def power(self):
         """Power is lost: what was not synced is gone, but for the write under way."""
@@ -208,7 +210,7 @@
     # what is known from outside
     def view(self):
         """The newest view that a core which is up holds."""
-        return max((x.peek("view") for x in self.cores.values() if x.gen and x.peek("view")), key=lambda v: v[0], default=None)
+        return max((x.state.view for x in self.cores.values() if x.gen and x.state.view), key=lambda v: v[0], default=None)
 
     def primary(self):
         v = self.view()
@@ -223,8 +225,8 @@
             and up.keys() == self.cores.keys()
             and disks(v) == up
             and len(v[2]) == max(1, *self.tolerance)
-            and self.cores[v[1]].peek("opened") == v[0]
-            and all(x.gen and x.peek("view") == v and x.peek("writes").fit for x in self.cores.values())
+            and self.cores[v[1]].state.open_epoch == v[0]
+            and all(x.gen and x.state.view == v and x.state.writes.fit for x in self.cores.values())
         )
 
     def bad(self, rule, *what):
@@ -320,7 +322,7 @@
 
         def deliver(frm, to, body):
             if body[0] == "opr" and body[2][0] == "ok":
-                e = frm.peek("view")[0]
+                e = frm.state.view[0]
                 if self.seen.setdefault(e, frm.name) != frm.name:
                     council.bad("two-primaries", e, frm.name, self.seen[e])
             was(frm, to, body)
@@ -362,7 +364,7 @@
         c.bad(
             "not-back",
             c.view(),
-            [(x.name, x.peek("view"), x.peek("opened"), x.peek("sealed"), x.peek("writes").fit) for x in c.cores.values() if x.gen],
+            [(x.name, x.state.view, x.state.open_epoch, x.state.sealed, x.state.writes.fit) for x in c.cores.values() if x.gen],
         )
     return t
 
--- a/silverglade/rehearsal/watch.py
+++ b/silverglade/rehearsal/watch.py
@@ -113,7 +113,7 @@
         self.reach()
         t = self.w.now
         cores = [n for n in self.w.nodes.values() if n.core and n.hub is not None]
-        view = max((n.peek("control", "view") for n in cores if n.peek("control", "view")), default=None, key=lambda x: x[0])
+        view = max((n.control.view for n in cores if n.control.view), default=None, key=lambda x: x[0])
         if view is None:
             return
         prim = self.w.nodes[view[1]]
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -92,6 +92,11 @@
         """Awake, with no leap of its clock, since t."""
         return self.hub is not None and self.frozen is None and self.since <= t
 
+    @property
+    def control(self):
+        """The state of this core's control part, while it is up: to be read alone."""
+        return self.hub.parts["control"].state
+
     def peek(self, part, name):
         """What a part of this daemon holds by a name: for faults, figures and tests alone."""
         return self.hub.parts[part].gi_frame.f_locals[name]
--- a/silverglade/tools/restore.py
+++ b/silverglade/tools/restore.py
@@ -5,6 +5,7 @@
 """
 
 from ..control import register as rg
+from ..control.view import Ballot, View
 from ..daemon.disk import Store
 from ..faults import Fault
 
@@ -23,10 +24,10 @@
 def plan(saved, *, name, disk, partner, third):
     """-> the writes that make this core primary of a new view."""
     reg = rg.read(saved["meta"])
-    e = max(rg.epoch(reg["view"]), rg.epoch(reg["base"]), saved["meta"].get("recruited", 0)) + LEAP
-    new = (e, name, (partner[0],), tuple(sorted([(name, disk), partner, third])))
-    reg = dict(rg.blank(), promised=(reg["promised"][0] + LEAP, name), base=new)
-    return [("put", "meta", "reg", reg), ("put", "meta", "recruited", e)], e
+    e = max(rg.epoch(reg.view), rg.epoch(reg.base), saved["meta"].get("recruited", 0)) + LEAP
+    new = View(e, name, (partner[0],), tuple(sorted([(name, disk), partner, third])))
+    reg = rg.Register(promised=Ballot(reg.promised.number + LEAP, name), base=new)
+    return [("put", "meta", "reg", reg.stored()), ("put", "meta", "recruited", e)], e
 
 
 def run(a):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,6 +4,8 @@
 
 from silverglade.control import book as bk
 from silverglade.control import register as rg
+from silverglade.control.messages import Accept, Accepted, Prepare, Rejected
+from silverglade.control.view import Ballot, View, is_view
 
 NAMES = tuple("abcdefghi")
 
@@ -14,10 +16,10 @@
     def __init__(self, seed):
         self.rng, self.n = random.Random(seed), 0
         self.disk = {c: c + "0" for c in NAMES}
-        self.reg = {c: rg.blank() for c in NAMES}
-        first = (1, "a", ("b",), tuple((c, self.disk[c]) for c in NAMES[: 3 + 2 * (seed % 2)]))
+        self.reg = {c: rg.Register() for c in NAMES}
+        first = View(1, "a", ("b",), tuple((c, self.disk[c]) for c in NAMES[: 3 + 2 * (seed % 2)]))
         for c in rg.disks(first):
-            self.reg[c] = dict(rg.blank(), base=first, promised=(1, "a"))
+            self.reg[c] = rg.Register(base=first, promised=Ballot(1, "a"))
         self.chosen, self.rounds, self.mail, self.top = {1: first}, {}, [], 1
         self.loss, self.reach = (0.02, 0.1, 0.3)[seed % 3], (1.0, 0.75)[seed // 3 % 2]
 
@@ -39,22 +41,22 @@
             ds = {c: self.disk[c] for c in names}
         pool = sorted(names - {me})
         self.top += r.randrange(1, 3)
-        b = (self.top, me)
-        want = (v[0] + 1, me, tuple(r.sample(pool, r.randrange(1, min(3, len(pool)) + 1))), tuple(sorted(ds.items())))
-        assert rg.sound(want)
+        b = Ballot(self.top, me)
+        want = View(v[0] + 1, me, tuple(r.sample(pool, r.randrange(1, min(3, len(pool)) + 1))), tuple(sorted(ds.items())))
+        assert is_view(want)
         near = [c for c in rg.disks(v) if r.random() < self.reach]  # who can be reached this time
-        self.rounds[b] = (rg.round_(me=me, ballot=b, base=v, want=want), near)
-        self.post(b, next(self.rounds[b][0]))
+        self.rounds[b] = (rg.Round(ballot=b, base=v, want=want), near)
+        self.post(b, self.rounds[b][0].begin())
 
     def post(self, b, msg):
-        if msg[0] in ("prep", "acc"):
-            self.mail = self.mail[-40:] + [(b, c, msg) for c in self.rounds[b][1]]
-        elif msg[0] == "chosen":
-            e = msg[2][0]
-            assert self.chosen.setdefault(e, msg[2]) == msg[2], "two views of one epoch"
-        elif msg[0] == "behind":
-            assert self.chosen[msg[1][0]] == msg[1], "a base that was not chosen"
-        if msg[0] in ("chosen", "lost", "behind"):
+        match msg:
+            case Prepare() | Accept():
+                self.mail = self.mail[-40:] + [(b, c, msg) for c in self.rounds[b][1]]
+            case rg.Chosen(view):
+                assert self.chosen.setdefault(view.epoch, view) == view, "two views of one epoch"
+            case rg.Behind(view):
+                assert self.chosen[view.epoch] == view, "a base that was not chosen"
+        if isinstance(msg, rg.Chosen | rg.Lost | rg.Behind):
             self.rounds.pop(b, None)
 
     def bare(self):
@@ -72,7 +74,7 @@
             c = r.choice(NAMES)
             if gone < most or c not in dict(self.chosen[max(self.chosen)][3]):
                 self.n += 1
-                self.disk[c], self.reg[c] = f"{c}{self.n}", rg.blank()
+                self.disk[c], self.reg[c] = f"{c}{self.n}", rg.Register()
             return None
         if k < 0.04:  # someone tells what was chosen
             c, v = r.choice(NAMES), self.chosen[r.choice(sorted(self.chosen))]
@@ -85,14 +87,13 @@
             self.mail.pop(i)
         if r.random() < self.loss:
             return None
-        if msg[0] == "answer":
-            frm, disk, ans = msg[1:]
+        if not isinstance(msg, Prepare | Accept):  # a witness's answer
             if b in self.rounds:
-                self.post(b, self.rounds[b][0].send((frm, disk, ans)))
+                self.post(b, self.rounds[b][0].answer(c, msg))
             return None
-        f = rg.prepare if msg[0] == "prep" else rg.accept
-        self.reg[c], ans = f(self.reg[c], *msg[1:])
-        self.mail.append((b, c, ("answer", c, self.disk[c], ans)))
+        f = rg.prepare if isinstance(msg, Prepare) else rg.accept
+        self.reg[c], ans = f(self.reg[c], msg, disk=self.disk[c])
+        self.mail.append((b, c, ans))
         return None
 
 
@@ -144,41 +145,40 @@
 
 def test_new_witnesses_that_voted_on_their_own_coming_would_let_two_views_win(monkeypatch):
     """The guard out: the votes that count are those of the view wanted, not of its base."""
-    real = rg.round_
+    real = rg.Round
 
-    def round_(*, me, ballot, base, want):
-        return real(me=me, ballot=ballot, base=(base[0], base[1], base[2], want[3]), want=want)
+    def careless(*, ballot, base, want):
+        return real(ballot=ballot, base=base._replace(witnesses=want.witnesses), want=want)
 
-    monkeypatch.setattr(rg, "round_", round_)
+    monkeypatch.setattr(rg, "Round", careless)
     assert falls()
 
 
 def overwritten():
     """Views 2 and 3 are chosen; one who knows of neither completes 2 with the old witnesses. -> view 3, twice."""
     names = "abcde"
-    v1 = (1, "a", ("b",), tuple((c, c) for c in "abc"))
-    v2 = (2, "b", ("c",), tuple((c, c) for c in names))
-    v3, v3b = (3, "c", ("d",), v2[3]), (3, "b", ("a",), v2[3])
-    reg = {c: dict(rg.blank(), base=v1 if c in "abc" else None) for c in names}
+    v1 = View(1, "a", ("b",), tuple((c, c) for c in "abc"))
+    v2 = View(2, "b", ("c",), tuple((c, c) for c in names))
+    v3, v3b = View(3, "c", ("d",), v2.witnesses), View(3, "b", ("a",), v2.witnesses)
+    reg = {c: rg.Register(base=v1 if c in "abc" else None) for c in names}
 
     def run(me, n, base, want, prep, acc):
-        g = rg.round_(me=me, ballot=(n, me), base=base, want=want)
-        step, got = next(g), None
-        for f, to in ((rg.prepare, prep), (rg.accept, acc)):
-            msg = step
-            for c in to:
-                reg[c], ans = f(reg[c], *msg[1:])
-                if step[0] not in ("chosen", "lost", "behind"):
-                    step = g.send((c, c, ans))
-                    msg = step if f is rg.prepare and step[0] == "acc" else msg
-                    got = step[-1] if step[0] == "chosen" else got
-                if f is rg.prepare and step[0] == "acc":
-                    break
-        return got
+        proposer = rg.Round(ballot=Ballot(n, me), base=base, want=want)
+        got = None
+        for c in prep:
+            reg[c], answer = rg.prepare(reg[c], proposer.begin(), disk=c)
+            got = proposer.answer(c, answer)
+            if isinstance(got, Accept):
+                break
+        asked, end = got, None
+        for c in acc:
+            reg[c], answer = rg.accept(reg[c], asked, disk=c)
+            end = end or proposer.answer(c, answer)
+        return end.view if isinstance(end, rg.Chosen) else None
 
     assert run("b", 2, v1, v2, "bac", "ac") == v2
     assert run("c", 3, v2, v3, "cde", "cde") == v3
-    run("a", 4, v1, (2, "a", ("b",), v1[3]), "ab", "abc")
+    run("a", 4, v1, View(2, "a", ("b",), v1.witnesses), "ab", "abc")
     return v3, run("b", 5, v2, v3b, "abc", "abc")
 
 
@@ -186,10 +186,11 @@
     chosen, again = overwritten()
     assert again in (None, chosen)
 
-    def careless(reg, ballot, base, view, /):
-        if ballot < reg["promised"]:
-            return reg, ("nack", ballot, reg["promised"])
-        return dict(promised=ballot, base=base, ballot=ballot, view=view), ("accd", ballot)
+    def careless(reg, message, /, *, disk):
+        ballot, base, view = message
+        if ballot < reg.promised:
+            return reg, Rejected(ballot, disk, reg.promised)
+        return rg.Register(promised=ballot, base=base, accepted=ballot, view=view), Accepted(ballot, disk)
 
     monkeypatch.setattr(rg, "accept", careless)
     chosen, again = overwritten()
@@ -205,10 +206,11 @@
     old = (3, "a", "b", (("a", "1"), ("b", "2"), ("c", "3")))
     nxt = (4, "b", "c", old[3])
     got = rg.read({"reg": dict(promised=(7, "b"), ballot=(7, "b"), view=nxt), "view": ((6, "a"), old)})
-    assert got == dict(promised=(7, "b"), base=(3, "a", ("b",), old[3]), ballot=(7, "b"), view=(4, "b", ("c",), old[3]))
-    assert rg.sound(got["base"]) and rg.read({"reg": got}) == got and rg.read({}) == rg.blank()
+    assert got.stored() == dict(promised=(7, "b"), base=(3, "a", ("b",), old[3]), ballot=(7, "b"), view=(4, "b", ("c",), old[3]))
+    assert is_view(got.base) and rg.read({"reg": got.stored()}) == got and rg.read({}) == rg.Register()
+    assert {type(x) for x in got.stored().values()} == {tuple}  # plain arrays are stored
     done = rg.read({"reg": dict(promised=(7, "b"), ballot=(7, "b"), view=nxt), "view": ((7, "b"), nxt)})
-    assert done["base"][0] == 4 and done["view"] is None and done["promised"] == (7, "b")
+    assert done.base.epoch == 4 and done.view is None and done.promised == (7, "b")
 
 
 def test_the_book_takes_one_of_two_changes_over_the_same_version():
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -9,8 +9,8 @@
 
 from .test_nevers import without
 
-CORE = "silverglade.control.core"
-USED = "silverglade.rehearsal.council.core"
+CONTROL = "silverglade.control"
+REPLICATION, VIEW_CHANGE, STATE = CONTROL + ".replication", CONTROL + ".view_change", CONTROL + ".state"
 SIZES = [(3, (1, 1, 1)), (5, (2, 1, 1))]
 
 
@@ -108,46 +108,42 @@
         "answered before the backups have synced",
         last(),
         {"both-won", "read-old"},
-        CORE,
-        """                    if pend is p and ok:
-                        replicate()""",
-        """                    if pend is p and ok:
-                        replicate()
-                        answer(p["cid"], p["res"])""",
-        USED,
+        REPLICATION,
+        """        if ok:
+            replicate(core, view, pending)""",
+        """        if ok:
+            replicate(core, view, pending)
+            answer(core, pending.client, pending.result)""",
+        REPLICATION + ".on_written_by_primary",
     ),
     (
         "answered when one of two backups has synced",
         the_slower_backup_alone_is_left,
         {"both-won", "read-old"},
-        CORE,
-        'pend["mine"] and pend["done"] >= set(view[2])',
-        'pend["mine"] and pend["done"]',
-        USED,
+        REPLICATION,
+        "pending.synced_here and pending.synced_by >= set(led.backups)",
+        "pending.synced_here and pending.synced_by",
+        REPLICATION + ".on_replicated",
     ),
     (
         "a backup's word before its own sync",
         the_slower_backup_alone_is_left,
         {"both-won", "read-old"},
-        CORE,
-        "return write_items(items, cp.take(store, items), lambda k, t: out.append(tell) if k else None, now)",
-        "out.append(tell)\n        return write_items(items, cp.take(store, items), lambda k, t: None, now)",
-        USED,
+        REPLICATION,
+        ("    gone = store.take(state.store, change.items)", "    if ok:\n        core.send_outgoing(written.outgoing)"),
+        ("    core.send_outgoing(confirmation)\n    gone = store.take(state.store, change.items)", ""),
+        (REPLICATION + ".on_replicate", REPLICATION + ".on_written_by_backup"),
     ),
     (
         "a read that nobody confirmed",
         a_cut_off_primary_is_read,
         {"read-old"},
-        CORE,
-        """            else:
-                replicate()
-
-    def write_items""",
-        """            else:
-                commit(now)
-
-    def write_items""",
-        USED,
+        REPLICATION,
+        """    else:
+        replicate(core, view, pending)""",
+        """    else:
+        commit(core, view, pending, now)""",
+        REPLICATION + ".begin",
     ),
     (
         "views chosen by less than a majority",
@@ -190,28 +186,36 @@
         "nobody takes over",
         one(trials.primary_loses_power),
         {"not-back"},
-        CORE,
-        "        return bad or (",
-        "        return None if bad == 'silent' else bad or (",
-        USED,
+        VIEW_CHANGE,
+        "    return wrong",
+        "    return None if wrong == 'silent' else wrong",
+        VIEW_CHANGE + ".why_seek",
     ),
     (
         "nobody steps aside when it leaves",
         one(trials.all_leave_in_turn),
         {"not-back"},
-        CORE,
-        'writes.leaving, due = s != "ready", now',
-        "due = now",
-        USED,
+        CONTROL + ".core",
+        'self.state.writes.leaving = daemon_state != "ready"',
+        "",
+        CONTROL + ".core.ControlCore",
+    ),
+    (
+        "nobody is admitted",
+        one(trials.a_disk_is_lost),
+        {"not-whole", "not-formed"},
+        VIEW_CHANGE,
+        "state.better = BetterView(now, new) if new else None",
+        "state.better = None",
+        VIEW_CHANGE + ".look_for_better_view",
     ),
-    ("nobody is admitted", one(trials.a_disk_is_lost), {"not-whole", "not-formed"}, CORE, "wish = new and (now, new)", "wish = None", USED),
 ]
 
 
 @pytest.mark.parametrize("what,play,rules,module,old,new,target", BREACHES, ids=[b[0] for b in BREACHES])
 def test_without_its_guard_a_rule_falls(what, play, rules, module, old, new, target, monkeypatch):
     assert fell(range(3), play) == set()
-    without(monkeypatch, module, old, new, target)
+    without(monkeypatch, module, old, new, *((target,) if isinstance(target, str) else target))
     assert fell(range(24), play) & rules
 
 
@@ -267,10 +271,11 @@
             c.cores[n].boot()
         n = len(c.acks)
         c.run(8)
-        return len(c.acks) > n, {rg.epoch(c.cores[m].peek("view")) for m in c.named}
+        return len(c.acks) > n, {rg.epoch(c.cores[m].state.view) for m in c.named}
 
     assert play() == (False, {0})
-    without(monkeypatch, CORE, 'may_form = me in cores and (first or meta.get("first", False))', "may_form = me in cores", USED)
+    guard = "return name in named and (first or formed_before)"
+    without(monkeypatch, STATE, guard, "return name in named", CONTROL + ".core.may_form_first_view")
     assert play()[0]
 
 
@@ -279,7 +284,7 @@
     c.run(0.3)
     for x in c.cores.values():
         x.power()
-    assert all(x.peek("view") is None for x in c.cores.values() if x.gen)
+    assert all(x.state.view is None for x in c.cores.values() if x.gen)
     for x in c.cores.values():
         x.boot()  # with `first` false, as after any start but the first
     assert c.run(10, until=c.sound) is not None
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -79,7 +79,7 @@
     for i in range(bk.KEEP + 40):
         s.w.after(span(20 * i), s.w.call, "core-north", "evac", ("north", False, f"e{i}"))
     s.w.run(10)
-    v = s.w.nodes["core-north"].peek("control", "view")
+    v = s.w.nodes["core-north"].control.view
     n = [sum(k.startswith("change/") for k in s.w.nodes[c].disk.data["book"]) for c in (v[1], *v[2])]
     assert n == [bk.KEEP, bk.KEEP]
 
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -307,9 +307,9 @@
     return s
 
 
-REG, ELECT, LEDGER, OWNER, ORDER, CORE, NEWS = (
+REG, ELECT, LEDGER, OWNER, ORDER, REPLICATION, NEWS = (
     "silverglade.replicas.registry", "silverglade.replicas.elect", "silverglade.replicas.ledger",
-    "silverglade.shards.owner", "silverglade.path.order", "silverglade.control.core", "silverglade.news")
+    "silverglade.shards.owner", "silverglade.path.order", "silverglade.control.replication", "silverglade.news")
 USABLE = ("silverglade.replicas.registry.usable",
           "silverglade.replicas.elect.usable", "silverglade.path.ingress.usable")
 
@@ -362,10 +362,10 @@
     (a_daemon_restarts_beside_a_core_that_is_behind, "slipped-back",
      [(NEWS, "if not sure:", "if False:", "silverglade.hub.news")]),
     (power_is_lost_after_an_acknowledgement, "acknowledged-forgotten",
-     [(CORE, '''                    if pend is p and ok:
-                        replicate()''', '''                    if pend is p and ok:
-                        replicate()
-                        answer(p["cid"], p["res"])''', "silverglade.hub.core")]),
+     [(REPLICATION, '''        if ok:
+            replicate(core, view, pending)''', '''        if ok:
+            replicate(core, view, pending)
+            answer(core, pending.client, pending.result)''', REPLICATION + ".on_written_by_primary")]),
     (two_operators_race, "both-won",
      [("silverglade.control.book", "if base != held:", "if False:", "silverglade.control.book.decide")]),
     (a_replica_returns_cold_into_a_crowd, "flooded",
