--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -23,6 +23,13 @@
     assert ruff("format", "--check") == (0, "")
 
 
+def test_the_type_checker_finds_nothing_in_control():
+    done = subprocess.run(
+        [sys.executable, "-m", "mypy", "--cache-dir=/dev/null", "--no-error-summary"], cwd=TOP, capture_output=True, text=True
+    )
+    assert (done.returncode, done.stdout + done.stderr) == (0, "")
+
+
 def test_no_file_is_over_400_lines():
     assert [p.name for p in FILES if len(p.read_text().splitlines()) > 400] == []
 
