Four faults of a core under chosen interleavings, mended

The steady clock of a machine that starts again stands elsewhere, so a proof could lie in the future for as long as the machine had been up (no news confirmed by that core), and a heartbeat meant for the core that had the address before proved news that nobody had proved. Stamps of a life now begin at a random number, and what is no stamp of this life is no echo. - Shown items got holes on disk: a write that failed (a nearly full disk) was passed over and the next one wrote the shown version beyond it; after a restart a daemon was told that version without the items. One write at a time now, and what a failed one did not bring goes with the next. - Two lives of a core could use one ballot, since a promise to itself need not be on disk before others' promises make a majority; a late acceptance of the first life's ballot was then counted for the second's proposal. Ballots rise by a random step now. - Words of synced copies that nobody waits for were kept until the next view, for ever on a minority's side. Conclusion: bounded staleness rests on stamps of this life alone, and ballots are unique over lives.

--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -46,11 +46,15 @@
     Continuation,
     Effect,
     EpochSealed,
+    ShownWritten,
     TellIfSynced,
     WholeStoreWritten,
     keep,
 )
 
+STAMP_ORIGIN_BITS = 48
+"""Of the random number from which a life counts its stamps: two lives hardly ever meet."""
+
 Event = tuple[Any, ...]
 Effects = tuple[Effect, ...]
 
@@ -157,10 +161,10 @@
         continuation, effects = self.state.writes.ended(number, ok)
         self.effects.extend(effects)
         if continuation is not None:
-            self.follow(continuation, ok)
+            self.follow(continuation, ok, now)
         snapshots.open_if_synced(self, now)
 
-    def follow(self, continuation: Continuation, ok: bool) -> None:
+    def follow(self, continuation: Continuation, ok: bool, now: timedelta) -> None:
         """What follows a write."""
         match continuation:
             case TellIfSynced():
@@ -174,6 +178,8 @@
                 replication.on_written_by_backup(self, continuation, ok)
             case EpochSealed():
                 view_change.on_sealed(self, continuation, ok)
+            case ShownWritten():
+                serving.on_shown_written(self, continuation, ok, now)
 
     def on_roll(self, records: Iterable[tuple[Any, ...]]) -> None:
         """The live daemons, as the roster has them."""
@@ -255,5 +261,12 @@
         tolerance=tolerance,
         tuning=opt,
     )
-    state = initial_state(settings=settings, meta=meta, store=saved.get("book", {}), shown=saved.get("shown", {}), place=place)
+    state = initial_state(
+        settings=settings,
+        meta=meta,
+        store=saved.get("book", {}),
+        shown=saved.get("shown", {}),
+        place=place,
+        stamp_origin=rng.getrandbits(STAMP_ORIGIN_BITS),
+    )
     return ControlPart(ControlCore(settings, state, rng))
--- a/silverglade/control/liveness.py
+++ b/silverglade/control/liveness.py
@@ -25,13 +25,22 @@
             disk=core.settings.disk,
             sealed=state.sealed,
             blank=state.view is None and state.register.view is None and core.settings.may_form,
-            stamp=ms(now),
+            stamp=state.stamp_origin + ms(now),
             echo=state.peers.echo(to),
             age=serving.proof_age(core, now),
         ),
     )
 
 
+def own_echo(core: CoreContext, echo: int, now: timedelta) -> int:
+    """When this life sent the stamp that came back, in ms of its clock; -1: it did not.
+
+    It may be a stamp of an earlier life, whose clock stood elsewhere, or of another core that had this address before.
+    """
+    sent = echo - core.state.stamp_origin
+    return sent if 0 <= sent <= ms(now) else -1
+
+
 def is_told_regularly(core: CoreContext, name: str, now: timedelta) -> bool:
     """All by the primary, it by all; by one who misses it, or seeks, all (design 5.10)."""
     state, view = core.state, core.state.view
@@ -55,6 +64,7 @@
 def on_heartbeat(core: CoreContext, sender: str, beat: Heartbeat, now: timedelta) -> None:
     """Another core says how it is."""
     state = core.state
+    beat = beat._replace(echo=own_echo(core, beat.echo, now))
     state.peers.heard(sender, beat, now)
     state.met.add(sender)
     if beat.epoch < core.epoch:
--- a/silverglade/control/seek.py
+++ b/silverglade/control/seek.py
@@ -22,6 +22,10 @@
 PAUSE = span(50)
 """The least wait after an attempt that failed."""
 
+BALLOT_SPREAD_BITS = 20
+"""Ballots rise by a random step: two lives of a core, of which the first left nothing on disk, must not use the same one, or
+a late acceptance of the first would count for the second."""
+
 
 class Goal(NamedTuple):
     """What is sought: `view` after `base`, with a copy of the store to `recruits` first."""
@@ -103,6 +107,10 @@
         self.step = Step.SEAL
         return [Seal(goal, self.nonce)]
 
+    def awaits(self, epoch: int, nonce: int) -> bool:
+        """Is this word of a synced copy for the present attempt? Others are late, and not kept."""
+        return self.goal is not None and (epoch, nonce) == (self.goal.view.epoch, self.nonce)
+
     def seal_written(self, nonce: int) -> None:
         """A seal is on disk; only that of this attempt counts."""
         self.sealed = self.sealed or nonce == self.nonce
@@ -119,7 +127,8 @@
         if self.step is Step.COPY:
             actions += self.copy(self.goal, now, recruits_synced, tuning)
         if self.step is Step.ROUND and self.round is None:
-            self.round = Round(ballot=Ballot(self.highest.number + 1, me), base=self.goal.base, want=self.goal.view)
+            number = self.highest.number + 1 + rng.getrandbits(BALLOT_SPREAD_BITS)
+            self.round = Round(ballot=Ballot(number, me), base=self.goal.base, want=self.goal.view)
             actions.append(self.ask(self.goal, self.round.begin()))
         if self.step is not Step.REST and now - self.begun > tuning["takeover"]:
             self.retry_later(now, tuning, rng)
--- a/silverglade/control/serving.py
+++ b/silverglade/control/serving.py
@@ -10,7 +10,7 @@
 from .context import CoreContext
 from .messages import Items, NewsRequest, Pull, ShownItems, Version
 from .state import HeldRequest
-from .writes import keep
+from .writes import DiskOperation, ShownWritten, keep
 
 
 def show(core: CoreContext, items: Items, version: Version, now: timedelta) -> None:
@@ -19,7 +19,34 @@
     operations, state.pulled_at = store.show(state.shown_items, items), None
     if version > state.shown_version or operations:
         state.shown_version = max(state.shown_version, version)
-        core.write(operations + keep(shown=state.shown_version), None, now)
+        state.shown_unwritten.update((key_of(operation), operation) for operation in operations)
+        write_shown(core, now)
+
+
+def key_of(operation: DiskOperation) -> str:
+    """The key that a disk operation puts or deletes."""
+    return str(operation[2])
+
+
+def write_shown(core: CoreContext, now: timedelta) -> None:
+    """One write at a time: on disk nothing may be missing below the version there, also when a write of some failed."""
+    state = core.state
+    if state.shown_write_under_way:
+        return
+    operations, state.shown_unwritten, state.shown_write_under_way = state.shown_unwritten, {}, True
+    written = ShownWritten(state.shown_version, tuple(operations.values()))
+    core.write([*operations.values(), *keep(shown=state.shown_version)], written, now)
+
+
+def on_shown_written(core: CoreContext, written: ShownWritten, ok: bool, now: timedelta) -> None:
+    """A write of shown items has ended. What it did not bring to disk goes with the next."""
+    state = core.state
+    state.shown_write_under_way = False
+    if not ok:
+        failed = {key_of(operation): operation for operation in written.operations}
+        state.shown_unwritten = {**failed, **state.shown_unwritten}
+    elif state.shown_unwritten or state.shown_version > written.version:
+        write_shown(core, now)
 
 
 def proof_age(core: CoreContext, now: timedelta) -> int:
--- a/silverglade/control/snapshots.py
+++ b/silverglade/control/snapshots.py
@@ -103,7 +103,8 @@
 def on_snapshot_synced(core: CoreContext, sender: str, synced: SnapshotSynced, now: timedelta) -> None:
     """A recruit, or a backup of the view that opens, has synced a snapshot."""
     state, led = core.state, core.led_view()
-    state.recruits_synced[sender, synced.epoch, synced.nonce] = synced.disk
+    if state.seeker is not None and state.seeker.awaits(synced.epoch, synced.nonce):
+        state.recruits_synced[sender, synced.epoch, synced.nonce] = synced.disk
     if led is None or state.opening is None or synced.nonce != state.opening.nonce or synced.epoch != led.epoch:
         return
     if sender in led.backups and synced.disk == rg.disks(led)[sender]:
--- a/silverglade/control/state.py
+++ b/silverglade/control/state.py
@@ -21,7 +21,7 @@
 from .spread import Place, Tolerance
 from .store import Store
 from .view import View
-from .writes import Writes
+from .writes import DiskOperation, Writes
 
 Client = tuple[str, int]
 """Who waits for an operation: the daemon and the number of its request there."""
@@ -118,6 +118,7 @@
     - `open_epoch` is 0 or `view.epoch`, and is not 0 only on the primary, after all backups have synced its whole store.
     - A backup takes changes of `view` only while `served == view.epoch > sealed`.
     - `pending` is None or was begun in `view`, or (on a primary that has just been chosen) is part of `store`.
+    - On disk, the shown items lack nothing up to the shown version there.
     - Every version in `shown_items` is at most `shown_version`, and was acknowledged or synced by all members of a view.
     - `proofs` and `snapshot_synced_by` name backups of `view` alone.
     """
@@ -138,6 +139,11 @@
     # the other cores
     peers: Peers
     places: dict[str, Place]
+    # what this life adds to its clock in the stamps of its heartbeats, so that no other life's stamp is taken for one of ours
+    stamp_origin: int
+    # of the shown items: what is not on disk yet, by key, and whether a write of some is under way
+    shown_unwritten: dict[str, DiskOperation] = field(default_factory=dict)
+    shown_write_under_way: bool = False
     met: set[str] = field(default_factory=set)  # by the roll, or by a heartbeat
     heartbeat_sent: dict[str, timedelta] = field(default_factory=dict)
     # when the next round of heartbeats is due (None before the first event); since when this core is awake in its view
@@ -169,7 +175,13 @@
 
 
 def initial_state(
-    *, settings: CoreSettings, meta: Mapping[str, Any], store: Mapping[str, Any], shown: Mapping[str, Any], place: Place
+    *,
+    settings: CoreSettings,
+    meta: Mapping[str, Any],
+    store: Mapping[str, Any],
+    shown: Mapping[str, Any],
+    place: Place,
+    stamp_origin: int = 0,
 ) -> CoreState:
     """The state after a start, from what was last synced."""
     register = rg.read(meta)
@@ -186,6 +198,7 @@
         writes=Writes(settings.tuning),
         peers=Peers(settings.tuning),
         places={settings.name: place},
+        stamp_origin=stamp_origin,
     )
 
 
--- a/silverglade/control/writes.py
+++ b/silverglade/control/writes.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from ..part import ZERO, log, ms
-from .messages import Message
+from .messages import Message, Version
 
 Effect = tuple[Any, ...]
 DiskOperation = tuple[Any, ...]
@@ -61,7 +61,15 @@
     nonce: int
 
 
-Continuation = TellIfSynced | WholeStoreWritten | ChangeWrittenByPrimary | ChangeWrittenByBackup | EpochSealed
+@dataclass(frozen=True, slots=True)
+class ShownWritten:
+    """Shown items up to this version were written; what failed goes with the next write."""
+
+    version: Version
+    operations: tuple[DiskOperation, ...]
+
+
+Continuation = ShownWritten | TellIfSynced | WholeStoreWritten | ChangeWrittenByPrimary | ChangeWrittenByBackup | EpochSealed
 
 
 class WriteUnderWay(NamedTuple):
