The data folder: locked from its opening, lasting when made, untouched when refused

Seen: (1) A second daemon started on the folder of one that had only read so far opened it too: sqlite's exclusive mode takes its lock with the first write. Both then held a shared lock, and neither could write again ("database is locked"). (2) A folder of the layout before that belongs to another core was refused (702), but its layout had been raised first, so that the program that wrote it refused it from then on; and the refused file stayed locked. (3) Of a folder that is made only the folder itself was synced, not the ones that hold it: a power cut could take it whole, at every core at once after a first start. Ruled out: a write that meets a full disk at any statement leaves the old store or the new one whole and the next small write goes through (shown here by page limits; it held before). Change: an empty exclusive transaction at opening; the layout is raised last; the connection of a refused file is closed; each new folder's parent is synced.

--- a/silverglade/daemon/disk.py
+++ b/silverglade/daemon/disk.py
@@ -17,17 +17,40 @@
 FILE = "state.db"
 
 
+def sync_folder(folder):
+    """What was made or removed in a folder lasts once the folder itself has been synced."""
+    fd = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def make(folder):
+    """Make the folder and those above it; each that is new lasts: the folder that holds it is synced."""
+    if os.path.isdir(folder):
+        return
+    above = os.path.dirname(os.path.abspath(folder))
+    make(above)
+    os.makedirs(folder, exist_ok=True)
+    sync_folder(above)
+
+
 class Store:
     def __init__(self, *, folder, name):
         self.folder, self.name = folder, name
         path = os.path.join(folder, FILE)
         try:
-            os.makedirs(folder, exist_ok=True)
+            make(folder)
             new = not os.path.exists(path)
             if new and any(f for f in os.listdir(folder) if not f.startswith(FILE)):
                 raise Fault(702, f"{folder} holds files that are not silverglade's")
             self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=0.5)
-            self._open(new)
+            try:
+                self._open(new)
+            except BaseException:
+                self.db.close()  # a file that is refused is not kept locked
+                raise
         except (sqlite3.Error, OSError) as e:
             raise Fault(702, f"{path}: {e}") from e
 
@@ -47,8 +70,8 @@
         q("PRAGMA locking_mode=EXCLUSIVE")
         q("PRAGMA journal_mode=DELETE")
         q("PRAGMA synchronous=EXTRA")
-        if not new and v in OLD:  # a program that reads only that one now refuses the file
-            q(f"PRAGMA user_version={SHAPE}")
+        q("BEGIN EXCLUSIVE")  # locked from here on, also before the first write: a second daemon would keep both from writing
+        q("COMMIT")
         if new:
             q("BEGIN EXCLUSIVE")
             q(f"PRAGMA application_id={MARK}")
@@ -59,17 +82,15 @@
                 (ormsgpack.packb(self.name), ormsgpack.packb(secrets.token_hex(8))),
             )
             q("COMMIT")
-            fd = os.open(self.folder, os.O_RDONLY)
-            try:
-                os.fsync(fd)
-            finally:
-                os.close(fd)
+            sync_folder(self.folder)
         bad = q("PRAGMA integrity_check").fetchone()[0]
         if bad != "ok":
             raise Fault(702, f"damaged: {bad}")
         who = self.table("ident")
         if who.get("name") != self.name or not who.get("disk"):
             raise Fault(702, f"the folder belongs to {who.get('name')}, not to {self.name}")
+        if not new and v in OLD:  # a program that reads only that one now refuses the file
+            q(f"PRAGMA user_version={SHAPE}")
         self.id = who["disk"]
 
     def table(self, tab):
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -76,3 +76,61 @@
     assert s.load()["meta"] == {"sealed": 3}
     assert s.db.execute("PRAGMA user_version").fetchone()[0] == 2
     s.close()
+
+
+def test_a_second_daemon_is_refused_before_the_first_has_written_anything(tmp_path):
+    Store(folder=str(tmp_path), name="a").close()
+    s = Store(folder=str(tmp_path), name="a")  # it has only read so far
+    assert refused(folder=str(tmp_path), name="a") == 702
+    s.write([("put", "meta", "sealed", 1)])  # and goes on as if nobody had tried
+    assert s.load()["meta"] == {"sealed": 1}
+    s.close()
+
+
+def test_a_store_of_another_core_is_left_at_its_layout_and_unlocked(tmp_path):
+    s = Store(folder=str(tmp_path), name="b")
+    s.db.execute("PRAGMA user_version=1")
+    s.close()
+    was = (tmp_path / FILE).read_bytes()
+    assert refused(folder=str(tmp_path), name="a") == 702
+    assert (tmp_path / FILE).read_bytes() == was
+    Store(folder=str(tmp_path), name="b").close()
+
+
+def test_a_folder_that_is_made_lasts_before_anything_in_it_is_told(tmp_path, monkeypatch):
+    """A power cut takes what its folder does not know of yet: an acknowledged disk would be gone at every core at once."""
+    synced, real = [], os.fsync
+
+    def fsync(fd):
+        synced.append(os.path.realpath(f"/proc/self/fd/{fd}"))
+        real(fd)
+
+    monkeypatch.setattr(os, "fsync", fsync)
+    Store(folder=str(tmp_path / "x" / "data"), name="a").close()
+    top = os.path.realpath(tmp_path)
+    assert synced == [top, f"{top}/x", f"{top}/x/data"]
+    Store(folder=str(tmp_path / "x" / "data"), name="a").close()
+    assert len(synced) == 3
+
+
+def test_a_disk_that_fills_up_at_any_statement_keeps_the_old_or_the_new_whole_and_works_on(tmp_path):
+    s = Store(folder=str(tmp_path), name="a")
+    new = [("wipe", "book"), *(("put", "book", f"k{i}", "n" * 900) for i in range(40)), ("put", "meta", "recruited", 7)]
+    s.write([("put", "book", f"k{i}", "o" * 50) for i in range(20)])
+    was, page, told = s.load(), s.db.execute("PRAGMA page_count").fetchone()[0], []
+    for most in range(page, page + 40):
+        s.db.execute(f"PRAGMA max_page_count={most}")
+        try:
+            s.write(new)
+            told.append(True)
+            break
+        except sqlite3.OperationalError:
+            told.append(False)
+            assert s.load() == was
+            s.write([("put", "shown", "small", most)])  # what is small fits again
+            s.write([("del", "shown", "small")])
+    assert told[-1] and len(told) > 5  # it failed at many places first
+    s.close()
+    s = Store(folder=str(tmp_path), name="a")
+    assert len(s.load()["book"]) == 40 and s.load()["meta"] == {"recruited": 7}
+    s.close()
