No message of a stated shape ends a daemon

Ruled out: frames garbled on the way are refused by code as before (test_codec). Change: letter "m" for milliseconds, at most 2^53 either way; an operation's kind is looked at before it is looked up; the follower asks whether the key is claimed. Nothing changes on the wire.

--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -1,11 +1,13 @@
 """The shape of every message between daemons (design 3.2): checked before a part sees it.
 
-Letters: s text, i whole number, f number, b flag, y bytes, t tuple, v version (two whole
-numbers), o ballot (number, text), ? anything. "..." at the end: any rest.
+Letters: s text, i whole number, m milliseconds (a whole number that a time can hold), f number, b flag, y bytes,
+t tuple, v version (two whole numbers), o ballot (number, text), ? anything. "..." at the end: any rest.
 """
 
 from . import soft
 
+LONGEST = 1 << 53  # milliseconds, either way: far within what a timedelta holds
+
 SHAPES = {
     "alive": "ii",
     "doubted": "",
@@ -32,9 +34,9 @@
     "left": "s",
     "more": "si",
     "res": "sis...",
-    "news": "ivtii...",
+    "news": "ivtmm...",
     "opr": "it",
-    "hb": "ivbsibiii",
+    "hb": "ivbsibmmm",
     "view": "?",
     "prep": "o",
     "acc": "o??",
@@ -63,6 +65,8 @@
             return type(x) is str
         case "i":
             return type(x) is int
+        case "m":
+            return type(x) is int and -LONGEST <= x <= LONGEST
         case "f":
             return type(x) in (int, float)
         case "b":
@@ -119,7 +123,7 @@
     "snap": lambda b: rows(b[4], "sv?"),
     "repl": lambda b: rows(b[5], "sv?"),
     "items": lambda b: rows(b[4], "sv?"),
-    "op": lambda b: sound_op(b[3]),
+    "op": lambda b: type(next(iter(b[3]), None)) is str and sound_op(b[3]),
 }
 
 OPS = {"config": "v?", "table": "ii?s", "read": "", "evac": "sb", "reopen": "s", "duty": "ssiss", "drop": "st"}
--- a/silverglade/shards/follower.py
+++ b/silverglade/shards/follower.py
@@ -58,7 +58,7 @@
                     cid,
                 )
             case ("msg", frm, ("mark", str(sh), int(e), str(kd), str(gid), str(st))):
-                if epochs.get(sh) != e or claims[sh].get(kd, ("",))[0] != gid:
+                if epochs.get(sh) != e or kd not in claims[sh] or claims[sh][kd][0] != gid:
                     continue
                 if st == "free":  # surely never ran: the key may be claimed anew
                     del claims[sh][kd]
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -105,3 +105,67 @@
     with pytest.raises(Fault) as e:  # a little that unfolds to very much
         wire.unpack(wire.pack(frm="a", life="l", body=("news", b"0" * (wire.WIDE + 1)))[4:])
     assert e.value.code == 602
+
+
+def test_a_message_that_no_part_can_bear_is_refused_before_it():
+    """Each of these ended the daemon that heard it: a number that no time holds, an operation that is no text."""
+    hb = ("hb", 3, (3, 4), True, "A", 0, False, 5, 5, 5)
+    assert messages.checked(hb) and messages.checked(("op", 1, "c", ("evac", "z", True), "k"))
+    for bad in (
+        *((*hb[:i], n, *hb[i + 1 :]) for i in (7, 8, 9) for n in (2**62, -(2**62))),
+        ("news", 1, (3, 4), (), 2**62, 0, ()),
+        ("news", 1, (3, 4), (), 0, -(2**62), ()),
+        ("op", 1, "c", ({},), "k"),
+        ("op", 1, "c", ((),), "k"),
+        ("op", 1, "c", (), "k"),
+    ):
+        assert messages.checked(bad) is False
+
+
+def wild(rng, letter):
+    """A value of the stated shape that nobody would send."""
+    numbers = (0, 1, 3, -1, 7, 2**53, -(2**53), 2**62, -(2**62))
+    return {
+        "s": lambda: rng.choice(("", "a", "b", "c", "x y", "config")),
+        "i": lambda: rng.choice(numbers),
+        "m": lambda: rng.choice(numbers),
+        "b": lambda: rng.random() < 0.5,
+        "y": lambda: b"x",
+        "t": lambda: tuple(some(rng) for _ in range(rng.randrange(4))),
+        "v": lambda: rng.choice(((0, 0), (3, 1), (3, 4), (2**62, 1))),
+        "o": lambda: (rng.choice(numbers), rng.choice("abc")),
+        "?": lambda: some(rng),
+    }[letter]()
+
+
+def test_no_message_of_a_stated_shape_ends_a_daemon():
+    from datetime import timedelta
+
+    from silverglade.control import register as rg
+    from silverglade.hub import Hub
+    from silverglade.options import tuning
+
+    for seed in range(150):
+        rng, now = random.Random(seed), timedelta(seconds=5)
+        disk = "C" if seed % 3 else ""
+        view = (3, "c" if seed % 3 == 2 else "a", ("b",), (("a", "A"), ("b", "B"), ("c", "C")))
+        hub = Hub(
+            me="c",
+            life="l",
+            zone="z",
+            region="r",
+            addr="127.0.0.1:1",
+            http="127.0.0.1:2",
+            seeds=("127.0.0.1:3",),
+            cores=("a", "b", "c"),
+            opt=tuning(),
+            rng=rng,
+            disk=disk,
+            saved={"meta": {"reg": dict(rg.blank(), base=view)}} if disk else None,
+        )
+        for _ in range(150):
+            now += timedelta(milliseconds=rng.randrange(100))
+            kind = rng.choice(list(messages.SHAPES))
+            body = (kind, *[wild(rng, x) for x in messages.SHAPES[kind].removesuffix("...")])
+            body += tuple(some(rng) for _ in range(rng.randrange(4)))
+            hub.feed(now, ("msg", rng.choice("abx"), body) if rng.random() < 0.85 else ("pulse",))
