A message that waited for a peer that was away never reaches its next life

Cause: a link whose peer takes no connection tries again each half second at most, dropping one message a try, and keeps up to 64 of those that wait. Whoever takes the connection in the end was sent them, however old: another life of the peer, or another daemon that has the address by then. Votes, stamps and operators' orders of half a minute ago so arrive late, which the protocols survive only where each of them fences what is late. Change: after a time away what was queued more than 2 s before the connection is not sent; every protocol here says again what it needs. While a connection stands nothing is dropped, slow as it may be. Ruled out: bytes that the kernel holds for a connection that stands through a cut can't be called back; they still arrive late. Seen: with the bound at 60 s (as before) all that waited is told, with it at 0 only what is said once the peer is there.

--- a/silverglade/daemon/links.py
+++ b/silverglade/daemon/links.py
@@ -14,6 +14,7 @@
 from .lanes import lane
 
 QUEUE = 4096
+HELD = 2.0  # seconds that a message waits for a peer that takes no connection
 DOWN = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError, TimeoutError)
 
 
@@ -41,16 +42,18 @@
             self.out[way], r = anyio.create_memory_object_stream(QUEUE)
             self.group.start_soon(self.link, addr, r)
         try:
-            self.out[way].send_nowait(wire.pack(frm=self.me, life=self.life, body=body))
+            self.out[way].send_nowait((anyio.current_time(), wire.pack(frm=self.me, life=self.life, body=body)))
         except anyio.WouldBlock:
             self.lost += 1
         except Fault as e:
             self.lg.warning(line("frame-not-sent", [("to", to), ("kind", body[0]), ("code", e.code)]))
 
     async def link(self, addr, queue):
-        wait = 0.05
+        """A message that waited long for a peer which took no connection is not sent: whoever is there by then, another
+        life of the peer or another daemon with its address, is not whom it was meant for, and every protocol here says it again."""
+        wait, away = 0.05, False
         while True:
-            data = await queue.receive()
+            queued, data = await queue.receive()
             try:
                 with anyio.fail_after(1):
                     s = await anyio.connect_tcp(*split(addr), local_host=split(self.addr)[0])
@@ -58,16 +61,18 @@
                 while queue.statistics().current_buffer_used > 64:
                     queue.receive_nowait()  # stale news to a dead peer
                 await anyio.sleep(wait)
-                wait = min(0.5, wait * 2)
+                wait, away = min(0.5, wait * 2), True
                 continue
-            wait = 0.05
+            stale = anyio.current_time() - HELD if away else 0.0  # when it was queued, at the latest
+            wait, away = 0.05, False
             async with s, anyio.create_task_group() as tg:
                 tg.start_soon(self.ended, s, tg.cancel_scope)
                 with contextlib.suppress(*DOWN):
                     while True:
-                        with anyio.fail_after(5):
-                            await s.send(data)
-                        data = await queue.receive()
+                        if queued >= stale:
+                            with anyio.fail_after(5):
+                                await s.send(data)
+                        queued, data = await queue.receive()
                 tg.cancel_scope.cancel()
             self.lg.info(line("link-down", [("to", addr)]))
 
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,78 @@
+"""Links between daemons (design 3.1) without sockets: what a peer that was away is told when it is back."""
+
+import anyio
+import anyio.lowlevel
+
+from silverglade import wire
+from silverglade.daemon import links
+
+
+class Quiet:
+    def info(self, *a):
+        pass
+
+    warning = info
+
+
+class Wire:
+    """A connection that takes all and says nothing."""
+
+    def __init__(self, got):
+        self.got = got
+
+    async def send(self, data):
+        self.got.append(wire.unpack(data[4:])[2])
+
+    async def receive(self, n):
+        await anyio.sleep_forever()
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *a):
+        pass
+
+
+def told(monkeypatch, *, held, away):
+    """Said before and after the peer takes a connection, which it refuses so many times -> what it is told."""
+    got, tries, up = [], [], anyio.Event()
+
+    async def connect(ip, port, local_host):
+        tries.append(1)
+        if len(tries) <= away:
+            raise OSError("refused")
+        up.set()
+        return Wire(got)
+
+    async def rest(seconds):
+        await anyio.lowlevel.checkpoint()
+
+    async def go():
+        link = links.Links(me="a", life="l", addr="127.0.0.1:1", heard=None, lg=Quiet())
+        link.peer("b", "127.0.0.1:2")
+        async with anyio.create_task_group() as link.group:
+            for i in range(6):
+                link.send("b", ("alive", i, 0))
+            await up.wait()
+            for _ in range(20):
+                await anyio.lowlevel.checkpoint()
+            link.send("b", ("alive", 99, 0))
+            for _ in range(20):
+                await anyio.lowlevel.checkpoint()
+            link.group.cancel_scope.cancel()
+
+    monkeypatch.setattr(links, "HELD", held)
+    monkeypatch.setattr(links.anyio, "connect_tcp", connect)
+    monkeypatch.setattr(links.anyio, "sleep", rest)
+    anyio.run(go)
+    return [body[1] for body in got]
+
+
+def test_what_waited_too_long_for_a_peer_that_was_away_never_reaches_its_next_life(monkeypatch):
+    assert told(monkeypatch, held=0.0, away=2) == [99]
+
+
+def test_what_waited_a_moment_does_and_a_peer_that_was_there_loses_nothing(monkeypatch):
+    assert told(monkeypatch, held=60.0, away=2) == [2, 3, 4, 5, 99]  # one message for each try
+    monkeypatch.undo()
+    assert told(monkeypatch, held=0.0, away=0) == [0, 1, 2, 3, 4, 5, 99]
