Seeds are taken live when the settings are read again

When cores are replaced the settings file names other seeds, and a running daemon refused it whole (`event=settings-refused why="needs a restart: seeds,cores"`). Seeds are only whom to ask. Now SIGHUP hands them to the news and table parts by an event; those of before are asked and greeted no more. `cores` matters only where no view was ever formed, so its change is passed over, like that of `first`. Anything else that differs is still refused whole, in one line that names it.

tests/test_reload.py: the daemon's own reload path, and in the simulator an edge and a core that were started while cut off and whose seeds were all lost meanwhile, one after the other, by the time the links were back: alone for 8 s, then the whole fleet within 6 s of the new seeds, with a configuration put there. The seven tests failed without the change (no such event; seeds and cores refused).

--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -25,6 +25,8 @@
 
 RELAY, DISK, GROUP = 256, 4096, 256
 BODIES = 64 * 1024 * 1024  # bytes of visitors' bodies held at once
+# what may change while a daemon runs; `cores` and `first` matter only where no view was ever formed (5.5)
+LIVE = frozenset(("tuning", "log_level", "seeds", "cores", "first"))
 DRAIN, SECOND = timedelta(seconds=30), timedelta(seconds=1)
 
 
@@ -289,27 +291,30 @@
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as sigs:
             async for s in sigs:
                 if s == signal.SIGHUP:
-                    self.hup()
+                    await self.reload()
                 elif s == signal.SIGINT:
                     self.stopping.set()
                 else:
                     self.group.start_soon(self.drain)
 
-    def hup(self):
-        """Settings re-read whole: tuning and log level change in place, faults change nothing."""
+    async def reload(self):
+        """Settings re-read whole: what `LIVE` names changes in place; a fault, or another change, changes nothing."""
         try:
             new = self.reread()
         except Fault as e:
             self.lg.error(line("settings-refused", [("code", e.code), ("why", e.detail)]))
             return
-        fixed = [k for k in new if k not in ("tuning", "log_level", "first") and new[k] != self.s[k]]
+        fixed = [k for k in new if k not in LIVE and new[k] != self.s[k]]
         if fixed:
             self.lg.error(line("settings-refused", [("why", "needs a restart: " + ",".join(fixed))]))
             return
         self.opt.update(new["tuning"])
         self.s["log_level"] = new["log_level"]
         self.lg.setLevel({"DEBUG": 10, "INFO": 20, "WARNING": 30}[new["log_level"]])
-        self.lg.info(line("settings", [("level", new["log_level"])]))
+        if tuple(new["seeds"]) != tuple(self.s["seeds"]):
+            self.s["seeds"] = new["seeds"]
+            await self.lanes.send(("seeds", tuple(new["seeds"])))
+        self.lg.info(line("settings", [("level", new["log_level"]), ("seeds", ",".join(new["seeds"]))]))
 
     async def run(self):
         from ..front.serve import serve
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -126,6 +126,8 @@
                 return (CALLS.get(op, "desk"),)
             case ("state", _):
                 return ("roster", "control")
+            case ("seeds", _):
+                return ("news", "table")
         return ()
 
     def feed(self, now, ev):
--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -62,6 +62,9 @@
                 out.append(("due", pend[2] + opt["ask_wait"] + opt["beat"] * 2 if pend else max(due, now)))
             case ("roll", r):
                 roll = r
+            case ("seeds", s):  # the settings were read again: those of before are asked no more
+                seeds = s
+                bad = {c: t for c, t in bad.items() if not c.startswith("@")}
             case ("go", c, n):
                 out.append(send(c, "get", n, held, at))
             case ("at", pos):
--- a/silverglade/table.py
+++ b/silverglade/table.py
@@ -214,6 +214,8 @@
                     sync(frm, now)
             case ("msg", frm, ("alive", *_)):
                 alive[frm] = now
+            case ("seeds", s):
+                seeds = s
             case ("asked", frm):
                 asked[frm] = now
                 if t.rows.get(("silent", frm), (None,) * 7)[VALUE] is not None:
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,106 @@
+"""Settings read again by a daemon that runs (design 8.1): seeds are taken live, what needs a restart is refused in one line."""
+
+import anyio
+import pytest
+
+from silverglade.daemon.run import Daemon
+from silverglade.options import checked
+from silverglade.part import span
+from silverglade.rehearsal.scene import Scene
+from silverglade.rehearsal.towns import TOWNS
+
+from .test_members import rolls, until
+
+BASE = dict(name="e", zone="z", region="r", listen="127.0.0.1:1", http="127.0.0.1:2", seeds=["127.0.0.1:3"], cores=["a", "b", "c"])
+NEW = dict(seeds=["127.0.0.1:4", "127.0.0.1:5"], cores=["a", "d", "f"], first=False)
+
+
+class Lines:
+    """A log whose lines are kept."""
+
+    def __init__(self):
+        self.lines, self.level = [], None
+
+    def info(self, text):
+        self.lines.append(text)
+
+    warning = error = info
+
+    def setLevel(self, level):
+        self.level = level
+
+
+def reloaded(**changed):
+    """-> a daemon that has read its settings again, with these changes; its log."""
+    log = Lines()
+    daemon = Daemon(lg=log, settings=checked(dict(BASE)), reread=lambda: checked(dict(BASE, **changed)))
+    anyio.run(daemon.reload)
+    return daemon, log.lines
+
+
+def asked(daemon, start):
+    """Addresses that a daemon without a roll asks in the 20 s from then on."""
+    to, now = set(), span(start)
+    for _ in range(400):
+        now += daemon.opt["pulse"]
+        to |= {e[1] for e in daemon.hub.feed(now, ("pulse",)) if e[0] == "send" and e[2][0] == "get"}
+    return to
+
+
+def test_seeds_of_the_settings_read_again_are_asked_and_those_of_before_no_more():
+    daemon, lines = reloaded(**NEW)
+    assert daemon.lanes.next() == (event := ("seeds", ("127.0.0.1:4", "127.0.0.1:5")))
+    assert asked(daemon, 0) == {"@127.0.0.1:3"}
+    daemon.hub.feed(span(20000), event)
+    assert asked(daemon, 20000) == {"@127.0.0.1:4", "@127.0.0.1:5"}
+    assert len(lines) == 1 and "event=settings " in lines[0] + " " and "127.0.0.1:4" in lines[0]
+    anyio.run(daemon.reload)
+    assert daemon.lanes.next() is None  # the same again is no news
+
+
+@pytest.mark.parametrize("changed", [dict(zone="y"), dict(listen="127.0.0.1:9", http="127.0.0.1:8"), dict(tolerance={"zones": 2})])
+def test_what_needs_a_restart_is_refused_whole_and_named_in_one_line(changed):
+    daemon, lines = reloaded(**NEW, **changed)
+    assert len(lines) == 1 and "settings-refused" in lines[0]
+    assert lines[0].endswith(f'why="needs a restart: {",".join(sorted(changed, key=list(daemon.s).index))}"')
+    assert daemon.lanes.next() is None and daemon.s["seeds"] == checked(dict(BASE))["seeds"]
+
+
+def test_settings_that_cannot_be_read_change_nothing():
+    daemon, lines = reloaded(**NEW, colour=1)
+    assert len(lines) == 1 and "settings-refused" in lines[0] and "code=701" in lines[0]
+    assert daemon.lanes.next() is None
+
+
+def five_cores():
+    """A hamlet with two more cores, of which the first three are in the settings."""
+    town = hamlet()
+    town["daemons"] += [("core-second", "north", "n", True), ("core-third", "south", "s", True)]
+    return town
+
+
+hamlet = TOWNS["hamlet"]
+
+
+@pytest.mark.parametrize("name", ["edge-south-0", "core-third"])
+def test_a_daemon_whose_seeds_were_all_replaced_while_it_was_cut_off_finds_the_fleet_by_the_new_ones(name, monkeypatch):
+    monkeypatch.setitem(TOWNS, "hamlet", five_cores)
+    s = Scene(town="hamlet")
+    n = s.w.nodes[name]
+    n.kill()  # before it has said a word: nobody knows of it
+    s.settle(6)
+    s.w.cut([name], [m for m in s.w.nodes if m != name])
+    s.w.seeds = tuple(s.w.nodes[c].addr for c in ("core-north", "core-middle"))
+    n.boot()
+    for core in ("core-north", "core-middle"):  # one after the other, as cores are replaced
+        s.w.run(8)
+        s.w.nodes[core].kill()
+    s.w.run(8)
+    s.w.heal()
+    s.w.run(8)
+    assert len(n.peek("desk", "roll")) == 1  # nobody that it knows to ask is there
+    n.feed(("seeds", tuple(s.w.nodes[c].addr for c in ("core-south", "core-second"))))
+    assert until(s, lambda: rolls(s) == {6}) < 6
+    s.put(at=name)
+    s.w.run(3)
+    assert s.o.acked[-1][-1] == n.peek("news", "book")["config"][0] and s.o.faults == []
