A send after a 421 is paid for by the retry budget

Cause: a request's tries were counted in one number, and a 421 (the word of another life at the address) took its own back so that it costs no try of max_tries. The same number decided whether the next send is a repeat, so what followed a 421 was free, though the budget's rule counts arrivals that were turned away. Ruled out: that the 421 itself be free; the rule names it.

Change: arrivals are counted beside the tries. Only a send of which not one byte was written takes its arrival back. With the budget empty the request is answered at once with 503 and when to come back, as nothing ran.

--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -24,12 +24,17 @@
 class Request:
     """One try of a client, from its head to its end."""
 
-    __slots__ = ("rid", "f", "route", "service", "born", "due", "tried", "n", "sent", "at", "begun", "last", "live", "why", "weight")
+    __slots__ = (
+        *("rid", "f", "route", "service", "born", "due", "tried", "n", "sent", "arrivals", "at", "begun", "last", "live", "why"),
+        "weight",
+    )
 
     def __init__(self, rid, f, now):
         self.rid, self.f, self.born = rid, f, now
         self.route = self.service = self.at = None  # at: when the last replica got it
-        self.due, self.tried, self.n, self.sent = now, set(), 0, 0
+        self.due, self.tried, self.n = now, set(), 0
+        self.sent = 0  # tries that count towards the route's most: neither unsent nor turned away by another life
+        self.arrivals = 0  # what reached any replica, also one that turned it away: what the retry budget counts
         self.begun, self.last = False, f["last_event"]  # has a stream's head been passed on; its last event
         self.live, self.why, self.weight = {}, "", 0.0
 
@@ -116,12 +121,13 @@
         )
         if r is None:
             return none(503, 0.5 if fit else 1.0, 806)
-        if q.sent and not budget.spend(now, q.service, daemons=edges):
+        if q.arrivals and not budget.spend(now, q.service, daemons=edges):
             return none(503, 0.5, 807)
         for n in list(q.live):
             leave(q, n)
         q.n += 1
         q.sent += 1
+        q.arrivals += 1
         q.tried.add(r.id)
         q.live[q.n], q.at = r.id, now
         r.tries[q.rid, q.n], r.asked = now, now
@@ -177,13 +183,13 @@
                 out.append(("post", "need", ("served", q.service, (now - q.at).total_seconds())))
                 end(q)
             case "unsent":
-                q.sent -= 1  # nothing of it arrived
+                q.sent, q.arrivals = q.sent - 1, q.arrivals - 1  # nothing of it arrived
                 if r and more[:1] != ("pool-full",):  # that is this daemon's own bound
                     r.failed(now)
                 go(q, now)
             case "not-run":
                 if r and more[0] == 421:  # another life has the address: it never came to a replica of ours
-                    r.gone, q.sent = now, q.sent - 1
+                    r.gone, q.sent = now, q.sent - 1  # an arrival all the same: the budget pays for what follows
                     out.append(("forget", r.id))
                 elif r:
                     r.active = max(r.active, r.slots)  # full: until the next probe or answer
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -334,3 +334,19 @@
     rid, es = b.ask()
     one(es, "try")
     assert one(b.tried(rid, 1, "not-run", 421, None), "answer")[2] == 503
+
+
+def test_the_retry_budget_pays_for_each_arrival_beyond_the_first_and_for_nothing_unsent(monkeypatch):
+    from silverglade.forward import part
+
+    spent = []
+    monkeypatch.setattr(part.Budget, "spend", lambda self, now, service, *, daemons: spent.append(service) or True)
+    b = Bench(route(kind="effectful", tries=3), reps=tuple(rep(str(i)) for i in range(1, 9)))
+    rid, _ = b.ask()
+    words = [("unsent", "refused"), ("not-run", 421, None), ("unsent", "refused"), ("not-run", 503, None)]
+    paid = []
+    for n, word in enumerate(words, 1):
+        b.tried(rid, n, *word)
+        paid.append(len(spent))
+    assert paid == [0, 1, 2, 3]  # a send that replaces an unsent one is paid for again: the first charge is not given back
+    b.tried(rid, 5, "done")
