Rehearsal: the most tries bound what may run; another life's word is no try

The judge still counts every other arrival, which is stricter than what runs; the budget counts the 421 as before. A planted breach beside a 421 is caught, the like done right passes.

--- a/tests/test_rules_fleet.py
+++ b/tests/test_rules_fleet.py
@@ -190,6 +190,16 @@
         p.arrive(rep=f"r{i}")
 
 
+@breach("TRIES")
+def more_tries_beside_another_lifes_word(p, good):
+    p.ask(again=True)
+    for i in range(9):
+        p.ask(f"other-{i}")  # for the budget, which counts a 421 too
+    p.arrive(rep="gone", status=421)
+    for i in range(3 if good else 4):
+        p.arrive(rep=f"r{i}")
+
+
 @breach("DUE")
 def more_time_than_the_client_has(p, good):
     p.ask()
