--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -26,7 +26,7 @@
 
     warning = error = info
 
-    def setLevel(self, level):
+    def setLevel(self, level):  # noqa: N802  the name of the logger that it stands in for
         self.level = level
 
 
