--- a/silverglade/control/state.py
+++ b/silverglade/control/state.py
@@ -106,22 +106,18 @@
 class CoreState:
     """All that a core's control part knows. One step changes it at a time; nothing else does.
 
-        On disk before anything is said that rests on it: `register`, `sealed`, `recruited`, `served` and `store`; `shown_items` and
-        `shown_version` follow by and by, and may be behind on disk.
-
-        Invariants:
-        - `view.epoch` never falls; `sealed`, `recruited`, `served`, `shown_version` and the register's promise never fall.
-        - `register.base == view`: what is known to be chosen is what the witness holds as its base.
-        - `open_epoch` is 0 or `view.epoch`, and is not 0 only on the primary, after all backups have synced its whole store.
-        - A backup takes changes of `view` only while `served == view.epoch > sealed`.
-    <<<<<<< HEAD
-        - `pending` is None or was begun in `view`, or (on a primary that has just been chosen) is part of `store`.
-        - On disk, the shown items lack nothing up to the shown version there.
-    =======
-        - `pending` is None but on the primary of `view`: begun in it, or, until the view is open, part of `store`.
-    >>>>>>> 1f297be
-        - Every version in `shown_items` is at most `shown_version`, and was acknowledged or synced by all members of a view.
-        - `proofs` and `snapshot_synced_by` name backups of `view` alone.
+    On disk before anything is said that rests on it: `register`, `sealed`, `recruited`, `served` and `store`; `shown_items` and
+    `shown_version` follow by and by, and may be behind on disk.
+
+    Invariants:
+    - `view.epoch` never falls; `sealed`, `recruited`, `served`, `shown_version` and the register's promise never fall.
+    - `register.base == view`: what is known to be chosen is what the witness holds as its base.
+    - `open_epoch` is 0 or `view.epoch`, and is not 0 only on the primary, after all backups have synced its whole store.
+    - A backup takes changes of `view` only while `served == view.epoch > sealed`.
+    - On disk, the shown items lack nothing up to the shown version there.
+    - `pending` is None but on the primary of `view`: begun in it, or, until the view is open, part of `store`.
+    - Every version in `shown_items` is at most `shown_version`, and was acknowledged or synced by all members of a view.
+    - `proofs` and `snapshot_synced_by` name backups of `view` alone.
     """
 
     # the register, and the newest view known to be chosen
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -142,6 +142,7 @@
     from datetime import timedelta
 
     from silverglade.control import register as rg
+    from silverglade.control.view import View
     from silverglade.hub import Hub
     from silverglade.options import tuning
 
@@ -161,7 +162,7 @@
             opt=tuning(),
             rng=rng,
             disk=disk,
-            saved={"meta": {"reg": dict(rg.blank(), base=view)}} if disk else None,
+            saved={"meta": {"reg": rg.Register(base=View(*view)).stored()}} if disk else None,
         )
         for _ in range(150):
             now += timedelta(milliseconds=rng.randrange(100))
