The directed runs and their guards in modules of their own; an owner's entry too

Change of form only: tests/nevers.py holds the runs, tests/guards.py what takes a guard out, tests/test_nevers.py the cases; shards/entry.py the record of one order at its owner. One planted text follows the layout.

--- a/silverglade/shards/owner.py
+++ b/silverglade/shards/owner.py
@@ -1,6 +1,4 @@
 """Shard owners (design 6): one owner per tenant; queue, claim, elect, grant."""
-from dataclasses import dataclass, field
-from datetime import timedelta
 
 from ..config import digest
 from ..control import book as bk
@@ -9,63 +7,26 @@
 from ..replicas.elect import elect
 from ..replicas.registry import ADDR, INC, S_STATE, ZONE, evacuated
 from .budget import Budget
+from .entry import Entry
 from .shard import Shard
 
 
-@dataclass(slots=True, kw_only=True)
-class Entry:
-    """One order at its tenant's owner.
-
-    Steps: wait (for a slot), lease (a ledger was asked), claim (the follower was asked), granted,
-    idle (the replica did not have it; its ingress may ask again under its claim).
-    """
-    oid: str
-    n: int                        # the ask of its ingress: 1, and one more for each redispatch
-    frm: str                      # its ingress
-    tenant: str
-    cls: str
-    kd: str                       # digest of tenant and key
-    prefix: str
-    kind: str
-    resumable: bool
-    at: timedelta                 # when it was asked
-    left: timedelta
-    due: timedelta
-    next: timedelta               # when to look for a slot again
-    step: str = "wait"
-    rid: str = ""
-    lid: str = ""                 # the slot's lease, while it is held
-    ask: str = ""
-    list: list = field(default_factory=list)      # candidates not asked yet
-    seen: bool = False            # was its key looked up among the claims?
-    till: timedelta | None = None
-    free: bool = False            # was it barred before it was sent? Then a redispatch costs nothing
-    again: bool = False           # is it a retry?
-    claim: bool = False           # does it hold its key's claim?
-    spill: bool = False
-    avoid: set = field(default_factory=set)       # replicas that refused it
-
-    def set(self, **kw):
-        for k, v in kw.items():
-            setattr(self, k, v)
-
-
 def owner(*, me, zone, cores, opt, rng):
-    shards, todo = {}, {}                  # tenant -> Shard; order id -> entry
+    shards, todo = {}, {}  # tenant -> Shard; order id -> entry
     book, reps, roll, out = {}, {}, (), []
     fresh, want, burden, evac, lid_n, turn = None, {}, {}, set(), 0, ZERO
-    budget, part = Budget(me=me, opt=opt), 0.0       # part: of all shards, those that are mine
+    budget, part = Budget(me=me, opt=opt), 0.0  # part: of all shards, those that are mine
 
     def verdict(x):
         """May this owner promise that the key never ran? "?": it cannot tell (6.5)."""
         sh = shards.get(x.tenant)
         if any(y.kd == x.kd and y is not x for y in todo.values()):
-            return "maybe"                       # its visitor asked twice at once
+            return "maybe"  # its visitor asked twice at once
         if x.resumable:
             return "maybe" if sh and x.kd in sh.tried else "?"
         c = (sh.claims or {}).get(x.kd) if sh else None
         if c and c[0] != x.oid:
-            return "yes" if c[1] == "done" else "maybe"      # another ask of the key has come first
+            return "yes" if c[1] == "done" else "maybe"  # another ask of the key has come first
         return "no" if x.seen else "?"
 
     def deny(x, code, ran=None, wait=None):
@@ -89,15 +50,16 @@
 
     def cands(x, now):
         cfg = bk.get(book, "config")
-        home, rest = elect(reps=reps, cfg=cfg, tenant=x.tenant, kind=x.kind,
-                           prefix=x.prefix, now=now, opt=opt, evac=evac, extra=burden)
+        home, rest = elect(reps=reps, cfg=cfg, tenant=x.tenant, kind=x.kind, prefix=x.prefix, now=now, opt=opt, evac=evac, extra=burden)
         if not home and not rest:
             return []
         z0 = cfg["tenants"][x.tenant]["homes"][0]
         g = cfg["zones"][z0]["region"]
-        ready = sum(1 for r, s, _ in reps.values() if s and s[S_STATE] == "ready"
-                    and r[ZONE] in cfg["zones"] and cfg["zones"][r[ZONE]]["region"] == g
-                    and r[5] == x.kind)
+        ready = sum(
+            1
+            for r, s, _ in reps.values()
+            if s and s[S_STATE] == "ready" and r[ZONE] in cfg["zones"] and cfg["zones"][r[ZONE]]["region"] == g and r[5] == x.kind
+        )
         # spill: home cannot take it, and the estimate says that it is short (design 7.4)
         short = want.get((g, x.kind), 0) > ready
         if not home or (short and now - x.at >= min(opt["spill_wait"], x.left / 4)):
@@ -126,7 +88,7 @@
         if sh is None:
             return deny(x, 304, wait=500)
         if not x.resumable and not sh.open:
-            return None                          # held briefly; the pulse gives up
+            return None  # held briefly; the pulse gives up
         if look(sh, x):
             return None
         x.list = cands(x, now)
@@ -151,7 +113,7 @@
         sh = shards.get(x.tenant)
         if sh is None or not sh.open:
             return deny(x, 303, wait=500)
-        x.seen = False                        # its key may have been claimed while it waited
+        x.seen = False  # its key may have been claimed while it waited
         if look(sh, x):
             return None
         x.set(step="claim", claim=True, till=now + opt["claim_wait"])
@@ -161,8 +123,7 @@
     def grant(x, now):
         r = reps[x.rid][0]
         x.set(step="granted", till=now + x.left + opt["grant"])
-        out.append(send(x.frm, "grant", x.oid, x.n, x.rid, r[INC], r[ADDR],
-                        shards[x.tenant].epoch, bool(x.spill), x.again))
+        out.append(send(x.frm, "grant", x.oid, x.n, x.rid, r[INC], r[ADDR], shards[x.tenant].epoch, bool(x.spill), x.again))
 
     def ask(now, frm, oid, n, tenant, e, facts):
         cls, key, prefix, left, *more = facts
@@ -183,9 +144,21 @@
         c = cfg["tenants"][tenant]["classes"][cls]
         old = todo.get(oid)
         x = todo[oid] = Entry(
-            oid=oid, n=n, frm=frm, tenant=tenant, cls=cls, kd=digest(f"{tenant}\0{key}"), prefix=prefix, kind=c["kind"],
-            resumable=c["resumable"], at=now, left=span(left), due=now + span(left), next=now,
-            **({"claim": old.claim, "again": old.again, "avoid": old.avoid} if old else {}))
+            oid=oid,
+            n=n,
+            frm=frm,
+            tenant=tenant,
+            cls=cls,
+            kd=digest(f"{tenant}\0{key}"),
+            prefix=prefix,
+            kind=c["kind"],
+            resumable=c["resumable"],
+            at=now,
+            left=span(left),
+            due=now + span(left),
+            next=now,
+            **({"claim": old.claim, "again": old.again, "avoid": old.avoid} if old else {}),
+        )
         ahead = any(w.kind == x.kind for w in line)
         if look(sh, x):
             return None
@@ -200,7 +173,7 @@
     def allowed(sh, x, old, attempt, now):
         """Within the budget of retries (7.5)? Owners see every order, so they know a repeated key."""
         was = sh.asked.setdefault(x.kd, x.oid)
-        if x.n > 1:                           # a redispatch; what was barred before it was sent is none
+        if x.n > 1:  # a redispatch; what was barred before it was sent is none
             return bool(old and old.free) or budget.take(now, opt["retry_share"], part)
         if old is None and (attempt > 1 or was != x.oid):
             x.again = True
@@ -213,15 +186,15 @@
         """Shards wanted (duties that name me) against shards held."""
         nonlocal part
         for t in [t for t in shards if f"duty/shard/{t}" not in book]:
-            del shards[t]                        # its tenant was taken out long ago
+            del shards[t]  # its tenant was taken out long ago
         for k, (_, v) in book.items():
             if k.startswith("duty/shard/"):
                 t, (e, holder, fol) = k[11:], v
                 if holder == me and (t not in shards or shards[t].epoch < e):
                     old = shards.get(t)
-                    shards[t] = Shard(name=t, epoch=e, follower=fol, me=me,
-                                      claims=old.claims if old and old.full(e) else None,
-                                      most=opt["claims_most"])
+                    shards[t] = Shard(
+                        name=t, epoch=e, follower=fol, me=me, claims=old.claims if old and old.full(e) else None, most=opt["claims_most"]
+                    )
                     out.append(log("shard-owned", shard=t, epoch=e, follower=fol or "none"))
                 elif holder != me and t in shards:
                     del shards[t]
@@ -271,11 +244,11 @@
             todo_ = [e for sh in shards.values() for e in sh.pulse(now, live, *cs, opt)]
             out.extend(e for e in todo_ if e[0] != "name")
             names = tuple(e[1] for e in todo_ if e[0] == "name")
-            if names:                            # all in one change: hundreds of shards move at once
+            if names:  # all in one change: hundreds of shards move at once
                 out.append(post("desk", "self", ("duties", names)))
         for x in list(todo.values()):
             if x.frm not in live and x.step == "granted":
-                drop_lease(x, False)             # its claim stays: nobody knows what ran
+                drop_lease(x, False)  # its claim stays: nobody knows what ran
                 todo.pop(x.oid)
             elif x.step in ("granted", "idle"):
                 if now > x.till:
@@ -286,7 +259,7 @@
             elif now >= x.due:
                 deny(x, 301, wait=1000)
             elif x.step == "claim" and now > x.till:
-                if x.tenant in shards:        # it lives but does not sync: another follows
+                if x.tenant in shards:  # it lives but does not sync: another follows
                     sh = shards[x.tenant]
                     sh.bad[sh.follower] = now
                 deny(x, 303, wait=1000)
@@ -343,9 +316,18 @@
                 if x and x.step == "lease" and x.ask == lid:
                     try_(x, now)
             case ("msg", frm, ("offer", str(rid), int(e), str(lid), str(tenant))):
-                x = next((x for x in sorted(waiting(tenant), key=lambda x: x.due)
-                          if rid in reps and (x.resumable or shards[tenant].open)
-                          and rid in cands(x, now)), None) if tenant in shards else None
+                x = (
+                    next(
+                        (
+                            x
+                            for x in sorted(waiting(tenant), key=lambda x: x.due)
+                            if rid in reps and (x.resumable or shards[tenant].open) and rid in cands(x, now)
+                        ),
+                        None,
+                    )
+                    if tenant in shards
+                    else None
+                )
                 if x:
                     leased(x, rid, lid, now)
                 else:
@@ -370,13 +352,13 @@
                 if x and x.n == n and x.frm == frm:
                     drop_lease(x, how == "done")
                     if how in ("unrun", "barred") and x.rid:
-                        x.avoid.add(x.rid)     # the ingress may ask again under its claim
+                        x.avoid.add(x.rid)  # the ingress may ask again under its claim
                         x.set(step="idle", till=now + opt["grant"], free=how == "barred")
                     else:
                         todo.pop(oid)
                         if x.claim and x.tenant in shards:
                             out.extend(shards[x.tenant].mark(x.kd, oid, how))
-            case ("msg", frm, ("quit", str(oid))):   # the ingress will never send it
+            case ("msg", frm, ("quit", str(oid))):  # the ingress will never send it
                 x = todo.pop(oid, None)
                 if x and x.frm == frm:
                     drop_lease(x, False)
@@ -384,6 +366,10 @@
                         out.extend(shards[x.tenant].mark(x.kd, oid, "free"))
             case ("look",):
                 out.append(post("desk", "retries", dict(budget.total)))
-                out.append(post("desk", "shards", tuple(
-                    (t, s.epoch, s.follower, s.open, len(s.claims or {}), len(waiting(t)))
-                    for t, s in sorted(shards.items()))))
+                out.append(
+                    post(
+                        "desk",
+                        "shards",
+                        tuple((t, s.epoch, s.follower, s.open, len(s.claims or {}), len(waiting(t))) for t, s in sorted(shards.items())),
+                    )
+                )
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -3,7 +3,7 @@
 from silverglade.options import tuning
 from silverglade.rehearsal.measure import SEC, apart
 
-from .test_nevers import without
+from .guards import without
 
 
 def crowd(**kw):
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -7,7 +7,7 @@
 from silverglade.part import span
 from silverglade.rehearsal import council, trials
 
-from .test_nevers import without
+from .guards import without
 
 CONTROL = "silverglade.control"
 REPLICATION, VIEW_CHANGE, STATE = CONTROL + ".replication", CONTROL + ".view_change", CONTROL + ".state"
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -11,8 +11,9 @@
 from silverglade.rehearsal.scene import SEC, Scene
 from silverglade.rehearsal.towns import TOWNS
 
+from .guards import without
+from .nevers import hamlet
 from .test_codec import some
-from .test_nevers import hamlet, without
 
 
 def rolls(s):
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -4,378 +4,209 @@
 taken out of the source, the same run must break the rule: so the check can fail, and the
 guard is what keeps it.
 """
-import importlib
-import inspect
-import types
-from datetime import timedelta
 
 import pytest
 
-from silverglade.options import tuning
-from silverglade.rehearsal.scene import Scene
-
-SEC = timedelta(seconds=1)
-
-
-def without(mp, module, old, new, *targets):
-    """Put a copy of a module's functions, with one guard taken out, where they are used."""
-    mod = importlib.import_module(module)
-    src = inspect.getsource(mod)
-    for a, b in zip(*((old, new) if isinstance(old, tuple) else ((old,), (new,)))):
-        assert a in src, (module, a)
-        src = src.replace(a, b)
-    copy = types.ModuleType(module)
-    copy.__dict__.update(__package__=mod.__package__, __file__=mod.__file__)
-    exec(compile(src, mod.__file__, "exec"), copy.__dict__)
-    for t in targets:
-        place, name = t.rsplit(".", 1)
-        mp.setattr(f"{place}.{name}", getattr(copy, name))
-
-
-def hamlet(seed=1, **kw):
-    s = Scene(town="hamlet", seed=seed, **kw)
-    s.settle()
-    return s
-
-
-def rules(s):
-    return {b[1] for b in s.o.faults}
-
-
-def burst(s, n, secs=1.0, **kw):
-    for i in range(n):
-        s.w.after(timedelta(seconds=secs * i / n), lambda: s.order(retry=False, **kw))
-
-
-def holder(s, key):
-    return s.w.nodes[s.live()[0]].peek("desk", "book")["duty/" + key][1]
-
-
-# 1: runs twice
-def owner_dies_after_the_grant():
-    s = hamlet()
-    own = holder(s, "shard/pair")[1]
-    at = next(n for n in s.live() if n != own and not n.startswith("core") and "north" not in n)
-    for i in range(4):
-        s.order(tenant="pair", cls="chat", key=f"twice{i}", at=at, retry=False)
-    s.w.run(0.25)
-    s.w.nodes[own].kill()
-    s.w.run(4)
-    for i in range(4):
-        s.order(tenant="pair", cls="chat", key=f"twice{i}", at=at, retry=False)
-    s.w.run(8)
-    return s
-
-
-# 2: "not run" promised
-def a_cut_off_daemon_is_asked_again():
-    s = hamlet()
-    s.order(tenant="pair", cls="chat", key="again", at="edge-middle-0", retry=False)
-    s.w.run(1)
-    s.w.cut(["edge-south-0"], [x for x in list(s.w.nodes) + list(s.w.replicas) if x != "edge-south-0"])
-    s.w.run(6)
-    s.order(tenant="pair", cls="chat", key="again", at="edge-south-0", attempt=2, retry=False)
-    s.w.run(25)
-    s.o.close(lambda c: c["body_cap"])
-    return s
-
-
-def a_visitor_moves_on_while_its_daemon_waits():
-    s = hamlet()
-    own = holder(s, "shard/pair")[1]
-    at = next(n for n in s.live() if n != own and "core" not in n and "north" not in n)
-    s.w.cut([at], [x for x in list(s.w.nodes) + list(s.w.replicas) if x != at])
-    s.order(tenant="pair", cls="chat", key="moved", at=at, retry=False)
-    s.w.run(1)
-    s.order(tenant="pair", cls="chat", key="moved", at=own, retry=False)
-    s.w.run(14)
-    s.w.heal()
-    s.w.run(20)
-    s.o.close(lambda c: c["body_cap"])
-    return s
-
-
-def a_key_is_asked_twice_and_the_first_ask_is_held_up():
-    s = hamlet()
-    burst(s, 20, secs=4, tenant="pair", cls="lookup")
-    s.w.run(6)                                     # a budget for the retry
-    own, fol = holder(s, "shard/pair")[1:]
-    led = holder(s, "ledger/model-middle-0")[1]
-    assert own not in (led, fol)
-    at = next(n for n in s.live(zone="south") if n not in (own, led))
-    s.w.cut([own], [led], both=False)              # the first ask finds no slot for a while
-    s.order(tenant="pair", cls="chat", key="held", at=at, retry=False)
-    s.w.run(0.2)
-    s.w.heal()
-    s.order(tenant="pair", cls="chat", key="held", at="edge-middle-0", retry=False, attempt=2)
-    s.w.run(1.1)
-    s.w.cut([fol], [own], both=False)              # and does not hear that the key is claimed
-    s.w.run(8)
-    s.o.promises()
-    return s
-
-
-# 3, 4: bodies and streams
-def a_replica_skips_a_piece():
-    s = hamlet()
-    for r in s.w.replicas.values():
-        r.sabotage = "skip"
-    burst(s, 4, tenant="pair", cls="lookup")
-    s.w.run(6)
-    return s
-
-
-def a_replica_fails_at_the_end():
-    s = hamlet()
-    for r in s.w.replicas.values():
-        r.sabotage = "fault"
-    burst(s, 4, tenant="pair", cls="receipt")
-    burst(s, 4, tenant="pair", cls="chat")
-    s.w.run(6)
-    return s
-
-
-def a_run_breaks_off_after_its_first_piece():
-    s = hamlet(opt=tuning(retry_share=1.0, retry_stop=1.0))
-    burst(s, 4, secs=0.1, tenant="pair", cls="lookup")
-    s.w.after(0.16 * SEC, s.w.replicas["model-middle-0"].kill)
-    s.w.run(6)
-    return s
-
-
-# 5: outside the homes
-def the_home_has_no_replica_left():
-    s = hamlet()
-    s.w.replicas["model-north-0"].kill()
-    s.w.run(3)
-    burst(s, 6, tenant="lone", cls="lookup")
-    s.w.run(6)
-    return s
-
-
-# 6: leaving
-def a_leaving_replica_stays_up():
-    s = hamlet()
-    s.traffic()
-    s.leave("model-middle-0")
-    s.w.run(12)
-    return s
-
-
-def a_replica_is_marked_where_it_is_not_known_yet():
-    s = hamlet()
-    r = s.w.replicas["model-middle-0"]
-    r.kill()
-    s.w.run(1)
-    s.traffic()
-    r.boot()                                       # one daemon knows its new life, another is told
-    at = next(n for n in s.live() if r.inc != s.w.nodes[n].peek("registry", "recs")["model-middle-0"][1])
-    s.o.left[("model-middle-0", r.inc)] = s.w.now
-    s.w.call(at, "platform", ((("model-middle-0", r.inc, True),),))
-    s.w.run(12)
-    return s
-
-
-# 7: emptied zones
-def a_zone_is_emptied():
-    s = hamlet()
-    s.traffic()
-    s.empty("middle")
-    s.w.run(12)
-    return s
-
-
-def a_zone_is_emptied_while_cut_off():
-    s = hamlet()
-    s.traffic()
-    mine = [n.name for n in s.w.nodes.values() if n.zone == "north"] + ["model-north-0"]
-    s.w.cut(mine, [x for x in list(s.w.nodes) + list(s.w.replicas) if x not in mine])
-    s.w.run(0.5)
-    at = next(n for n in s.live() if n not in mine)
-    s.rng.choice, was = (lambda xs: at if at in xs else was(xs)), s.rng.choice
-    s.w.after(3 * SEC, s.empty, "north")          # by then the rest has a primary again
-    s.w.run(3.1)
-    s.rng.choice = was
-    s.w.run(12)
-    return s
-
-
-# 8: in force, never back
-def a_daemon_is_told_by_a_core_that_is_behind():
-    s = hamlet()
-    v = s.w.nodes["edge-north-0"].peek("desk", "primary")()
-    behind = next(c for c in s.w.cores if c not in v[1:])
-    s.w.cut([behind], [c for c in s.w.cores if c != behind])
-    s.w.run(1)
-    s.put(at=v[1])
-    s.w.after(2 * SEC, s.w.cut, ["edge-north-0"], [c for c in s.w.cores if c != behind])
-    s.w.run(8)
-    return s
-
-
-def a_daemon_restarts_beside_a_core_that_is_behind():
-    s = hamlet()
-    v = s.w.nodes["edge-north-0"].peek("desk", "primary")()
-    behind = next(c for c in s.w.cores if c not in v[1:])
-    s.w.cut([behind], [c for c in s.w.cores if c != behind])
-    s.put(at=v[1])
-    s.w.run(0.5)                                   # in force at the edge; the core does not know yet
-    s.w.cut(["edge-north-0"], [c for c in s.w.cores if c != behind])
-    s.w.nodes["edge-north-0"].kill()
-    s.w.nodes["edge-north-0"].boot()
-    s.w.run(8)
-    s.w.heal()
-    s.w.run(4)
-    if s.w.nodes["edge-north-0"].peek("news", "held")[1] < 2:
-        s.o.bad("not-in-force", "edge-north-0")
-    return s
-
-
-# 9: acknowledged, refused
-def power_is_lost_after_an_acknowledgement():
-    s = hamlet()
-    prim = s.w.nodes["edge-north-0"].peek("desk", "primary")()[1]
-    s.w.cut([prim], [c for c in s.w.cores if c != prim])
-    s.put(at="edge-north-0")
-    s.w.run(1)
-    s.w.empty_disk(prim)
-    s.w.heal()
-    s.w.run(4)
-    s.w.nodes[prim].boot()
-    s.w.run(8)
-    s.o.close(lambda c: c["body_cap"])
-    s.w.run(1)
-    return s
-
-
-def two_operators_race():
-    s = hamlet()
-    v = s.w.nodes["edge-north-0"].peek("desk", "book")["config"][0]
-    n = len(s.o.acked)
-    s.put(at="edge-north-0", base=v)
-    s.put(at="edge-south-0", base=v)
-    s.w.run(3)
-    got = sorted(c for _, _, c, _ in s.o.acked[n:])
-    if got != [100, 501]:
-        s.o.bad("both-won", got)
-    s.o.close(lambda c: c["body_cap"])
-    s.w.run(1)
-    return s
-
-
-# 10: cold replicas
-def a_replica_returns_cold_into_a_crowd():
-    s = hamlet()
-    s.w.replicas["model-middle-0"].kill()
-    s.w.replicas["model-south-0"].kill()
-    s.w.run(3)
-    burst(s, 40, secs=3, tenant="pair", cls="chat")
-    s.w.after(1 * SEC, s.w.replicas["model-middle-0"].boot)
-    s.w.run(12)
-    return s
-
-
-# 11: retries
-def every_replica_fails():
-    s = hamlet()
-    for r in s.w.replicas.values():
-        r.sabotage = "fault"
-    burst(s, 60, secs=10, tenant="pair", cls="receipt")
-    s.w.run(16)
-    return s
-
-
-# 12: back in time
-def the_primary_and_an_owner_are_lost():
-    s = hamlet()
-    s.traffic()
-    own = holder(s, "shard/pair")[1]
-    prim = s.w.nodes["edge-north-0"].peek("desk", "primary")()[1]
-    s.w.nodes[prim].kill()
-    if not own.startswith("core"):
-        s.w.nodes[own].kill()
-    s.w.nodes["edge-middle-0"].kill()
-    s.w.run(12)
-    s.open = False
-    oids = [s.order(tenant=t, cls=c, retry=False, at=s.live(zone=z)[0])
-            for t, d in s.t["config"]["tenants"].items() for z in d["homes"][:1] for c in d["classes"]
-            if s.live(zone=z)]
-    s.w.run(6)
-    for o in oids:
-        if s.o.orders[o]["told"] != ("ok",):
-            s.o.bad("not-back", s.o.orders[o]["tenant"], s.o.orders[o]["told"])
-    return s
-
+from .guards import without
+from .nevers import (
+    a_cut_off_daemon_is_asked_again,
+    a_daemon_is_told_by_a_core_that_is_behind,
+    a_daemon_restarts_beside_a_core_that_is_behind,
+    a_key_is_asked_twice_and_the_first_ask_is_held_up,
+    a_leaving_replica_stays_up,
+    a_replica_fails_at_the_end,
+    a_replica_is_marked_where_it_is_not_known_yet,
+    a_replica_returns_cold_into_a_crowd,
+    a_replica_skips_a_piece,
+    a_run_breaks_off_after_its_first_piece,
+    a_visitor_moves_on_while_its_daemon_waits,
+    a_zone_is_emptied,
+    a_zone_is_emptied_while_cut_off,
+    every_replica_fails,
+    owner_dies_after_the_grant,
+    power_is_lost_after_an_acknowledgement,
+    rules,
+    the_home_has_no_replica_left,
+    the_primary_and_an_owner_are_lost,
+    two_operators_race,
+)
 
 REG, ELECT, LEDGER, OWNER, ORDER, REPLICATION, NEWS = (
-    "silverglade.replicas.registry", "silverglade.replicas.elect", "silverglade.replicas.ledger",
-    "silverglade.shards.owner", "silverglade.path.order", "silverglade.control.replication", "silverglade.news")
-USABLE = ("silverglade.replicas.registry.usable",
-          "silverglade.replicas.elect.usable", "silverglade.path.ingress.usable")
+    "silverglade.replicas.registry",
+    "silverglade.replicas.elect",
+    "silverglade.replicas.ledger",
+    "silverglade.shards.owner",
+    "silverglade.path.order",
+    "silverglade.control.replication",
+    "silverglade.news",
+)
+USABLE = ("silverglade.replicas.registry.usable", "silverglade.replicas.elect.usable", "silverglade.path.ingress.usable")
 
 CASES = [
-    (owner_dies_after_the_grant, "ran-twice",
-     [("silverglade.shards.shard", "got = {k: (g, s, n) for k, g, s, n in rest[0]}", "got = {}",
-       "silverglade.shards.owner.Shard"),
-      ("silverglade.shards.follower", "if was and was[0] != gid:", "if False:", "silverglade.hub.follower")]),
-    (a_cut_off_daemon_is_asked_again, "not-run-but-ran",
-     [("silverglade.path.admit", 'return f["minted"] or', "return True or",
-       "silverglade.path.ingress.sure", "silverglade.path.order.sure")]),
-    (a_visitor_moves_on_while_its_daemon_waits, "not-run-but-ran",
-     [(ORDER, 'soon = f["minted"] or', "soon = True or", "silverglade.path.ingress.order")]),
-    (a_key_is_asked_twice_and_the_first_ask_is_held_up, "not-run-but-ran",
-     [(OWNER, ("        x.seen = False                        # its", 'if c and c[0] != x.oid:\n            return "yes"'),
-       ("        # its", 'if False:\n            return "yes"'), "silverglade.hub.owner")]),
-    (a_replica_skips_a_piece, "pieces",
-     [(ORDER, "if k != piece + 1:", "if False:", "silverglade.path.ingress.order")]),
-    (a_replica_fails_at_the_end, "success-unearned-or-told",
-     [(ORDER, '''                case ("ran", "fault", r):
+    (
+        owner_dies_after_the_grant,
+        "ran-twice",
+        [
+            ("silverglade.shards.shard", "got = {k: (g, s, n) for k, g, s, n in rest[0]}", "got = {}", "silverglade.shards.owner.Shard"),
+            ("silverglade.shards.follower", "if was and was[0] != gid:", "if False:", "silverglade.hub.follower"),
+        ],
+    ),
+    (
+        a_cut_off_daemon_is_asked_again,
+        "not-run-but-ran",
+        [
+            (
+                "silverglade.path.admit",
+                'return f["minted"] or',
+                "return True or",
+                "silverglade.path.ingress.sure",
+                "silverglade.path.order.sure",
+            )
+        ],
+    ),
+    (
+        a_visitor_moves_on_while_its_daemon_waits,
+        "not-run-but-ran",
+        [(ORDER, 'soon = f["minted"] or', "soon = True or", "silverglade.path.ingress.order")],
+    ),
+    (
+        a_key_is_asked_twice_and_the_first_ask_is_held_up,
+        "not-run-but-ran",
+        [
+            (
+                OWNER,
+                ("        x.seen = False  # its", 'if c and c[0] != x.oid:\n            return "yes"'),
+                ("        # its", 'if False:\n            return "yes"'),
+                "silverglade.hub.owner",
+            )
+        ],
+    ),
+    (a_replica_skips_a_piece, "pieces", [(ORDER, "if k != piece + 1:", "if False:", "silverglade.path.ingress.order")]),
+    (
+        a_replica_fails_at_the_end,
+        "success-unearned-or-told",
+        [
+            (
+                ORDER,
+                """                case ("ran", "fault", r):
                     how = "fault"
-''', '''                case ("ran", "fault", r):
+""",
+                """                case ("ran", "fault", r):
                     how = "done"
                     result("whole", b"x.1|whole") if not f["stream"] else None
-''', "silverglade.path.ingress.order")]),
-    (a_run_breaks_off_after_its_first_piece, "joined-or-pieces",
-     [(ORDER, ('f["resumable"])) and not piece', "if k != piece + 1:"), ('f["resumable"]))', "if False:"),
-       "silverglade.path.ingress.order")]),
-    (the_home_has_no_replica_left, "outside-homes",
-     [(REG, 'and (homes is None or r[ZONE] in homes and any(h in homes for h in r[HOMES]))', "", *USABLE),
-      (ELECT, 'for z in homes[1:]:', "for z in region:", "silverglade.shards.owner.elect")]),
-    (a_leaving_replica_stays_up, "work-after-leaving",
-     [(REG, "and not r[LEAVING]\n", "\n", *USABLE),
-      (LEDGER, "or r[LEAVING]\n", "\n", "silverglade.hub.ledger")]),
-    (a_replica_is_marked_where_it_is_not_known_yet, "work-after-leaving",
-     [(REG, ("if marks.get(r[RID], 0) >= r[INC]:", "if why != \"heard\":"), ("if False:", "if False:"),
-       "silverglade.hub.registry")]),
-    (a_zone_is_emptied, "work-after-emptying",
-     [(REG, 'and r[ZONE] not in evac', "", *USABLE),
-      (LEDGER, "or r[ZONE] in evac", "", "silverglade.hub.ledger")]),
-    (a_zone_is_emptied_while_cut_off, "work-after-emptying",
-     [(LEDGER, ("or fresh is None\n", 'or now - fresh > opt["alone"]\n'), ("\n", "\n"), "silverglade.hub.ledger"),
-      (OWNER, 'if fresh is None or now - fresh > opt["alone"]:', "if False:", "silverglade.hub.owner"),
-      ("silverglade.path.ingress", 'return self.heard is not None and now - self.heard <= self.opt["alone"]',
-       "return True", "silverglade.hub.ingress")]),
-    (a_daemon_is_told_by_a_core_that_is_behind, "slipped-back",
-     [(NEWS, ("if v < held:", "if i[1] > book.get(i[0], (bk.START,))[0]]", "held = max(held, v)",
-              "if new or v > held:"), ("if False:", "]", "held = v", "if True:"), "silverglade.hub.news"),
-      ("silverglade.control.book", "if iv > v and not", "if not", "silverglade.control.book.since")]),
-    (a_daemon_restarts_beside_a_core_that_is_behind, "slipped-back",
-     [(NEWS, "if not sure:", "if False:", "silverglade.hub.news")]),
-    (power_is_lost_after_an_acknowledgement, "acknowledged-forgotten",
-     [(REPLICATION, '''        if ok:
-            replicate(core, view, pending)''', '''        if ok:
+""",
+                "silverglade.path.ingress.order",
+            )
+        ],
+    ),
+    (
+        a_run_breaks_off_after_its_first_piece,
+        "joined-or-pieces",
+        [
+            (
+                ORDER,
+                ('f["resumable"])) and not piece', "if k != piece + 1:"),
+                ('f["resumable"]))', "if False:"),
+                "silverglade.path.ingress.order",
+            )
+        ],
+    ),
+    (
+        the_home_has_no_replica_left,
+        "outside-homes",
+        [
+            (REG, "and (homes is None or r[ZONE] in homes and any(h in homes for h in r[HOMES]))", "", *USABLE),
+            (ELECT, "for z in homes[1:]:", "for z in region:", "silverglade.shards.owner.elect"),
+        ],
+    ),
+    (
+        a_leaving_replica_stays_up,
+        "work-after-leaving",
+        [(REG, "and not r[LEAVING]\n", "\n", *USABLE), (LEDGER, "or r[LEAVING]\n", "\n", "silverglade.hub.ledger")],
+    ),
+    (
+        a_replica_is_marked_where_it_is_not_known_yet,
+        "work-after-leaving",
+        [(REG, ("if marks.get(r[RID], 0) >= r[INC]:", 'if why != "heard":'), ("if False:", "if False:"), "silverglade.hub.registry")],
+    ),
+    (
+        a_zone_is_emptied,
+        "work-after-emptying",
+        [(REG, "and r[ZONE] not in evac", "", *USABLE), (LEDGER, "or r[ZONE] in evac", "", "silverglade.hub.ledger")],
+    ),
+    (
+        a_zone_is_emptied_while_cut_off,
+        "work-after-emptying",
+        [
+            (LEDGER, ("or fresh is None\n", 'or now - fresh > opt["alone"]\n'), ("\n", "\n"), "silverglade.hub.ledger"),
+            (OWNER, 'if fresh is None or now - fresh > opt["alone"]:', "if False:", "silverglade.hub.owner"),
+            (
+                "silverglade.path.ingress",
+                'return self.heard is not None and now - self.heard <= self.opt["alone"]',
+                "return True",
+                "silverglade.hub.ingress",
+            ),
+        ],
+    ),
+    (
+        a_daemon_is_told_by_a_core_that_is_behind,
+        "slipped-back",
+        [
+            (
+                NEWS,
+                ("if v < held:", "if i[1] > book.get(i[0], (bk.START,))[0]]", "held = max(held, v)", "if new or v > held:"),
+                ("if False:", "]", "held = v", "if True:"),
+                "silverglade.hub.news",
+            ),
+            ("silverglade.control.book", "if iv > v and not", "if not", "silverglade.control.book.since"),
+        ],
+    ),
+    (a_daemon_restarts_beside_a_core_that_is_behind, "slipped-back", [(NEWS, "if not sure:", "if False:", "silverglade.hub.news")]),
+    (
+        power_is_lost_after_an_acknowledgement,
+        "acknowledged-forgotten",
+        [
+            (
+                REPLICATION,
+                """        if ok:
+            replicate(core, view, pending)""",
+                """        if ok:
             replicate(core, view, pending)
-            answer(core, pending.client, pending.result)''', REPLICATION + ".on_written_by_primary")]),
-    (two_operators_race, "both-won",
-     [("silverglade.control.book", "if base != held:", "if False:", "silverglade.control.book.decide")]),
-    (a_replica_returns_cold_into_a_crowd, "flooded",
-     [(LEDGER, 'self.cap, self.state, self.warm, self.run = 1,', 'self.cap, self.state, self.warm, self.run = 99,',
-       "silverglade.hub.ledger")]),
-    (every_replica_fails, "retries",
-     [("silverglade.shards.budget", 'if self.n["again"] + 1 > mine or gone + 1 > share * fleet:', "if False:",
-       "silverglade.shards.owner.Budget")]),
-    (the_primary_and_an_owner_are_lost, "not-back",
-     [("silverglade.control.plan", 'if fair:', "if False:", "silverglade.control.plan.why")]),
+            answer(core, pending.client, pending.result)""",
+                REPLICATION + ".on_written_by_primary",
+            )
+        ],
+    ),
+    (two_operators_race, "both-won", [("silverglade.control.book", "if base != held:", "if False:", "silverglade.control.book.decide")]),
+    (
+        a_replica_returns_cold_into_a_crowd,
+        "flooded",
+        [
+            (
+                LEDGER,
+                "self.cap, self.state, self.warm, self.run = 1,",
+                "self.cap, self.state, self.warm, self.run = 99,",
+                "silverglade.hub.ledger",
+            )
+        ],
+    ),
+    (
+        every_replica_fails,
+        "retries",
+        [
+            (
+                "silverglade.shards.budget",
+                'if self.n["again"] + 1 > mine or gone + 1 > share * fleet:',
+                "if False:",
+                "silverglade.shards.owner.Budget",
+            )
+        ],
+    ),
+    (
+        the_primary_and_an_owner_are_lost,
+        "not-back",
+        [("silverglade.control.plan", "if fair:", "if False:", "silverglade.control.plan.why")],
+    ),
 ]
 IDS = [c[0].__name__ for c in CASES]
 
@@ -392,6 +223,7 @@
     for module, old, new, *targets in guards:
         without(monkeypatch, module, old, new, *targets)
     got = rules(run())
-    want = {"success-unearned-or-told": {"success-unearned", "foreign-body"},
-            "joined-or-pieces": {"joined-runs", "pieces"}}.get(rule, {rule})
+    want = {"success-unearned-or-told": {"success-unearned", "foreign-body"}, "joined-or-pieces": {"joined-runs", "pieces"}}.get(
+        rule, {rule}
+    )
     assert got & want
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -4,7 +4,7 @@
 
 from silverglade.rehearsal.scene import Scene
 
-from .test_nevers import SEC, hamlet
+from .nevers import SEC, hamlet
 
 
 @pytest.mark.parametrize("name", ["core-north", "core-middle", "core-south", "edge-north-0", "edge-middle-0", "edge-south-0"])
