A daemon that was cut off for longer than the dead are remembered is known to all again

Cores forget a dead daemon's tombstones after `forget` (10 min); the tables of all daemons kept theirs for ever. So an edge that was cut off, or frozen, for more than twice as long and came back without a new life told its record under the old rank, and every daemon's tombstone outranked it: the cores had it, no roll did, until it was started again. It itself went on showing daemons that had been buried meanwhile, as no delta speaks of them any more. And what was kept of names gone grew without a bound.

Now each daemon's table forgets its tombstones like the cores' tables; a daemon that no core has answered for `forget` begins from a whole table and takes a higher incarnation, as after meeting a row of an earlier life; a freeze that long counts alike.

Not mended: a core, or a whole zone with its core, that is cut off for more than twice `forget`.

--- a/silverglade/roster.py
+++ b/silverglade/roster.py
@@ -163,22 +163,32 @@
                 waits.append(at)
         return waits
 
-    def outrank(row):
-        """A row of an earlier life of mine."""
+    def outrank(rank):
+        """A row of mine of this incarnation or a later one is not what I say now: I take a higher one."""
         nonlocal inc
-        r = row[RANK]
-        if r[0] >= inc:
-            inc = r[0] + 1
+        if rank[0] >= inc:
+            inc = rank[0] + 1
             lately.clear()
             for k in [k for k in mine if k[0] in ("extra", "doubt")]:
                 del mine[k]
             present()
             ask_of_me()
 
+    def begin_anew(frm):
+        """The table is to be told whole; until then the roll is held."""
+        nonlocal old_roll, behind, t, stale, teller
+        old_roll, behind, t, stale = roll, None, soft.Table(), True
+        teller = soft.Teller(t)
+        out.append(log("table-anew", core=frm))
+
     def take(now, frm, d):
         """A core's answer (4.3)."""
-        nonlocal contact, behind, dead, stale, joined, state, t, old_roll, at_core, teller, retold
-        contact = now
+        nonlocal contact, behind, dead, stale, joined, state, old_roll, at_core, retold
+        was, contact = contact, now
+        if was is not None and now - was > opt["forget"]:  # tombstones of that time are gone: no delta brings them
+            begin_anew(frm)
+            outrank((inc,))  # and some may still hold one of mine
+            return None
         if len(d) < 4:
             return None if d else True
         token, vec, rows, dead_ = d[0], dict(d[1]), d[2], d[3]
@@ -194,7 +204,7 @@
             out.append(("cast", ("told", kind, got)))
         own = t.rows.get(("daemon", me))
         if own and (own[VALUE] is None or own[VALUE][LIFE] != life):
-            outrank(own)
+            outrank(own[RANK])
         if me in dead_ and not at_core.startswith("@"):
             ask_of_me()  # perhaps they ask the wrong one after me
         dead, stale = frozenset(dead_), stale or frozenset(dead_) != dead
@@ -212,9 +222,7 @@
             at_core, retold = frm, True
             tell(now, True)
         elif now - behind > opt["takeover"]:  # for good: it began anew, and so does this
-            old_roll, behind, t, stale = roll, None, soft.Table(), True
-            teller = soft.Teller(t)
-            out.append(log("table-anew", core=frm))
+            begin_anew(frm)
         return None
 
     def show(now):
@@ -287,7 +295,8 @@
                 if now - max(last, wanted) > opt["late"]:  # frozen: distrust what was held (4.4)
                     out += [log("frozen", late_ms=ms(now - last)), ("cast", ("froze",))]
                     heard.update(dict.fromkeys(heard, now))
-                    contact = contact and now
+                    if now - last <= opt["forget"]:
+                        contact = contact and now
                 last = now
                 waits = extras(now)
                 listen(now)
@@ -295,6 +304,7 @@
                     due = now + opt["watch_beat"]
                     beat(now)
                     tell(now)
+                    t.bury(now, opt["forget"])
                 elif any(k not in sent for k in mine):
                     tell(now)
                 show(now)
