News that takes longer than an ask waits is taken when it comes

Cause: a daemon gives an ask up after ask_wait + 2 beats (1.5 s), asks another core, and dropped the answer to the first when it came. Over a slow link an answer of more than 1.5 s was never taken at all, and each new ask had the whole of it sent again. Found while looking for ways in which edges stay on an older version.

Now the last eight asks without an answer are remembered. What a late answer says of control is taken (all of it was acknowledged; its age is counted from when it was asked for); its delta of soft state only while the daemon still stands where it stood when it asked.

--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -4,6 +4,8 @@
 from .part import ZERO, log, ms, send, span
 from .proxy import proxy_of
 
+ASKS_KEPT = 8
+
 
 def news(*, me, zone, region, core, addr, seeds, opt, rng):
     """Casts ("book", book, version) and ("fresh", time of the last confirmed news).
@@ -15,6 +17,7 @@
     roll, pend, out, bad = (), None, [], {}
     born, sure = None, False  # sure: news was proved newer than this life (5.7)
     at, last, due, turn = (), None, ZERO, rng.randrange(len(seeds) or 1)
+    asks = {}  # number -> (when, position) of those without an answer: over a slow link one may come late
 
     def near(now):
         """The nearest core that nothing speaks against; else the one that may be tried again first."""
@@ -42,6 +45,9 @@
         if c is None:
             return
         pend = (rng.getrandbits(48), c, now)
+        asks[pend[0]] = (now, at)
+        while len(asks) > ASKS_KEPT:
+            asks.pop(next(iter(asks)))
         if c != last:  # it hears who I am first
             last = c
             out.append(("post", "roster", ("core", c)))
@@ -78,9 +84,15 @@
                 fresh = None
                 out.append(("cast", ("fresh", None)))
                 ask(now)
-            case ("msg", frm, ("news", n, v, items, age, held_ms, delta)) if pend and n == pend[0]:
-                asked, pend = pend[2], None
-                out.append(("post", "roster", ("delta", frm, delta)))  # it says where it stands; then I ask on
+            case ("msg", frm, ("news", n, v, items, age, held_ms, delta)) if n in asks:
+                asked, asked_at = asks.pop(n)
+                late = not pend or n != pend[0]
+                if not late:
+                    pend = None
+                if asked_at == at:  # a late delta may begin where the roster stands no more
+                    out.append(("post", "roster", ("delta", frm, delta)))  # it says where it stands; then I ask on
+                if v < held and late:  # newer news came meanwhile
+                    continue
                 if v < held:
                     out.append(log("news-older", core=frm, held=held, told=v))
                     bad[frm] = now + opt["settle"]
