A daemon that starts beside a cut-off core does not begin with its older version

Cause: with `trust` (a platform's setting: after a blackout nobody can prove anything newer than this life) the first answer was taken whatever the age of its proof. A core that had been cut off for 20 s tells its zone what was in force before the cut, with an age of 20 s; a daemon started there held that until its next ask.

Without `trust` nothing changes: a proof newer than the life is waited for.

The price: where no core has a proof, as after a blackout, a daemon with `trust` begins later by `settle` and a `beat` at most.

--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -16,6 +16,7 @@
     book, held, fresh = {}, bk.START, None
     roll, pend, out, bad = (), None, [], {}
     born, sure = None, False  # sure: news was proved newer than this life (5.7)
+    unproved_since = None  # when the first answer of this life came
     at, last, due, turn = (), None, ZERO, rng.randrange(len(seeds) or 1)
     asks = {}  # number -> (when, position) of those without an answer: over a slow link one may come late
 
@@ -98,10 +99,15 @@
                     bad[frm] = now + opt["settle"]
                     continue
                 f = asked + span(min(held_ms, ms(now - asked))) - span(age)
-                sure = sure or opt["trust"] or age >= 0 and f >= born
-                if not sure:  # an earlier life may have held newer: wait for proof
-                    due = now + opt["pulse"]
-                    if age < 0 or age > ms(opt["aged"]):
+                aged = age < 0 or age > ms(opt["aged"])  # perhaps another's proof is newer
+                unproved_since = unproved_since or now
+                if opt["trust"]:  # what nobody proves is taken only when others have been asked for a while
+                    sure = sure or not aged or now - unproved_since >= opt["settle"]
+                else:  # an earlier life may have held newer: wait for proof
+                    sure = sure or age >= 0 and f >= born
+                if not sure:
+                    due = now + (opt["beat"] if opt["trust"] else opt["pulse"])
+                    if aged:
                         bad[frm] = now + opt["settle"]
                     continue
                 new = [i for i in items if i[1] > book.get(i[0], (bk.START,))[0]]
@@ -120,8 +126,8 @@
                 if age >= 0 and (fresh is None or f > fresh):
                     fresh = f
                     out.append(("cast", ("fresh", fresh)))
-                if age < 0 or age > ms(opt["aged"]):
-                    bad[frm] = now + opt["settle"]  # its proof is old: perhaps another's is not
+                if aged:
+                    bad[frm] = now + opt["settle"]
 
 
 def keeper(*, cores, opt):
