--- a/silverglade/proxy.py
+++ b/silverglade/proxy.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from .control import book as bk
-from .part import IDLE, ms, post, send
+from .part import IDLE, ms, post, send, span
 from .rank import first
 from .roster import ADDR, CORE, ID, STATE, ZONE, fit
 
@@ -36,7 +36,7 @@
         asks = [a for a in asks if now - a[0] < drop_after]  # given up by those who asked
         if not core:
             return
-        age = ms(now - fresh) if fresh is not None else -1
+        age = -((fresh - now) // span(1)) if fresh is not None else -1  # rounded up: told no younger than it is
         for t, frm, n, v, at in asks[:]:
             if renewed or held > v or now - t >= answer_after or spot not in (None, at):
                 asks.remove((t, frm, n, v, at))
