--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -4,6 +4,8 @@
 from .part import ZERO, log, ms, send, span
 from .proxy import proxy_of
 
+ASKS_KEPT = 8
+
 
 def news(*, me, zone, region, core, addr, seeds, opt, rng):
     """Casts ("book", book, version) and ("fresh", time of the last confirmed news).
@@ -14,7 +16,9 @@
     book, held, fresh = {}, bk.START, None
     roll, pend, out, bad = (), None, [], {}
     born, sure = None, False  # sure: news was proved newer than this life (5.7)
+    unproved_since = None  # when the first answer of this life came
     at, last, due, turn = (), None, ZERO, rng.randrange(len(seeds) or 1)
+    asks = {}  # number -> (when, position) of those without an answer: over a slow link one may come late
 
     def near(now):
         """The nearest core that nothing speaks against; else the one that may be tried again first."""
@@ -42,6 +46,9 @@
         if c is None:
             return
         pend = (rng.getrandbits(48), c, now)
+        asks[pend[0]] = (now, at)
+        while len(asks) > ASKS_KEPT:
+            asks.pop(next(iter(asks)))
         if c != last:  # it hears who I am first
             last = c
             out.append(("post", "roster", ("core", c)))
@@ -78,18 +85,29 @@
                 fresh = None
                 out.append(("cast", ("fresh", None)))
                 ask(now)
-            case ("msg", frm, ("news", n, v, items, age, held_ms, delta)) if pend and n == pend[0]:
-                asked, pend = pend[2], None
-                out.append(("post", "roster", ("delta", frm, delta)))  # it says where it stands; then I ask on
+            case ("msg", frm, ("news", n, v, items, age, held_ms, delta)) if n in asks:
+                asked, asked_at = asks.pop(n)
+                late = not pend or n != pend[0]
+                if not late:
+                    pend = None
+                if asked_at == at:  # a late delta may begin where the roster stands no more
+                    out.append(("post", "roster", ("delta", frm, delta)))  # it says where it stands; then I ask on
+                if v < held and late:  # newer news came meanwhile
+                    continue
                 if v < held:
                     out.append(log("news-older", core=frm, held=held, told=v))
                     bad[frm] = now + opt["settle"]
                     continue
                 f = asked + span(min(held_ms, ms(now - asked))) - span(age)
-                sure = sure or opt["trust"] or age >= 0 and f >= born
-                if not sure:  # an earlier life may have held newer: wait for proof
-                    due = now + opt["pulse"]
-                    if age < 0 or age > ms(opt["aged"]):
+                aged = age < 0 or age > ms(opt["aged"])  # perhaps another's proof is newer
+                unproved_since = unproved_since or now
+                if opt["trust"]:  # what nobody proves is taken only when others have been asked for a while
+                    sure = sure or not aged or now - unproved_since >= opt["settle"]
+                else:  # an earlier life may have held newer: wait for proof
+                    sure = sure or age >= 0 and f >= born
+                if not sure:
+                    due = now + (opt["beat"] if opt["trust"] else opt["pulse"])
+                    if aged:
                         bad[frm] = now + opt["settle"]
                     continue
                 new = [i for i in items if i[1] > book.get(i[0], (bk.START,))[0]]
@@ -108,8 +126,8 @@
                 if age >= 0 and (fresh is None or f > fresh):
                     fresh = f
                     out.append(("cast", ("fresh", fresh)))
-                if age < 0 or age > ms(opt["aged"]):
-                    bad[frm] = now + opt["settle"]  # its proof is old: perhaps another's is not
+                if aged:
+                    bad[frm] = now + opt["settle"]
 
 
 def keeper(*, cores, opt):
