--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -5,7 +5,7 @@
 from silverglade.part import span
 from silverglade.rehearsal.scene import SEC
 
-from .test_nevers import hamlet
+from .nevers import hamlet
 
 ZONE = "south"
 
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -10,7 +10,7 @@
 from silverglade.part import span
 from silverglade.rehearsal.scene import SEC
 
-from .test_nevers import hamlet
+from .nevers import hamlet
 
 RAW = {"zones": {z: {"region": z} for z in ("north", "middle", "south")}, "tenants": {}}
 
--- a/tests/test_proxy_cut.py
+++ b/tests/test_proxy_cut.py
@@ -7,8 +7,8 @@
 from silverglade.rehearsal.scene import SEC, Scene
 from silverglade.rehearsal.towns import TOWNS
 
+from .guards import without
 from .test_members import rolls, until
-from .test_nevers import without
 
 ZONE = "far"
 APPLIED = 5  # seconds in which a daemon in touch holds what was acknowledged
