Bad input to control is refused at the door, with a code; a call whose caller left is given up

Cause: what an operator sent went unlooked at into a message for the primary. A number over 64 bits, a lone surrogate in a text, or deep nesting made the packer raise in the daemon's own task, which ends the daemon. A configuration whose defaults unfold to more than a frame may (400,000 empty services, 4 MiB of text) was taken by the primary, whose backups then refused the frame, so that no change could be settled any more; so was one that no frame could hold. A text in UTF-16 or with an infinite number was answered 500.

A call is given up when its caller's connection closes, also before it was read; Silverglade-Wait says how long a caller stays.

--- a/silverglade/daemon/lanes.py
+++ b/silverglade/daemon/lanes.py
@@ -7,6 +7,8 @@
 A sender waits for room in its own lane only. Four of `work` go for one of `door`.
 """
 
+import contextlib
+
 import anyio
 
 from ..faults import Fault
@@ -52,6 +54,12 @@
             raise Fault(310) from None
         self.wake.set()
 
+    def note(self, ev):
+        """What may be lost: it never waits."""
+        with contextlib.suppress(anyio.WouldBlock):
+            self.put["first"].send_nowait(ev)
+            self.wake.set()
+
     def next(self):
         """What comes next, or None."""
         if self.due:
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -105,7 +105,11 @@
         self.calls[cid] = box = [done, None]
         if op != "head":
             await self.lanes.send(ev)
-        await done.wait()
+        try:
+            await done.wait()
+        finally:
+            if self.calls.pop(cid, None):  # nobody waits for its answer any more
+                self.lanes.note(("call-gone", cid))
         return box[1]
 
     @contextlib.contextmanager
--- a/silverglade/front/app.py
+++ b/silverglade/front/app.py
@@ -153,7 +153,7 @@
             return await visit(d, path[11:], scope, receive, send)
         head = headers(scope)
         try:
-            await route(d, verb, path, head, lambda: read(receive, head), send, answer, bearer(head))
+            await route(d, verb, path, head, lambda: read(receive, head), receive, send, answer, bearer(head))
         except Fault as e:
             await refuse(send, e.code, detail=e.detail)
 
--- a/silverglade/front/routes.py
+++ b/silverglade/front/routes.py
@@ -6,12 +6,24 @@
 
 from ..faults import CODES, Fault, status
 from ..options import ROLES
+from ..part import span
+from .changes import portable, settled
+
+DIGITS = 18  # of numbers in a head: they stay within what is sent
+
+
+def wait(head):
+    """How long the caller says that it waits for an answer (design 5.4): (), or a time."""
+    v = head.get("silverglade-wait", "")
+    if v and not (v.isascii() and v.isdigit() and 0 < len(v) <= 9):
+        raise Fault(506, "Silverglade-Wait wants whole milliseconds")
+    return (span(int(v)),) if v else ()
 
 
 def parse(b):
     try:
         return json.loads(b)
-    except ValueError as e:
+    except (ValueError, RecursionError) as e:
         raise Fault(506, "the body is not JSON") from e
 
 
@@ -20,7 +32,7 @@
     a, _, b = v.partition(".")
     if not v:
         raise Fault(510)
-    if not (a.isdigit() and b.isdigit() and len(v) < 40):
+    if not (v.isascii() and a.isdigit() and b.isdigit() and len(a) <= DIGITS and len(b) <= DIGITS):
         raise Fault(506, "If-Match wants EPOCH.NUMBER")
     return int(a), int(b)
 
@@ -71,7 +83,10 @@
     raise Fault(511 if other else 202, "this call wants the key of " + " or ".join(roles(verb, p)))
 
 
-async def route(d, verb, path, head, body, send, answer, key):
+CHANGES = frozenset(("config-put", "evac", "reopen"))
+
+
+async def route(d, verb, path, head, body, receive, send, answer, key):
     p = [x for x in path.split("/") if x]
     let_in(d.s, verb, p, key)
     match (verb, p):
@@ -92,15 +107,15 @@
         case ("GET", ["v1", "config"]):
             op = ("config-get", ())
         case ("PUT", ["v1", "config"]):
-            op = ("config-put", (version(head), change(head), parse(await body())))
+            op = ("config-put", portable((version(head), change(head), parse(await body()))))
         case ("PUT" | "DELETE", ["v1", "zones", zone, "evacuation"]):
-            op = ("evac", (zone, verb == "PUT", change(head)))
+            op = ("evac", (zone, verb == "PUT", change(head), *wait(head)))
         case ("GET", ["v1", ("status" | "fleet" | "replicas") as what]):
             op = (what, ())
         case ("GET", ["v1", "regions", region, "orders"]):
             op = ("orders", (region,))
         case ("PUT", ["v1", "shards", name, "reopen"]):
-            op = ("reopen", (name, change(head)))
+            op = ("reopen", (name, change(head), *wait(head)))
         case ("GET", ["v1", "trace", word]):
             op = ("trace", (word,))
         case ("PUT", ["v1", "replicas", rid]):
@@ -111,7 +126,10 @@
             op = ("platform", (listed(parse(await body())),))
         case _:
             raise Fault(507, path[:100])
-    code, kw = await d.call(*op)
+    got = await (settled(d, receive, *op) if op[0] in CHANGES else d.call(*op))
+    if got is None:
+        return None  # its caller has left
+    code, kw = got
     if code == 100:
         extra = ()
         if "version" in kw and p[1] == "config":
--- a/silverglade/tools/operator.py
+++ b/silverglade/tools/operator.py
@@ -10,6 +10,7 @@
 from .client import ask, everywhere, good
 
 DONE, PARTIAL, FAULT, NOBODY, UNKNOWN = 0, 1, 2, 3, 4
+WAIT = "7000"  # ms that a change waits for its answer; less than the client does
 
 
 def table(rows):
@@ -95,7 +96,7 @@
     """A change with an id of its own: asked again by that id while its outcome is unknown."""
     cid = a.change or secrets.token_hex(8)
     for _ in range(3):
-        st, d, _ = ask(a.at, verb, path, body, key=a.key, head=[*head, ("Silverglade-Change", cid)])
+        st, d, _ = ask(a.at, verb, path, body, key=a.key, head=[*head, ("Silverglade-Change", cid), ("Silverglade-Wait", WAIT)])
         if d.get("code") != 503:
             break
     if d.get("code") == 503:
