--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -21,9 +21,9 @@
 from silverglade.part import span
 from silverglade.rehearsal.scene import SEC
 
-from .nevers import hamlet
 from .scripted import Quiet
 from .test_front import Daemon, http
+from .nevers import hamlet
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "platform"))
 
@@ -244,8 +244,12 @@
     deep = []
     for _ in range(3000):
         deep = [deep]
-    for value in (1 << 70, "\ud800", deep, object()):
-        links.send("b", ("op", 1, "", ("evac", value, True), ""))
+
+    async def play():
+        for value in (1 << 70, "\ud800", deep, object()):
+            links.send("b", ("op", 1, "", ("evac", value, True), ""))
+
+    anyio.run(play)
     assert len(lg.said) == 4
 
 
