--- a/silverglade/control/state.py
+++ b/silverglade/control/state.py
@@ -13,12 +13,13 @@
 from . import register as rg
 from .heartbeat import Peers
 from .messages import Items, Result, Version
+from .outcomes import Ages
 from .register import Register
 from .seek import Seeker
 from .spread import Place, Tolerance
 from .store import Store
 from .view import View
-from .writes import Writes
+from .writes import DiskOperation, Writes
 
 Client = tuple[str, int]
 """Who waits for an operation: the daemon and the number of its request there."""
@@ -114,6 +115,7 @@
     - `register.base == view`: what is known to be chosen is what the witness holds as its base.
     - `open_epoch` is 0 or `view.epoch`, and is not 0 only on the primary, after all backups have synced its whole store.
     - A backup takes changes of `view` only while `served == view.epoch > sealed`.
+    - On disk, the shown items lack nothing up to the shown version there.
     - `pending` is None but on the primary of `view`: begun in it, or, until the view is open, part of `store`.
     - Every version in `shown_items` is at most `shown_version`, and was acknowledged or synced by all members of a view.
     - `proofs` and `snapshot_synced_by` name backups of `view` alone.
@@ -135,6 +137,11 @@
     # the other cores
     peers: Peers
     places: dict[str, Place]
+    # what this life adds to its clock in the stamps of its heartbeats, so that no other life's stamp is taken for one of ours
+    stamp_origin: int
+    # of the shown items: what is not on disk yet, by key, and whether a write of some is under way
+    shown_unwritten: dict[str, DiskOperation] = field(default_factory=dict)
+    shown_write_under_way: bool = False
     met: set[str] = field(default_factory=set)  # by the roll, or by a heartbeat
     heartbeat_sent: dict[str, timedelta] = field(default_factory=dict)
     # when the next round of heartbeats is due (None before the first event); since when this core is awake in its view
@@ -144,6 +151,7 @@
     open_epoch: int = 0
     queue: list[QueuedOperation] = field(default_factory=list)
     pending: PendingChange | None = None
+    outcome_ages: Ages = field(default_factory=Ages)
     opening: OpeningSnapshot | None = None
     snapshot_synced_by: set[str] = field(default_factory=set)
     proofs: dict[str, timedelta] = field(default_factory=dict)
@@ -166,7 +174,13 @@
 
 
 def initial_state(
-    *, settings: CoreSettings, meta: Mapping[str, Any], store: Mapping[str, Any], shown: Mapping[str, Any], place: Place
+    *,
+    settings: CoreSettings,
+    meta: Mapping[str, Any],
+    store: Mapping[str, Any],
+    shown: Mapping[str, Any],
+    place: Place,
+    stamp_origin: int = 0,
 ) -> CoreState:
     """The state after a start, from what was last synced."""
     register = rg.read(meta)
@@ -183,4 +197,5 @@
         writes=Writes(settings.tuning),
         peers=Peers(settings.tuning),
         places={settings.name: place},
+        stamp_origin=stamp_origin,
     )
--- a/silverglade/messages.py
+++ b/silverglade/messages.py
@@ -1,11 +1,13 @@
 """The shape of every message between daemons (design 3.2): checked before a part sees it.
 
-Letters: s text, i whole number, f number, b flag, y bytes, t tuple, v version (two whole
-numbers), o ballot (number, text), ? anything. "..." at the end: any rest.
+Letters: s text, i whole number, m milliseconds (a whole number that a time can hold), f number, b flag, y bytes,
+t tuple, v version (two whole numbers), o ballot (number, text), ? anything. "..." at the end: any rest.
 """
 
 from . import soft
 
+LONGEST = 1 << 53  # milliseconds, either way: far within what a timedelta holds
+
 SHAPES = {
     "alive": "ii",
     "doubted": "",
@@ -32,9 +34,9 @@
     "left": "s",
     "more": "si",
     "res": "sis...",
-    "news": "ivtii...",
+    "news": "ivtmm...",
     "opr": "it",
-    "hb": "ivbsibiii",
+    "hb": "ivbsibmmm",
     "view": "?",
     "prep": "o",
     "acc": "o??",
@@ -49,6 +51,8 @@
     "pull": "v",
     "get": "iv...",
     "op": "ists",
+    "fence": "it",
+    "fenced": "iv",
     "claim": "sisssi",
     "mark": "sisss",
     "adopt": "si",
@@ -63,6 +67,8 @@
             return type(x) is str
         case "i":
             return type(x) is int
+        case "m":
+            return type(x) is int and -LONGEST <= x <= LONGEST
         case "f":
             return type(x) in (int, float)
         case "b":
@@ -119,16 +125,21 @@
     "snap": lambda b: rows(b[4], "sv?"),
     "repl": lambda b: rows(b[5], "sv?"),
     "items": lambda b: rows(b[4], "sv?"),
-    "op": lambda b: sound_op(b[3]),
+    "op": lambda b: type(next(iter(b[3]), None)) is str and sound_op(b[3]),
+    "fence": lambda b: b[2][:1] in (("evac",), ("reopen",)) and rows((b[2][1:],), OPS[b[2][0]]),
 }
 
 OPS = {"config": "v?", "table": "ii?s", "read": "", "evac": "sb", "reopen": "s", "duty": "ssiss", "drop": "st"}
+FENCED = ("evac", "reopen")  # they carry the version that they rest on behind their own fields (design 5.4)
 
 
 def sound_op(op):
     if op[:1] == ("duties",):
         return len(op) == 2 and type(op[1]) is tuple and rows(op[1], OPS["duty"])
-    return len(op) >= 1 and op[0] in OPS and rows((op[1:],), OPS[op[0]])
+    if not op or op[0] not in OPS:
+        return False
+    shape = OPS[op[0]]
+    return rows((op[1:],), shape) or op[0] in FENCED and rows((op[1:],), shape + "v")
 
 
 def checked(body):
