--- a/silverglade/control/replication.py
+++ b/silverglade/control/replication.py
@@ -77,7 +77,10 @@
 
 def begin_next(core: CoreContext, now: timedelta) -> None:
     """The next operation of the queue, if the primary may take one: one in flight (design 5.4)."""
-    state, view = core.state, core.open_view()
+    state = core.state
+    if not state.queue or state.pending:
+        return
+    view = core.open_view()
     if view is None or state.sealed >= view.epoch or state.store_on_disk is not StoreOnDisk.WHOLE:
         return
     while state.queue and not state.pending:
