--- a/tests/test_control_safety.py
+++ b/tests/test_control_safety.py
@@ -21,16 +21,17 @@
 class Alone:
     """One core of the view, its disk (`tables`: what is synced), and what it has sent.
 
-    full: its disk refuses writes of more operations than that.
+    full: its disk refuses writes of more operations than that. stalled: None, or the writes that wait for its disk.
     """
 
-    def __init__(self, *, me="c", tables=None, at=5.0, seed=1, view=VIEW, shown=(3, 4)):
+    def __init__(self, *, me="c", disk=None, tables=None, at=5.0, seed=1, view=VIEW, shown=(3, 4)):
         self.me, self.now, self.full, self.sent, self.told = me, at, None, [], []
+        self.disk, self.stalled = disk or me.upper(), None
         self.tables = tables if tables is not None else {"meta": {"reg": rg.Register(base=View(*view)).stored(), "shown": shown}}
         self.gen = start(
             core(
                 me=me,
-                disk=me.upper(),
+                disk=self.disk,
                 cores=("a", "b", "c"),
                 saved={t: dict(rows) for t, rows in self.tables.items()},
                 opt=tuning(),
@@ -53,6 +54,8 @@
                         events.append(posted)
                     case ("post", "table", ("answer", _, news, _)):
                         self.told.append(news)
+                    case ("disk", token, operations) if self.stalled is not None:
+                        self.stalled.append((token, operations))
                     case ("disk", token, operations):
                         events.append(("disk", token, self.write(operations), None))
 
@@ -69,6 +72,19 @@
                     self.tables[table] = {}
         return True
 
+    def stall(self, on):
+        """The disk hangs; or it goes on, with what waited."""
+        waiting, self.stalled = self.stalled or (), [] if on else None
+        for token, operations in waiting:
+            self.feed(("disk", token, self.write(operations), None))
+
+    def last(self, kind, to=None):
+        """The newest message of a kind, or None."""
+        return next((body for name, body in reversed(self.sent) if body[0] == kind and to in (None, name)), None)
+
+    def count(self, kind):
+        return sum(body[0] == kind for _, body in self.sent)
+
     def hear(self, sender, *body):
         self.feed(("msg", sender, body))
 
@@ -145,3 +161,139 @@
     for nonce in range(500):
         b.hear("c", "snapok", 4, nonce, "C")
     assert len(b.gen.state.recruits_synced) == 0
+
+
+OLD, ONE, TWO = (("config", (2, 9), NEW),), (("evac/z", (3, 1), True),), (("evac/z", (3, 2), False),)
+
+
+def backup(**kw):
+    """b, a backup of the view, which has synced the copy that opens it and one change."""
+    b = Alone(me="b", shown=(2, 9), **kw)
+    b.hear("a", "snap", 3, 77, VIEW, OLD)
+    b.hear("a", "repl", 3, 1, (2, 9), (3, 1), ONE)
+    return b
+
+
+def test_a_late_copy_never_undoes_a_synced_change():
+    b = backup()
+    assert b.last("snapok") == ("snapok", 3, 77, "B") and b.last("repd") == ("repd", 3, 1)
+    b.hear("a", "snap", 3, 77, VIEW, OLD)  # sent again while the first was under way, held up since
+    b.hear("c", "snap", 3, 78, None, ())  # and of one who sought this very view
+    assert b.count("snapok") == 1 and b.tables["book"]["evac/z"] == ((3, 1), True)
+    again = Alone(me="b", tables=b.tables)
+    again.hear("a", "snap", 3, 77, VIEW, OLD)
+    assert again.count("snapok") == 0 and again.tables["book"]["evac/z"] == ((3, 1), True)
+    again.hear("a", "repl", 3, 2, (3, 1), (3, 2), TWO)
+    assert again.last("repd") == ("repd", 3, 2)
+
+
+def test_a_backup_says_nothing_before_its_disk():
+    b = Alone(me="b", shown=(2, 9))
+    b.stall(True)
+    b.hear("a", "snap", 3, 77, VIEW, OLD)
+    assert b.count("snapok") == 0
+    b.stall(False)
+    assert b.count("snapok") == 1
+    b.stall(True)
+    b.hear("a", "repl", 3, 1, (2, 9), (3, 1), ONE)
+    b.hear("c", "prep", (5, "c"))
+    assert b.count("repd") == b.count("prom") == 0
+    b.stall(False)
+    assert b.count("repd") == b.count("prom") == 1
+
+
+def test_a_member_that_is_recruited_confirms_nothing_more_of_its_view():
+    b = backup()
+    b.hear("c", "snap", 4, 9, None, OLD + ONE)
+    assert b.last("snapok") == ("snapok", 4, 9, "B")
+    b.hear("a", "repl", 3, 2, (3, 1), (3, 2), TWO)
+    b.hear("a", "repl", 3, 3, (3, 1), (3, 1), ())  # a read, to be confirmed
+    assert b.count("repd") == 1
+    again = Alone(me="b", tables=b.tables)  # nor after a restart
+    again.hear("a", "repl", 3, 2, (3, 1), (3, 2), TWO)
+    assert again.count("repd") == 0
+
+
+def test_no_copy_leaves_before_the_seal_is_on_disk():
+    b = backup()
+    b.stall(True)
+    for _ in range(60):
+        b.now += 0.05
+        b.feed(("pulse",))
+        b.heartbeat("c", echo=b.stamp("c") if b.last("hb", "c") else -1)
+    assert b.count("snap") == 0 and any(op[2] == "sealed" for _, ops in b.stalled for op in ops if op[0] == "put")
+    b.hear("a", "repl", 3, 2, (3, 1), (3, 2), TWO)  # the primary was only held up
+    b.stall(False)
+    assert b.count("repd") == 1 and b.tables["meta"]["sealed"] == 3
+
+
+def test_an_emptied_core_says_nothing_for_the_disk_that_it_had():
+    """Messages for its former life reach it: what it answers names its new disk, or it is silent."""
+    for tables in (None, {}):
+        b = Alone(me="b", disk="B2", tables=tables)
+        b.hear("a", "snap", 3, 77, VIEW, OLD)
+        b.hear("a", "repl", 3, 1, (2, 9), (3, 1), ONE)
+        b.hear("a", "repl", 3, 2, (3, 1), (3, 1), ())
+        assert b.count("snapok") == b.count("repd") == 0
+        b.hear("c", "snap", 4, 9, None, OLD)
+        b.hear("c", "prep", (5, "c"))
+        b.hear("c", "acc", (5, "c"), VIEW, (4, "c", ("b",), VIEW[3]))
+        assert b.last("snapok")[3] == b.last("prom")[2] == b.last("accd")[2] == "B2"
+
+
+def primary():
+    """a, the primary of the view, open."""
+    a = Alone(me="a", shown=(2, 9))
+    a.hear("b", "snapok", 3, a.last("snap")[2], "B")
+    return a
+
+
+STALE = ("config", (9, 9), NEW)
+
+
+def test_a_primary_answers_nothing_that_its_backup_has_not_confirmed_just_now():
+    """Cut off, it can neither acknowledge nor refuse nor be read; what was confirmed before counts for nothing new."""
+    for op in (STALE, ("config", (0, 0), {"zones": 3}), ("evac", "nowhere", True), ("read",), ("config", (0, 0), NEW)):
+        a = primary()
+        a.hear("edge", "op", 1, "", ("read",), "x")
+        before = a.last("repl")
+        assert before and a.count("opr") == 0
+        a.hear("b", "repd", 3, before[2])
+        assert a.count("opr") == 1
+        a.hear("edge", "op", 2, "change", op, "y")
+        asked = a.last("repl")
+        a.hear("b", "repd", 3, before[2])  # of the one before, a second time
+        a.hear("b", "repd", 2, asked[2])
+        a.hear("c", "repd", 3, asked[2])  # no backup
+        assert asked != before and a.count("opr") == 1
+        b = a.last("opr")
+        a.hear("b", "repd", 3, asked[2])
+        assert a.count("opr") == 2 and a.last("opr")[1] == 2 != b[1]
+
+
+def test_a_primary_that_was_overtaken_says_unknown_and_nothing_more():
+    a = primary()
+    a.hear("edge", "op", 1, "one", ("config", (0, 0), NEW), "x")
+    a.hear("edge", "op", 2, "two", STALE, "y")
+    asked = a.last("repl")
+    a.hear("b", "view", (4, "b", ("c",), VIEW[3]))
+    assert [body[1:] for _, body in a.sent if body[0] == "opr"] == [(1, ("unknown",)), (2, ("unknown",))]
+    a.hear("b", "repd", 3, asked[2])
+    a.hear("c", "view", (5, "a", ("b",), VIEW[3]))
+    a.hear("b", "repd", 3, asked[2])
+    a.hear("b", "repd", 5, asked[2])
+    a.now += 1
+    a.feed(("pulse",))
+    a.hear("b", "snapok", 5, a.last("snap")[2], "B")
+    a.hear("edge", "op", 3, "", ("read",), "z")
+    assert a.last("repl")[1] == 5 and a.count("opr") == 2  # it leads again, and what waited then is nobody's now
+
+
+def test_a_change_is_answered_only_when_it_is_on_the_primarys_disk_too():
+    a = primary()
+    a.stall(True)
+    a.hear("edge", "op", 1, "one", ("config", (0, 0), NEW), "x")
+    assert a.count("repl") == 0  # the primary is never behind its backups
+    a.stall(False)
+    a.hear("b", "repd", 3, a.last("repl")[2])
+    assert a.last("opr")[2][0] == "ok" and a.tables["book"]["config"][0] == (3, 1)
