--- a/silverglade/shards/follower.py
+++ b/silverglade/shards/follower.py
@@ -22,7 +22,7 @@
     epochs = dict(saved.get("shard", {}))
     claims = {sh: {} for sh in epochs}
     for k, v in saved.get("claim", {}).items():
-        sh, kd = k.split("\0")
+        sh, kd = k.rsplit("\0", 1)  # a tenant may be named by any text
         claims.setdefault(sh, {})[kd] = v
     tok, wait, out = 0, {}, []
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -67,3 +67,17 @@
         if epoch is not None:
             assert send("adopt", "s", epoch) == [("adopted", "s", epoch, tuple((x, *c) for x, c in sorted(held.items())))]
             assert len(held) > 3
+
+
+def test_a_follower_starts_again_whatever_its_tenants_are_called():
+    """A configuration takes any text for a name; a core that could not read its own claims would never start again."""
+    for name in ("plain", "with a space", "a\0b", "\0", "a\0"):
+        disk = {}
+        g = start(follower(me="f", saved={}, opt=OPT))
+        for body in (("copy", name, 1, 1, (("k", "g", "claimed", 1),)), ("claim", name, 1, "c", "k2", "g2", 2)):
+            for effect in g.send((ZERO, ("msg", "o", body))):
+                for op in effect[2] if effect[0] == "disk" else ():
+                    disk.setdefault(op[1], {})[op[2]] = op[3]
+        again = start(follower(me="f", saved=disk, opt=OPT))
+        ((_, _, answer),) = [e for e in again.send((ZERO, ("msg", "o", ("claim", name, 1, "c", "k", "g3", 3)))) if e[0] == "send"]
+        assert answer == ("unclaimed", name, 1, "c", "seen")
