--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,6 +1,7 @@
 """The data folder (design 5.1): refused when damaged, foreign or shared; nothing overwritten."""
 
 import os
+import shutil
 import sqlite3
 
 import pytest
@@ -134,3 +135,51 @@
     s = Store(folder=str(tmp_path), name="a")
     assert len(s.load()["book"]) == 40 and s.load()["meta"] == {"recruited": 7}
     s.close()
+
+
+def states_within_a_write(tmp_path):
+    """Copies of the folder at each statement of a write whose pages reach the file before its end -> (copies, state before, after)."""
+    folder, copies = tmp_path / "data", []
+    s = Store(folder=str(folder), name="a")
+    s.write([("put", "book", f"k{i}", "old" * 300) for i in range(60)] + [("put", "meta", "n", 1)])
+    was = s.load()
+    s.db.execute("PRAGMA cache_size=1")
+
+    def copy(statement):
+        copies.append(tmp_path / f"at-{len(copies)}")
+        shutil.copytree(folder, copies[-1])
+
+    s.db.set_trace_callback(copy)
+    s.write([("wipe", "book"), *(("put", "book", f"k{i}", "new" * 300) for i in range(60)), ("put", "meta", "n", 2)])
+    s.db.set_trace_callback(None)
+    now = s.load()
+    s.close()
+    return copies, was, now
+
+
+def test_a_start_in_the_middle_of_a_write_finds_the_state_before_it(tmp_path):
+    """The process ends with pages of the write in the file and the journal beside it: rolled back at the next start."""
+    copies, was, now = states_within_a_write(tmp_path)
+    half = 0
+    for folder in copies:
+        half += (folder / FILE).read_bytes() != (copies[0] / FILE).read_bytes()
+        s = Store(folder=str(folder), name="a")
+        assert s.load() in (was, now)
+        s.write([("put", "meta", "n", 3)])
+        s.close()
+    assert half > 10 and was != now
+
+
+def test_a_folder_copied_without_its_journal_is_refused_or_the_state_before(tmp_path):
+    copies, was, now = states_within_a_write(tmp_path)
+    told = []
+    for folder in copies:
+        (folder / f"{FILE}-journal").unlink(missing_ok=True)
+        try:
+            s = Store(folder=str(folder), name="a")
+            assert s.load() == was
+            s.close()
+            told.append("before")
+        except Fault as e:
+            told.append(e.code)
+    assert set(told) == {"before", 702} and told.count(702) > 10
