--- a/tests/test_control_cuts.py
+++ b/tests/test_control_cuts.py
@@ -4,7 +4,7 @@
 
 from silverglade.rehearsal import council, trials
 
-from .test_nevers import without
+from .guards import without
 
 SIZES = [(3, (1, 1, 1)), (5, (2, 1, 1))]
 WAYS = ("both", "in", "out")
--- a/tests/test_control_guards.py
+++ b/tests/test_control_guards.py
@@ -5,7 +5,7 @@
 from silverglade.control import seek
 
 from . import test_control_safety as safety
-from .test_nevers import without
+from .guards import without
 
 PACKAGE = "silverglade.control."
 GUARDS = [
