Links take the time of a message without an event loop

A test sends through links outside one: the time that a message was queued came from the loop's clock and so wanted one. The steady clock does as well.

--- a/silverglade/daemon/links.py
+++ b/silverglade/daemon/links.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import time
 
 import anyio
 
@@ -42,7 +43,7 @@
             self.out[way], r = anyio.create_memory_object_stream(QUEUE)
             self.group.start_soon(self.link, addr, r)
         try:
-            self.out[way].send_nowait((anyio.current_time(), wire.pack(frm=self.me, life=self.life, body=body)))
+            self.out[way].send_nowait((time.monotonic(), wire.pack(frm=self.me, life=self.life, body=body)))
         except anyio.WouldBlock:
             self.lost += 1
         except Fault as e:
@@ -63,7 +64,7 @@
                 await anyio.sleep(wait)
                 wait, away = min(0.5, wait * 2), True
                 continue
-            stale = anyio.current_time() - HELD if away else 0.0  # when it was queued, at the latest
+            stale = time.monotonic() - HELD if away else 0.0  # when it was queued, at the latest
             wait, away = 0.05, False
             async with s, anyio.create_task_group() as tg:
                 tg.start_soon(self.ended, s, tg.cancel_scope)
