A region that takes no connection goes last as a whole

Cause: behind a cut between regions each replica was found out by itself, 0.4 s of connecting each, and every request tried up to four of them before it was refused: 1.6 s. Replicas that had failed were passed over only while others had not.

Change: a daemon counts the replicas of a region that took no connection in its time. After two within a moment, none of the region having answered meanwhile, its replicas are tried last: those that are not yet known to take none by one request each, the others by one request in a while that grows from half a second to two. Any answer opens the region. A request asks two replicas of one region at most, and another region after the first. A refused connection is an answer of a machine and closes nothing.

Found beside it: a full pool, this daemon's own bound, was held against the replica, because a list was compared with a tuple; mended. The simulated shell now says connect-timeout and pool-full as the real one.

--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -4,6 +4,7 @@
 be repeated goes to a second replica only if the first said that it did not run it, or was sent not one byte.
 """
 
+from collections import Counter
 from datetime import timedelta
 
 from ..control import book as bk
@@ -14,6 +15,7 @@
 from .budget import Budget
 from .catalog import readers
 from .cold import Cold
+from .reach import FEW, Reach
 
 SECOND = timedelta(seconds=1)
 MEMBER = timedelta(seconds=60)  # a daemon that was known lately counts, also dead or cut off
@@ -27,16 +29,14 @@
 class Request:
     """One try of a client, from its head to its end."""
 
-    __slots__ = (
-        *("rid", "f", "route", "service", "born", "due", "tried", "n", "sent", "arrivals", "at", "begun", "last", "live", "why"),
-        "weight",
-    )
+    __slots__ = tuple("rid f route service born due tried n sent arrivals unreached at begun last live why weight".split())
 
     def __init__(self, rid, f, now):
         self.rid, self.f, self.born = rid, f, now
         self.route = self.service = self.at = None  # at: when the last replica got it
         self.due, self.tried, self.n = now, set(), 0
         self.sent = 0  # tries that count towards the route's most: neither unsent nor turned away by another life
+        self.unreached = Counter()  # region -> how many of its replicas took no connection for it
         self.arrivals = 0  # what reached any replica, also one that turned it away: what the retry budget counts
         self.begun, self.last = False, f["last_event"]  # has a stream's head been passed on; its last event
         self.live, self.why, self.weight = {}, "", 0.0
@@ -52,6 +52,7 @@
     tab, cfg, evac, reqs, reps = {}, None, frozenset(), {}, {}
     peers, members, edges, out, short = 1, {}, FEWEST, [], frozenset()
     budget, cold, listed, told = Budget(opt=opt), Cold(opt=opt), False, False
+    reach = Reach()
     reading, whole_at = (), None  # the daemons that read the list; when it was read here last
 
     def answer(q, status, wait, code):
@@ -108,13 +109,14 @@
         s = cfg["services"].get(q.service)
         fit = choose.usable(reps.values(), now=now, service=q.service, homes=q.route["homes"], evac=evac, tried=q.tried)
 
-        r = chosen(q, fit, s["cold_per_s"], now)
+        r = next((r for rs in by_reach(q, fit, now) if (r := chosen(q, rs, s["cold_per_s"], now))), None)
         if r is None:
             return none(503, 0.5 if fit else 1.0, 806)
         if q.arrivals and not budget.spend(now, q.service, daemons=edges):
             return none(503, 0.5, 807)
         for n in list(q.live):
             leave(q, n)
+        reach.tried(now, r.region)
         q.n += 1
         q.sent += 1
         q.arrivals += 1
@@ -145,6 +147,16 @@
             )
         )
 
+    def by_reach(q, fit, now):
+        """The replicas in the order in which their regions take connections: a region that takes none goes last (15.5)."""
+        fit = [r for r in fit if q.unreached[r.region] < FEW]
+        groups = (
+            [r for r in fit if not reach.closed(r.region) and not q.unreached[r.region]],
+            [r for r in fit if not reach.closed(r.region) and q.unreached[r.region]],
+            [r for r in fit if reach.closed(r.region) and (reach.may(now, r.region) or not r.tries and reach.untested(r.region, r.id))],
+        )
+        return [rs for rs in groups if rs]
+
     def hears(now):
         """Would this daemon have heard by now what the list said a moment ago? By its own reading, or from a reader in touch."""
         if not cold.settled(now):
@@ -191,6 +203,8 @@
         r = reps.get(q.live.get(n))
         if what not in ("began", "first", "silent"):
             leave(q, n)
+        if r and what in ("began", "first", "done", "not-run", "failed"):
+            reach.answered(now, r.region)
         match what:
             case "began" | "first":
                 q.begun = q.begun or q.route["kind"] == "streaming"
@@ -203,8 +217,12 @@
                 end(q)
             case "unsent":
                 q.sent, q.arrivals = q.sent - 1, q.arrivals - 1  # nothing of it arrived
-                if r and more[:1] != ("pool-full",):  # that is this daemon's own bound
+                why = more[0] if more else ""
+                if r and why != "pool-full":  # that is this daemon's own bound
                     r.failed(now)
+                if r and why == "connect-timeout":
+                    reach.failed(now, r.region, r.id, since=q.at)
+                    q.unreached[r.region] += 1
                 go(q, now)
             case "not-run":
                 if r and more[0] == 421:  # another life has the address: it never came to a replica of ours
--- a/silverglade/rehearsal/courier.py
+++ b/silverglade/rehearsal/courier.py
@@ -212,12 +212,12 @@
                 return self.write(c, trip)
             c.close()
         if self.count[t["addr"]] >= t["cap"]:
-            return self.tell(trip, "unsent", "pool")
+            return self.tell(trip, "unsent", "pool-full")
         seat = self.f.at(t["addr"])
         if seat is None or not seat.e.up:
             return w.after(2 * w.hop(self.n.zone, seat.zone if seat else self.n.zone), self.do, self.tell, trip, "unsent", "refused")
         if not (w.open(self.n.name, seat.id) and w.open(seat.id, self.n.name)):
-            return w.after(t["connect"], self.do, self.tell, trip, "unsent", "connect")
+            return w.after(t["connect"], self.do, self.tell, trip, "unsent", "connect-timeout")
         self.count[t["addr"]] += 1
         return w.after(2 * w.hop(self.n.zone, seat.zone) + MS, self.do, self.connected, trip, seat)
 
@@ -226,7 +226,7 @@
             self.count[trip.t["addr"]] -= 1
             if self.w.rng.random() < 0.5:
                 return self.tell(trip, "unsent", "reset")
-            return self.tell(trip, "lost", "reset")  # written before the reset was seen
+            return self.tell(trip, "lost", "ReadError")  # written before the reset was seen
         return self.write(Conn(self, seat, trip.t["addr"]), trip)
 
     def write(self, c, trip):
@@ -254,7 +254,7 @@
         if trip is None:  # the replica ended, and its connections with it
             trip = c.trip
             c.close()
-            return trip and self.broken(trip, "reset")
+            return trip and self.broken(trip, "ReadError")
         if c.trip is not trip:  # bytes that belong to no request, or another's answer
             if c.trip is None:
                 return c.close()
