Old connections of a replica in doubt are not used again; a cut meets its own answer only

A non-repeatable stream was answered 502 three milliseconds after its replica, a new life at the address of one that had gone dark, had answered 421. The cause of that answer is still not known. Ruled out, each by a test over real sockets: a 421 or a 503 with its word given before the body was read, with nothing, part or all of it read, on bodies of one packet up to 2.5 MB, followed by a close, a reset or nothing (it is always heard); either cut or reset at every byte (it counts as soon as its head is whole, and only then); an earlier loss that sticks (what may not repeat is answered at the first one). So the 502 can only have come from a try that was reported lost, and the log now says of each at which replica and why (request-lost).

Found in the same scene, and mended: - A machine that goes dark ends no connection. What was written on an old one to its next life was reset, hence lost, hence 502. Idle connections of a replica that is silent, resets or does not answer its prober now end: a new connection says for sure that nothing arrived, or brings the next life's 421. - A repeatable request that had left a silent replica could be answered 503, though that replica may still run it. It is 502 now. - A fault of the shell after a whole answer cut the connection, on which the client's next request could be under way. A cut now names its own turn on the connection and does nothing to another's.

tests/test_every_byte.py: resets and closes at every byte of a request, a plain answer, a refusal and a stream; a surplus answer in three pieces at every placement; garbled bytes; a client that goes while another takes its place; an address used again. tests/test_every_byte_breaches.py takes each guard out. The bench of tests/test_forward.py passes over the new effect as it does over forget; no check was changed.

--- a/silverglade/daemon/ask.py
+++ b/silverglade/daemon/ask.py
@@ -52,9 +52,10 @@
 class Ask:
     """One request of a client, and the way back to it: `send` as in ASGI, and the client's connection."""
 
-    def __init__(self, *, rid, method, target, headers, attempt, body, send, client, closing):
+    def __init__(self, *, rid, method, target, headers, attempt, body, send, client, cycle, closing):
         self.rid, self.method, self.target, self.headers = rid, method, target, headers
-        self.attempt, self.body, self.send, self.client, self.closing = attempt, body, send, client, closing
+        self.attempt, self.body, self.send, self.closing = attempt, body, send, closing
+        self.client, self.cycle = client, cycle  # the client's connection, and this request's turn on it
         self.box, self.waits, self.scope, self.n = deque(), None, None, 0
         self.head, self.started, self.last, self.held, self.tried = None, False, None, None, False
         self.until, self.guard = 0.0, None
@@ -93,6 +94,10 @@
             headers = [*headers, (b"connection", b"close")]
         await self.send({"type": "http.response.start", "status": status, "headers": headers})
 
+    def cut(self):
+        """End the connection so that the answer does not look complete."""
+        self.client.cut(self.cycle)
+
     async def data(self, b):
         await self.send({"type": "http.response.body", "body": b, "more_body": True})
 
--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -58,6 +58,8 @@
         match e:
             case ("forget", replica):
                 self.pool.forget(replica)
+            case ("renew", replica):
+                self.pool.renew(replica)
             case ("limits", limits):
                 self.limits = Limits.of(limits)
             case (_, rid, *_):
@@ -90,7 +92,7 @@
             told = await self.serve(a)
         except Exception as e:  # noqa: BLE001  a fault in here ends this request alone
             self.d.lg.error(line("forward-fell", [("why", repr(e))]))
-            a.client.cut()
+            a.cut()
         finally:
             a.guard.cancel()
             del self.asks[a.rid]
@@ -138,7 +140,7 @@
                     t = Try(**t)
                     a.n, a.held = n, None
                     if not self.may(a, t):
-                        a.client.cut()
+                        a.cut()
                         return False
                     self.watch(a, timedelta(milliseconds=t.deadline_ms))
                     with anyio.CancelScope() as a.scope:
@@ -151,7 +153,7 @@
                         return True
                 case ("pass", _, n):
                     if a.started:
-                        a.client.cut()
+                        a.cut()
                     elif a.held and n == a.n:
                         await a.whole(*a.held)
                     else:
@@ -159,20 +161,20 @@
                     return True
                 case ("answer", _, status, wait, code):
                     if a.started:
-                        a.client.cut()
+                        a.cut()
                     else:
                         await small(a.send, status, code, wait=wait, close=self.closing())
                     return True
                 case ("forgotten", _):
                     if a.started:
-                        a.client.cut()
+                        a.cut()
                     elif a.tried:
                         await small(a.send, 502, 403)
                     else:
                         await small(a.send, 503, 310, wait=1.0)
                     return False
                 case ("break", *_):
-                    a.client.cut()
+                    a.cut()
                     return True
                 case ("gone",):
                     return False
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -135,7 +135,7 @@
             case ("abort", did):
                 if did in self.jobs:
                     self.jobs.pop(did).cancel()
-            case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "limits", *_):
+            case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "renew" | "limits", *_):
                 self.shell.act(e)
             case ("list",):
                 self.group.start_soon(self.read_list)
--- a/silverglade/daemon/upstream.py
+++ b/silverglade/daemon/upstream.py
@@ -275,6 +275,12 @@
                 else:
                     c.leaving = True
 
+    def renew(self, replica):
+        """The replica is in doubt: its idle connections end, and what follows begins with a new one."""
+        for key in [k for k in self.idle if k[1] == replica]:
+            for c in list(self.idle[key]):
+                self.close(c)
+
     def shut(self):
         if self.timer:
             self.timer.cancel()
--- a/silverglade/forward/choose.py
+++ b/silverglade/forward/choose.py
@@ -17,7 +17,7 @@
     return ",".join(p for p, _ in prefix[:-1])
 
 
-def usable(reps, *, now, service, homes, evac, tried=()):
+def usable(reps, *, service, homes, evac, tried=()):
     """Who may get it at all: rules before preference."""
     return [
         r
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -107,15 +107,16 @@
         if q.sent >= q.route["tries"] or len(q.tried) - q.sent >= UNSENT:
             return none(503, 0.25, 805)
         s = cfg["services"].get(q.service)
-        fit = choose.usable(reps.values(), now=now, service=q.service, homes=q.route["homes"], evac=evac, tried=q.tried)
+        fit = choose.usable(reps.values(), service=q.service, homes=q.route["homes"], evac=evac, tried=q.tried)
 
         r = next((r for rs in by_reach(q, fit, now) if (r := chosen(q, rs, s["cold_per_s"], now))), None)
         if r is None:
             return none(503, 0.5 if fit else 1.0, 806)
         if q.arrivals and not budget.spend(now, q.service, daemons=edges):
             return none(503, 0.5, 807)
-        for n in list(q.live):
+        for n in list(q.live):  # instead of a silent one, which may have run it: no promise can be given any more
             leave(q, n)
+            q.why = "lost"
         reach.tried(now, r.region)
         q.n += 1
         q.sent += 1
@@ -197,6 +198,17 @@
             return answer(q, 502, None, 808)
         return answer(q, status, wait, code)
 
+    def doubted(r, now, *, dark):
+        """It is silent or broke off: others go first and its prober asks it; if it may be dark, idle connections end.
+
+        A machine that goes dark ends no connection. What is written on an old one to its next life is lost, whereas a
+        new one says for sure that nothing arrived, or brings that life's word.
+        """
+        r.failed(now)
+        out.append(("post", "catalog", ("doubt", r.id)))
+        if dark:
+            out.append(("renew", r.id))
+
     def on_tried(q, n, what, more, now):
         if n != q.n and what not in ("done", "gone"):
             return  # a try that was given up for another
@@ -247,20 +259,19 @@
                 end(q)
             case "lost" | "cut":
                 if r:
-                    r.failed(now)
-                    out.append(("post", "catalog", ("doubt", r.id)))
+                    doubted(r, now, dark=what == "lost" and more[:1] == ["ReadError"])
                 if what == "cut" and more and more[0] is not None:
                     q.last = more[0]
                 q.why = what
                 if not q.again:
+                    out.append(log("request-lost", rid=q.rid, replica=r.id if r else "", tries=q.arrivals, why=more[0] if more else ""))
                     return stop(q, 502, None, 808)
                 go(q, now)
             case "silent":
                 if more and more[0] is not None:
                     q.last = more[0]
                 if r:
-                    r.failed(now)
-                    out.append(("post", "catalog", ("doubt", r.id)))
+                    doubted(r, now, dark=True)
                 if q.again:
                     go(q, now, instead=True)
             case "gone":
@@ -296,6 +307,8 @@
         for i, (active, queued, _) in loads.items():
             r = reps.get(i)
             if r:
+                if active < 0 and not r.dark:
+                    out.append(("renew", i))
                 r.dark = active < 0  # its prober got no answer
                 r.active, r.queued = max(0, active), max(0, queued)
 
--- a/silverglade/front/forward.py
+++ b/silverglade/front/forward.py
@@ -158,8 +158,13 @@
     def together(self):
         return self.transport
 
-    def cut(self):
-        """The answer must not look complete: no last chunk, or too few bytes; nothing at all before its head."""
+    def cut(self, cycle):
+        """That cycle's answer must not look complete: no last chunk, or too few bytes; nothing at all before its head.
+
+        Where it is complete already, the connection may be another request's by now.
+        """
+        if cycle is not self.cycle or cycle.response_complete:
+            return
         if self.conn.their_http_version == b"1.0":  # there the end of the connection ends an answer
             self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             self.transport.abort()
@@ -220,6 +225,7 @@
                 body=body,
                 send=send,
                 client=self,
+                cycle=self.cycle,
                 closing=shell.closing,
             )
             self.ask = a
--- a/silverglade/rehearsal/courier.py
+++ b/silverglade/rehearsal/courier.py
@@ -171,7 +171,7 @@
                 self.f.report(self, rid, addr)
             case ("limits", _):
                 return
-            case ("forget", replica):
+            case ("forget" | "renew", replica):
                 for k in [k for k in self.idle if k[1] == replica]:
                     for c in self.idle.pop(k):
                         c.close()
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -247,7 +247,7 @@
                 r = next((r for r in self.replicas.values() if r.addr == addr), None)
                 if r and self.open(n.name, rid):
                     self.after(self.hop(n.zone, r.zone) * 2, r.probe, n, n.life, rid, inc)
-            case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "list" | "ask" | "limits", *_) if self.field:
+            case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "renew" | "list" | "ask" | "limits", *_) if self.field:
                 self.field.effect(n, e)
             case ("result", oid, *r):
                 self.oracle.result(oid, r)
--- /dev/null
+++ b/tests/test_early_answers.py
@@ -0,0 +1,50 @@
+"""A replica that turns a request away before it has read it: its word must come through, whatever ends the connection."""
+
+import pytest
+
+from silverglade.daemon.upstream import HIGH
+
+from .scripted import ID, NOT, answer, scene
+
+SMALL, LARGE, HUGE = 40, 3 * HIGH, 40 * HIGH  # one packet; several writes; more than the kernel takes at once
+REFUSALS = [
+    (lambda i: answer(i, "", status="421 Misdirected", seal=""), 421),
+    (lambda i: answer(i, "full", status="503 Full", seal="", more=(f"{NOT}: 1", "Connection: close")), 503),
+]
+
+
+def turns_away(*, read, end, say):
+    """Reads the head and `read` bytes of the body, answers, and ends the connection."""
+
+    async def script(c):
+        head = await c.r.readuntil(b"\r\n\r\n")
+        fields = dict(x.split(": ", 1) for x in head.decode("latin-1")[:-4].split("\r\n")[1:])
+        await c.r.readexactly(read)
+        await c.say(say({k.lower(): v for k, v in fields.items()}[ID]))
+        if end == "reset":
+            c.reset()
+        elif end == "wait":
+            await c.closed()
+
+    return script
+
+
+async def words(c, d, rep, client):
+    await c.ask(body="x" * client)
+    status = (await c.answer())[0]
+    return status, d.words()
+
+
+@pytest.mark.parametrize("size", [SMALL, LARGE, HUGE], ids=["small", "large", "huge"])
+@pytest.mark.parametrize("end", ["close", "reset", "wait"])
+@pytest.mark.parametrize("say, status", REFUSALS, ids=["421", "503"])
+def test_a_word_given_before_the_body_was_read_is_heard(size, end, say, status):
+    for read in sorted({0, 1, size // 2, size - 1, size}):
+
+        async def talk(c, d, rep, client):
+            await c.ask(body="x" * size)
+            got = (await c.answer())[0]
+            return got, [w[:3] for w in d.words()]
+
+        got = scene(turns_away(read=read, end=end, say=say), talk)[0]
+        assert got == (status, [(1, "not-run", status)]), (read, got)
--- /dev/null
+++ b/tests/test_every_byte.py
@@ -0,0 +1,273 @@
+"""Whose answer, how often (docs/control-safety.md 5): a connection that ends, or a surplus answer, at every byte position."""
+
+import asyncio
+
+import anyio.lowlevel
+import pytest
+
+from .scripted import ID, NOT, SEAL, answer, event, one, scene, stream
+
+PLAIN = answer("a1", "whole body")
+REFUSED = answer("a1", "full", status="503 Full", seal="", more=(f"{NOT}: 1", "Retry-After: 0.5"))
+MOVED = answer("a1", "", status="421 Misdirected", seal="")
+EVENTS = [event(1, "first"), event(2, "second")]
+STREAM = stream("a1", *EVENTS)
+SURPLUS = answer("old", "late", more=(f"{SEAL}: other",))
+ENDS = ("close", "reset")
+
+
+def ended(c, how):
+    if how == "reset":
+        c.reset()
+
+
+async def asked(c, d, rep, client):
+    await c.ask(body="x" * 20)
+    return await c.answer()
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_a_request_that_is_cut_off_at_any_byte_is_sent_once_and_never_promised_not_to_have_run(how):
+    size, k = 1, 0
+    while k <= size:
+
+        async def script(c, k=k):
+            c.replica.got = await c.r.readexactly(k)
+            ended(c, how)
+
+        got, d, rep = scene(script, asked)
+        if not k:
+            size = len(rep_size())
+        assert len(rep.conns) == 1, k
+        (word,) = d.words()
+        assert word[1] == "lost" and got[0] == 502 or k == 0 and word[1] == "unsent", (k, word, got)
+        k += 1
+    assert k > 100
+
+
+def rep_size():
+    """The bytes of the request as the replica gets it."""
+
+    async def script(c):
+        await c.request()
+
+    return scene(script, asked)[2].raw[0]
+
+
+def says(text, k, how):
+    async def script(c):
+        await c.request()
+        await c.say(text[:k])
+        ended(c, how)
+
+    return script
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_a_plain_answer_that_ends_at_any_byte_is_whole_or_does_not_look_so(how):
+    for k in range(len(PLAIN) + 1):
+        got, d, rep = scene(says(PLAIN, k, how), asked)
+        words = [w[1] for w in d.words()]
+        assert len(rep.seen) == 1
+        if k == len(PLAIN):
+            assert got[0] == 200 and got[2] == b"whole body" and got[3] and words == ["began", "done"]
+        else:
+            assert got is None or got[0] == 502, (k, got)
+            assert words in (["lost"], ["began", "cut"])
+
+
+@pytest.mark.parametrize("how", ENDS)
+@pytest.mark.parametrize("text, status", [(REFUSED, 503), (MOVED, 421)], ids=["503", "421"])
+def test_a_refusal_counts_as_soon_as_its_head_is_whole_and_not_a_byte_before(text, status, how):
+    head = text.index("\r\n\r\n") + 4
+    for k in range(len(text) + 1):
+        got, d, rep = scene(says(text, k, how), asked)
+        (word,) = d.words()
+        assert len(rep.seen) == 1
+        assert word[1:3] == ("not-run", status) if k >= head else word[1] == "lost" and got[0] == 502, (k, word)
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_a_stream_that_ends_at_any_byte_has_whole_events_and_does_not_look_complete(how):
+    for k in range(len(STREAM) + 1):
+        got, d, rep = scene(says(STREAM, k, how), asked)
+        whole = k >= len(STREAM)
+        assert len(rep.seen) == 1
+        if got is not None and got[0] == 200:
+            assert got[2].decode() in ("", EVENTS[0], "".join(EVENTS)), (k, got)
+            assert got[3] == whole, k
+        else:
+            assert not whole and (got is None or got[0] == 502)
+        assert (d.words()[-1][1] == "done") == whole
+
+
+def placed(i, j):
+    """A surplus answer in three pieces: with the first answer, while the connection is idle, in the place of the next."""
+
+    async def script(c):
+        *_, first = await c.request()
+        if c.n:  # a new connection: all is well there
+            await c.say(answer(first, "two"))
+            return await c.closed()
+        await c.say(answer(first, "one") + SURPLUS[:i])
+        await c.replica.idle.wait()
+        if i < j:
+            await c.say(SURPLUS[i:j])
+        c.replica.told.set()
+        *_, second = await c.request()
+        await c.say(SURPLUS[j:])
+        if (i + j) % 2 == 0:  # in a packet of its own, that is read before the answer comes
+            for _ in range(9):
+                await anyio.lowlevel.checkpoint()
+        await c.say(answer(second, "two"))
+        await c.closed()
+
+    async def talk(c, d, rep, client):
+        rep.idle, rep.told = asyncio.Event(), asyncio.Event()
+        await c.ask("a1")
+        got = [await c.answer()]
+        rep.idle.set()
+        if i < j:
+            await rep.told.wait()
+        await c.ask("a2")
+        got.append(await c.answer())
+        return [(g[0], g[2]) for g in got]
+
+    return scene(script, talk)
+
+
+def test_a_surplus_answer_placed_anywhere_is_nobodys_answer():
+    n = len(SURPLUS)
+    places = {(0, j) for j in range(n + 1)} | {(i, i) for i in range(n + 1)} | {(i, n) for i in range(n + 1)}
+    for i, j in sorted(places):
+        got, d, rep = placed(i, j)
+        assert got[0] == (200, b"one"), (i, j, got)
+        assert got[1] == (200, b"two") or got[1][0] == 502 and b"late" not in got[1][1], (i, j, got)
+        assert [f[ID] for _, f, _ in rep.seen].count("a2") == 1 and not rep.rest, (i, j)  # never sent twice
+
+
+@pytest.mark.parametrize("at", range(0, len(PLAIN) + 1, 3))
+def test_a_garbled_byte_gives_no_answer_of_anothers(at):
+    async def script(c):
+        await c.request()
+        await c.say(PLAIN[:at] + "\x00" + PLAIN[at + 1 :])
+
+    got, d, rep = scene(script, asked)
+    assert len(rep.seen) == 1
+    head = PLAIN.index("\r\n\r\n") + 4
+    if got is not None and got[0] == 200:  # in the body, in a name that decides nothing, or in the seal: the client sees that
+        assert got[2] != b"whole body" or "\x00" not in got[1].get(SEAL, "") or at < head
+    else:
+        assert got is None or got[0] == 502
+
+
+def test_a_client_that_goes_leaves_its_answer_to_nobody():
+    """Its connection ends while its request is under way, another client's request takes its place at every point."""
+    for k in range(0, len(PLAIN), 7):
+
+        async def script(c, k=k):
+            *_, i = await c.request()
+            text = answer(i, f"for {i}")
+            if i == "a1":
+                await c.say(text[:k])
+                c.replica.part.set()
+                await c.replica.go.wait()
+                await c.say(text[k:])
+            else:
+                await c.say(text)
+            await c.closed()
+
+        async def talk(c, d, rep, client):
+            rep.part, rep.go = asyncio.Event(), asyncio.Event()
+            await c.ask("a1")
+            await rep.part.wait()
+            c.close()
+            other = await client()
+            await other.ask("a2")
+            rep.go.set()
+            got = await other.answer()
+            await d.heard("gone")
+            return got[0], got[2], d.words()
+
+        (status, body, words), d, rep = scene(script, talk)
+        assert (status, body) == (200, b"for a2"), k
+        assert [f[ID] for _, f, _ in rep.seen] == ["a1", "a2"] and len(rep.conns) == 2
+        assert d.shell.asks == {} and words.count((1, "gone")) == 1
+
+
+def test_an_address_used_again_by_another_replica_gets_a_connection_of_its_own():
+    async def script(c):
+        while True:
+            _, h, _, i = await c.request()
+            meant = h["silverglade-replica"] == ("i1" if c.n == 0 else "i2")
+            await c.say(answer(i, f"{c.n}") if meant else answer(i, "", status="421 Misdirected", seal=""))
+
+    def part(addr):
+        def feed(ev):
+            if ev[0] == "request":
+                return (("try", ev[1], 1, one(addr[0], replica="i1" if ev[2]["attempt"] == "a1" else "i2")),)
+
+        return feed
+
+    async def talk(c, d, rep, client):
+        got = []
+        for i in ("a1", "a2"):
+            await c.ask(i)
+            got.append((await c.answer())[2])
+        return got
+
+    got, d, rep = scene(script, talk, part=part)
+    assert got == [b"0", b"1"]
+
+
+def test_a_machine_that_went_dark_and_came_back_is_asked_on_a_new_connection():
+    """Its old connections never ended here; what is written on one is reset. The next life answers 421 on a new one."""
+
+    async def script(c):
+        *_, i = await c.request()
+        if c.n == 0:
+            await c.say(answer(i, "one", more=("Keep-Alive: timeout=9",)))
+            await c.r.readexactly(1)
+            return c.reset()
+        await c.say(answer(i, "", status="421 Misdirected", seal=""))
+        await c.closed()
+
+    async def talk(c, d, rep, client):
+        await c.ask("a1")
+        await c.answer()
+        if renewed:
+            d.shell.act(("renew", "i1"))
+        await c.ask("a2")
+        return (await c.answer())[0], d.words()[-1][1:3]
+
+    renewed = False
+    assert scene(script, talk)[0] == (502, ("lost", "ReadError"))
+    renewed = True
+    assert scene(script, talk)[0] == (421, ("not-run", 421))
+
+
+def test_a_fault_after_an_answer_does_not_touch_the_request_behind_it():
+    """The first request's end cannot be told to the part; the second one, on the same connection, is under way."""
+
+    async def script(c):
+        for _ in range(2):
+            *_, i = await c.request()
+            await c.say(answer(i, f"for {i}"))
+        await c.closed()
+
+    async def talk(c, d, rep, client):
+        real, fell = d.send, []
+
+        async def send(ev, lane="first"):
+            if ev[3] == "done" and not fell:
+                fell.append(ev)
+                raise RuntimeError("no room")
+            await real(ev, lane)
+
+        d.send = send
+        await c.ask("a1")
+        await c.ask("a2")
+        return [(await c.answer() or (0, 0, b"nothing"))[2] for _ in range(2)], len(fell)
+
+    (got, fell), d, rep = scene(script, talk)
+    assert got == [b"for a1", b"for a2"] and fell == 1
--- /dev/null
+++ b/tests/test_every_byte_breaches.py
@@ -0,0 +1,69 @@
+"""Each guard of tests/test_every_byte.py taken out: the trouble becomes visible."""
+
+import pytest
+
+from silverglade.daemon import forwarding, upstream
+from silverglade.forward import part
+from silverglade.front import forward as front
+
+from . import scripted
+from . import test_every_byte as bytes_
+from . import test_forward_doubt as doubt
+
+S, P, T = forwarding.Shell, upstream.Pool, upstream.Tcp
+
+
+async def unmuted(self, buffer, timeout=None):
+    if buffer:
+        self.out.append(buffer)
+
+
+real_take, real_exchange = P.take, S.exchange
+
+
+async def one_pool(self, *, addr, replica, **kw):
+    return await real_take(self, addr=addr, replica="any", **kw)
+
+
+async def early(self, a, n, t, c, due):
+    """Any answer that breaks off is taken for a refusal."""
+    what, keep = await real_exchange(self, a, n, t, c, due)
+    return (("not-run", 503, None) if what[0] == "lost" else what), keep
+
+
+CASES = [
+    ("anybody's answer", S, "ours", lambda s, a, h: True, bytes_.test_a_surplus_answer_placed_anywhere_is_nobodys_answer),
+    ("said again", T, "write", unmuted, bytes_.test_a_surplus_answer_placed_anywhere_is_nobodys_answer),
+    ("the address alone", P, "take", one_pool, bytes_.test_an_address_used_again_by_another_replica_gets_a_connection_of_its_own),
+    ("old connections", P, "renew", lambda p, r: None, bytes_.test_a_machine_that_went_dark_and_came_back_is_asked_on_a_new_connection),
+    (
+        "whose turn",
+        front.Face,
+        "cut",
+        lambda self, cycle: self.transport.abort(),
+        bytes_.test_a_fault_after_an_answer_does_not_touch_the_request_behind_it,
+    ),
+    (
+        "a loss taken for a promise",
+        S,
+        "exchange",
+        early,
+        lambda: bytes_.test_a_request_that_is_cut_off_at_any_byte_is_sent_once_and_never_promised_not_to_have_run("close"),
+    ),
+    (
+        "a promise after silence",
+        part.Request,
+        "why",
+        property(lambda q: "", lambda q, v: None),
+        doubt.test_a_request_that_left_a_silent_replica_is_never_promised_not_to_have_run,
+    ),
+]
+
+
+@pytest.mark.parametrize("name,at,what,to,seen", CASES, ids=[c[0].replace(" ", "-") for c in CASES])
+def test_a_check_taken_out_is_seen(monkeypatch, name, at, what, to, seen):
+    seen()  # as it is
+    monkeypatch.setattr(scripted, "SECS", 1.5)
+    monkeypatch.setattr(at, what, to)
+    with pytest.raises((AssertionError, TimeoutError, ValueError, pytest.fail.Exception)):
+        seen()
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -47,7 +47,7 @@
         self.feed("book", self.book, (1, 99))
 
     def feed(self, *ev):
-        return [e for e in self.p.send((self.now, ev)) if e[0] not in ("log", "post", "due", "limits", "forget")]
+        return [e for e in self.p.send((self.now, ev)) if e[0] not in ("log", "post", "due", "limits", "forget", "renew")]
 
     def go(self, secs):
         self.now += timedelta(seconds=secs)
--- /dev/null
+++ b/tests/test_forward_doubt.py
@@ -0,0 +1,67 @@
+"""Replicas in doubt (design 15.3, 15.4): their idle connections, and what is promised of a request that left one."""
+
+from .test_forward import Bench, one, rep, route
+
+
+def effects(b, *ev):
+    return [e for e in b.p.send((b.now, ev)) if e[0] == "renew"]
+
+
+def begun(**kw):
+    b = Bench(route(**kw), reps=(rep("1"), rep("2")))
+    rid, es = b.ask()
+    return b, rid, one(es, "try")[3]["replica"]
+
+
+def test_idle_connections_of_a_replica_that_may_be_dark_are_not_used_again():
+    b, rid, r = begun(kind="effectful")
+    assert effects(b, "tried", rid, 1, "silent", None) == [("renew", r)]
+    b, rid, r = begun(kind="effectful")
+    assert effects(b, "tried", rid, 1, "lost", "ReadError") == [("renew", r)]
+    b, rid, r = begun(kind="effectful")
+    assert effects(b, "tried", rid, 1, "lost", "no-seal") == []  # it lives, and new connections have their price
+    assert effects(b, "loads", {"1": (-1, -1, 8), "2": (0, 0, 8)}) == [("renew", "1")]
+    assert effects(b, "loads", {"1": (-1, -1, 8), "2": (0, 0, 8)}) == []  # said once
+    assert effects(b, "loads", {"1": (3, 0, 8)}) == effects(b, "loads", {"1": (2, 0, 8)}) == []
+
+
+def test_what_was_lost_says_in_the_log_at_which_replica_and_why():
+    b, rid, r = begun(kind="effectful")
+    logs = [e for e in b.p.send((b.now, ("tried", rid, 1, "lost", "ReadError"))) if e[0] == "log"]
+    assert [dict(e[2])["replica"] for e in logs if e[1] == "request-lost"] == [r], logs
+
+
+def test_a_request_that_left_a_silent_replica_is_never_promised_not_to_have_run():
+    b = Bench(route(kind="pure", tries=3), reps=(rep("1"), rep("2")))
+    rid, es = b.ask()
+    first = one(es, "try")[3]["replica"]
+    assert one(b.tried(rid, 1, "silent", None), "try")[3]["replica"] != first
+    assert one(b.tried(rid, 2, "not-run", 503, None), "answer")[2] == 502
+
+
+def test_one_that_was_only_turned_away_is_told_when_to_come_back():
+    for kind in ("pure", "effectful"):
+        b = Bench(route(kind=kind, tries=3), reps=(rep("1"), rep("2")))
+        rid, es = b.ask()
+        one(es, "try")
+        one([e for e in b.tried(rid, 1, "not-run", 421, None)], "try")
+        end = one(b.tried(rid, 2, "not-run", 421, None), "answer")
+        assert end[2] == 503 and end[3] > 0
+
+
+def test_the_daemon_and_the_simulated_one_hand_it_to_what_holds_the_connections():
+    from silverglade.daemon.run import Daemon
+    from silverglade.rehearsal.callers import Scene
+
+    got = []
+    d = object.__new__(Daemon)
+    d.shell = type("Shell", (), {"act": lambda self, e: got.append(e)})()
+    d.act(("renew", "1"))
+    assert got == [("renew", "1")]
+    s = Scene(town="hamlet", seed=1)
+    s.settle()
+    s.traffic()
+    s.w.run(3)
+    n, c, replica = next((s.w.nodes[i], c, k[1]) for i, c in s.f.couriers.items() for k, row in c.idle.items() if row)
+    s.w.effect(n, ("renew", replica))
+    assert not any(row for k, row in c.idle.items() if k[1] == replica)
