--- /dev/null
+++ b/tests/test_forward_once.py
@@ -0,0 +1,29 @@
+"""Runs at most once (docs/control-safety.md 5): seeded days of silence, resets, frozen daemons and SIGTERM."""
+
+import pytest
+
+from silverglade.rehearsal import mishaps
+
+DAYS = {
+    "frozen": ("freeze", "dark"),
+    "terminated": ("term", "roll_term", "dark", "crash"),
+    "cut": ("cut_machine", "cut_replicas", "dark"),
+    "reset": ("crash", "spoil", "forget"),
+}
+
+
+@pytest.mark.parametrize("name", DAYS)
+def test_no_request_runs_twice_or_gets_anothers_answer(name):
+    s, bad = mishaps.run(town="hamlet", seed=31, kinds=DAYS[name], secs_=14, gap=0.8)
+    assert bad == [] and s.told()["200"] > 1000
+    once = [a for a, sent in s.r.sent.items() if not sent.again]
+    assert len(once) > 500 and all(len(s.r.by[a]) <= 1 for a in once)
+    unpromised = {a for a, g in s.r.got.items() if g["status"] not in (408, 421, 429, 503)}
+    assert all(a in unpromised for a in once if s.r.by[a])
+
+
+def test_a_part_that_sends_again_after_a_loss_is_caught(monkeypatch):
+    from silverglade.forward.part import Request
+
+    monkeypatch.setattr(Request, "again", property(lambda q: True))
+    assert "TWICE" in {b[1] for b in mishaps.run(town="hamlet", seed=31, kinds=DAYS["reset"], secs_=14, gap=0.8, stop=True)[1]}
