--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -4,6 +4,7 @@
 be repeated goes to a second replica only if the first said that it did not run it, or was sent not one byte.
 """
 
+from collections import Counter
 from datetime import timedelta
 
 from ..control import book as bk
@@ -13,6 +14,7 @@
 from . import replicas as rp
 from .budget import Budget
 from .cold import Cold
+from .reach import FEW, Reach
 
 SECOND = timedelta(seconds=1)
 MEMBER = timedelta(seconds=60)  # a daemon that was known lately counts, also dead or cut off
@@ -24,16 +26,14 @@
 class Request:
     """One try of a client, from its head to its end."""
 
-    __slots__ = (
-        *("rid", "f", "route", "service", "born", "due", "tried", "n", "sent", "arrivals", "at", "begun", "last", "live", "why"),
-        "weight",
-    )
+    __slots__ = tuple("rid f route service born due tried n sent arrivals unreached at begun last live why weight".split())
 
     def __init__(self, rid, f, now):
         self.rid, self.f, self.born = rid, f, now
         self.route = self.service = self.at = None  # at: when the last replica got it
         self.due, self.tried, self.n = now, set(), 0
         self.sent = 0  # tries that count towards the route's most: neither unsent nor turned away by another life
+        self.unreached = Counter()  # region -> how many of its replicas took no connection for it
         self.arrivals = 0  # what reached any replica, also one that turned it away: what the retry budget counts
         self.begun, self.last = False, f["last_event"]  # has a stream's head been passed on; its last event
         self.live, self.why, self.weight = {}, "", 0.0
@@ -49,6 +49,7 @@
     tab, cfg, evac, reqs, reps = {}, None, frozenset(), {}, {}
     peers, members, edges, out, short = 1, {}, FEWEST, [], frozenset()
     budget, cold, listed, told = Budget(opt=opt), Cold(opt=opt), False, False
+    reach = Reach()
 
     def answer(q, status, wait, code):
         end(q)
@@ -102,29 +103,17 @@
         if q.sent >= q.route["tries"] or len(q.tried) - q.sent >= UNSENT:
             return none(503, 0.25, 805)
         s = cfg["services"].get(q.service)
-        fit = choose.usable(reps.values(), now=now, service=q.service, homes=q.route["homes"], evac=evac, tried=q.tried)
+        fit = choose.usable(reps.values(), service=q.service, homes=q.route["homes"], evac=evac, tried=q.tried)
 
-        def may(r):
-            bears = s["cold_per_s"]
-            return not bears or cold.may(now, r.id, per_s=bears if now < r.cold else None, me=me, members=())
-
-        r = choose.pick(
-            fit,
-            now=now,
-            region=region,
-            prefix=q.f["prefix"],
-            by_prefix=q.route["by_prefix"],
-            short={g for g, v in short if v == q.service},
-            peers=peers,
-            weight=q.weight,
-            may=may,
-        )
+        r = next((r for rs in by_reach(q, fit, now) if (r := chosen(q, rs, s["cold_per_s"], now))), None)
         if r is None:
             return none(503, 0.5 if fit else 1.0, 806)
         if q.arrivals and not budget.spend(now, q.service, daemons=edges):
             return none(503, 0.5, 807)
-        for n in list(q.live):
+        for n in list(q.live):  # instead of a silent one, which may have run it: no promise can be given any more
             leave(q, n)
+            q.why = "lost"
+        reach.tried(now, r.region)
         q.n += 1
         q.sent += 1
         q.arrivals += 1
@@ -155,6 +144,40 @@
             )
         )
 
+    def by_reach(q, fit, now):
+        """The replicas in the order in which their regions take connections: a region that takes none goes last (15.5)."""
+        if not reach.doubts and not q.unreached:
+            return [fit]
+        fit = [r for r in fit if q.unreached[r.region] < FEW]
+        groups = (
+            [r for r in fit if not reach.closed(r.region) and not q.unreached[r.region]],
+            [r for r in fit if not reach.closed(r.region) and q.unreached[r.region]],
+            [r for r in fit if reach.closed(r.region) and (reach.may(now, r.region) or not r.tries and reach.untested(r.region, r.id))],
+        )
+        return [rs for rs in groups if rs]
+
+    def chosen(q, fit, bears, now):
+        """The replica that gets it, or None. One that may turn cold gets this daemon's part of what it bears (16.2);
+        beyond it, where none has room in its own, the one that is thought warm whose part is used least."""
+
+        def may(r):
+            return cold.may(now, r.id, per_s=bears if now < r.cold else None, me=me, members=())
+
+        def used(r):
+            return cold.used(now, r.id, per_s=bears, region=r.region, me=me) if bears and now >= r.cold else 0.0
+
+        def within(r):
+            return not bears or used(r) < 1 and may(r)
+
+        short_here = {g for g, v in short if v == q.service}
+        how = dict(now=now, region=region, prefix=q.f["prefix"], by_prefix=q.route["by_prefix"], short=short_here, peers=peers)
+        r = choose.pick(fit, weight=q.weight, may=within, **how)
+        if r or not bears:
+            return r
+        warm = [r for r in fit if now >= r.cold]
+        warm = [r for r in warm if r.fit(now)] or warm
+        return next((r for r in sorted(warm, key=used) if may(r)), None)
+
     def stop(q, status, wait, code):
         """Nothing more can be done for it: the answer is given now, and promises no more than is known."""
         if q.begun:
@@ -166,12 +189,25 @@
             return answer(q, 502, None, 808)
         return answer(q, status, wait, code)
 
+    def doubted(r, now, *, dark):
+        """It is silent or broke off: others go first and its prober asks it; if it may be dark, idle connections end.
+
+        A machine that goes dark ends no connection. What is written on an old one to its next life is lost, whereas a
+        new one says for sure that nothing arrived, or brings that life's word.
+        """
+        r.failed(now)
+        out.append(("post", "catalog", ("doubt", r.id)))
+        if dark:
+            out.append(("renew", r.id))
+
     def on_tried(q, n, what, more, now):
         if n != q.n and what not in ("done", "gone"):
             return  # a try that was given up for another
         r = reps.get(q.live.get(n))
         if what not in ("began", "first", "silent"):
             leave(q, n)
+        if r and what in ("began", "first", "done", "not-run", "failed"):
+            reach.answered(now, r.region)
         match what:
             case "began" | "first":
                 q.begun = q.begun or q.route["kind"] == "streaming"
@@ -184,8 +220,12 @@
                 end(q)
             case "unsent":
                 q.sent, q.arrivals = q.sent - 1, q.arrivals - 1  # nothing of it arrived
-                if r and more[:1] != ("pool-full",):  # that is this daemon's own bound
+                why = more[0] if more else ""
+                if r and why != "pool-full":  # that is this daemon's own bound
                     r.failed(now)
+                if r and why == "connect-timeout":
+                    reach.failed(now, r.region, r.id, since=q.at)
+                    q.unreached[r.region] += 1
                 go(q, now)
             case "not-run":
                 if r and more[0] == 421:  # another life has the address: it never came to a replica of ours
@@ -210,20 +250,19 @@
                 end(q)
             case "lost" | "cut":
                 if r:
-                    r.failed(now)
-                    out.append(("post", "catalog", ("doubt", r.id)))
+                    doubted(r, now, dark=what == "lost" and more[:1] == ["ReadError"])
                 if what == "cut" and more and more[0] is not None:
                     q.last = more[0]
                 q.why = what
                 if not q.again:
+                    out.append(log("request-lost", rid=q.rid, replica=r.id if r else "", tries=q.arrivals, why=more[0] if more else ""))
                     return stop(q, 502, None, 808)
                 go(q, now)
             case "silent":
                 if more and more[0] is not None:
                     q.last = more[0]
                 if r:
-                    r.failed(now)
-                    out.append(("post", "catalog", ("doubt", r.id)))
+                    doubted(r, now, dark=True)
                 if q.again:
                     go(q, now, instead=True)
             case "gone":
@@ -258,6 +297,8 @@
         for i, (active, queued, _) in loads.items():
             r = reps.get(i)
             if r:
+                if active < 0 and not r.dark:
+                    out.append(("renew", i))
                 r.dark = active < 0  # its prober got no answer
                 r.active, r.queued = max(0, active), max(0, queued)
 
@@ -300,6 +341,7 @@
                 here = [r for r in roll if not r[8]]
                 for r in here:
                     members[r[0]] = now
+                cold.placed({r[0]: r[5] for r in here})
                 cold.knew(now, [r[0] for r in here])
                 peers = max(1, sum(1 for r in here if r[5] == region))
             case ("froze",):
