--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -21,9 +21,9 @@
 from silverglade.part import span
 from silverglade.rehearsal.scene import SEC
 
+from .nevers import hamlet
 from .scripted import Quiet
 from .test_front import Daemon, http
-from .nevers import hamlet
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "platform"))
 
