A settings file that changes without a signal is read again

Cause: the platform says that the settings file may change without any signal; a daemon read it again on SIGHUP alone. One that was cut off while its seeds were replaced would go on asking addresses that are gone. Change: its times and size are looked at every two seconds, and it is read when they differ (one stat a look). Seen: tests/test_reload.py; without the look there was nothing to call.

--- a/silverglade/__main__.py
+++ b/silverglade/__main__.py
@@ -60,7 +60,7 @@
         return 0
     from .daemon.run import start
 
-    start(settings=s, lg=log.setup(level=s["log_level"]), reread=reread)
+    start(settings=s, lg=log.setup(level=s["log_level"]), reread=reread, settings_file=a.settings or "")
     return 0
 
 
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -1,6 +1,7 @@
 """The daemon (design 1.3): tasks round one hub, each owning its socket or its file."""
 
 import contextlib
+import os
 import random
 import secrets
 import signal
@@ -27,6 +28,7 @@
 BODIES = 64 * 1024 * 1024  # bytes of visitors' bodies held at once
 # what may change while a daemon runs; `cores` and `first` matter only where no view was ever formed (5.5)
 LIVE = frozenset(("tuning", "log_level", "seeds", "cores", "first"))
+SETTINGS_EVERY = 2.0  # seconds between looks at the settings file: it may change without a signal
 DRAIN, SECOND = timedelta(seconds=30), timedelta(seconds=1)
 
 
@@ -35,8 +37,10 @@
 
 
 class Daemon:
-    def __init__(self, *, settings, lg, reread=None, outer=None):
+    def __init__(self, *, settings, lg, reread=None, outer=None, settings_file=""):
         s = self.s = settings
+        self.settings_file = settings_file
+        self.settings_stamp = self.stamp()
         self.outer, self.draining, self.closing = outer, False, anyio.Event()
         self.released = False  # a core that leaves: was it said that the others can do without it?
         self.open = ()  # connections of the HTTP server
@@ -305,6 +309,26 @@
                 else:
                     self.group.start_soon(self.drain)
 
+    def stamp(self):
+        """What changes whenever the settings file is written; None where there is none, or it cannot be seen now."""
+        try:
+            seen = os.stat(self.settings_file)
+        except OSError:
+            return None
+        return seen.st_mtime_ns, seen.st_size, seen.st_ino
+
+    async def look_at_settings(self):
+        """Read the settings again if their file has changed since they were read."""
+        stamp = self.stamp()
+        if stamp not in (None, self.settings_stamp):
+            self.settings_stamp = stamp
+            await self.reload()
+
+    async def watch_settings(self):
+        while self.settings_file:
+            await anyio.sleep(SETTINGS_EVERY)
+            await self.look_at_settings()
+
     async def reload(self):
         """Settings re-read whole: what `LIVE` names changes in place; a fault, or another change, changes nothing."""
         try:
@@ -345,6 +369,7 @@
                 ("platform", self.platform),
                 ("front", lambda: serve(self)),
                 ("signals", self.signals),
+                ("settings", self.watch_settings),
             ):
                 tg.start_soon(lambda n=name, r=run: keep(name=n, run=r, lg=self.lg))
             await self.stopping.wait()
@@ -354,6 +379,7 @@
             self.store.close()
 
 
-def start(*, settings, lg, reread, outer=None):
-    d = Daemon(settings=settings, lg=lg, reread=reread, outer=outer)
+def start(*, settings, lg, reread, outer=None, settings_file=""):
+    """Run a daemon until it ends. reread: reads the settings again; settings_file: whose change makes it do so."""
+    d = Daemon(settings=settings, lg=lg, reread=reread, outer=outer, settings_file=settings_file)
     anyio.run(d.run)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -104,3 +104,26 @@
     s.put(at=name)
     s.w.run(3)
     assert s.o.acked[-1][-1] == n.peek("news", "book")["config"][0] and s.o.faults == []
+
+
+def test_a_settings_file_that_changes_without_a_signal_is_read_again(tmp_path):
+    path = tmp_path / "settings"
+    path.write_text("one")
+    read = []
+
+    def reread():
+        read.append(path.read_text())
+        return checked(dict(BASE))
+
+    daemon = Daemon(lg=Lines(), settings=checked(dict(BASE)), reread=reread, settings_file=str(path))
+    anyio.run(daemon.look_at_settings)
+    assert read == []
+    path.write_text("another")
+    anyio.run(daemon.look_at_settings)
+    anyio.run(daemon.look_at_settings)
+    assert read == ["another"]
+    path.unlink()  # being replaced: nothing to read now
+    anyio.run(daemon.look_at_settings)
+    path.write_text("third")
+    anyio.run(daemon.look_at_settings)
+    assert read == ["another", "third"]
