A recruit that leaves stays until the view is known that may name it

Cause (shown by review, then by a run of one core): a core that had synced a copy for the next view and then got SIGTERM was released at once, since its present view did not name it as a member; the next view may be chosen that very moment and rest on it.

--- a/silverglade/control/snapshots.py
+++ b/silverglade/control/snapshots.py
@@ -80,9 +80,12 @@
 
 
 def accept_recruiting(core: CoreContext, snapshot: Snapshot) -> bool:
-    """Is this the snapshot of one who seeks a later view? A member that is recruited takes no more changes in this one."""
+    """Is this the snapshot of one who seeks a later view? A member that is recruited takes no more changes in this one.
+
+    A core that leaves is none: it may end before that view is chosen, which would rest on it.
+    """
     state = core.state
-    if snapshot.epoch <= core.epoch or snapshot.epoch < state.recruited:
+    if snapshot.epoch <= core.epoch or snapshot.epoch < state.recruited or state.writes.leaving:
         return False
     if core.me in rg.members(state.view):
         state.sealed = max(state.sealed, core.epoch)
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -8,6 +8,7 @@
 from silverglade.control.view import View
 from silverglade.rehearsal import repairs
 
+from . import test_control_safety as safety
 from .guards import without
 
 SMALL = dict(size=3, tolerance=(1, 1, 1), catch_up=4.0)
@@ -133,6 +134,27 @@
     assert never_whole(range(8))
 
 
+def leaver(*, copied_first):
+    """c, no member of its view, gets a copy for the next one and SIGTERM, in either order; all the others stay."""
+    c = safety.Alone(view=(3, "a", ("b",), (("a", "A"), ("b", "B"), ("d", "D"))))
+    steps = [("msg", "a", ("snap", 4, 9, None, safety.OLD)), ("state", "leaving")]
+    for event in steps if copied_first else reversed(steps):
+        c.feed(event)
+    c.feed(("roll", tuple((n, "l", 1, 0, "z" + n, "r" + n, "", "", True, "leaving" if n == "c" else "ready", (), ()) for n in "abcdef")))
+    c.feed(("pulse",))
+    return c
+
+
+def test_a_recruit_that_leaves_stays_until_the_view_is_known_that_may_name_it():
+    c = leaver(copied_first=True)
+    assert c.last("snapok") and not c.gen.state.released
+    c.hear("a", "view", (4, "a", ("b",), (("a", "A"), ("b", "B"), ("d", "D"))))
+    c.feed(("pulse",))
+    assert c.gen.state.released
+    c = leaver(copied_first=False)
+    assert not c.last("snapok") and c.gen.state.released  # it is recruited no more
+
+
 def wanted(was, live, *, gone=(), leaving=(), tolerance=(2, 1, 1)):
     return "".join(spread.witnesses(was=tuple(was), live=live, gone=gone, leaving=leaving, places=PLACES, tolerance=tolerance))
 
@@ -156,3 +178,16 @@
     assert may_end("c", "ab")  # a witness whose place nobody can take
     assert not may_end("c", "abf")  # one whose place can be taken
     assert may_end("f", "abc") and may_end("a", "") and plan.may_end(me="a", view=None, staying="b", places={}, tolerance=(1, 1, 1))
+
+
+@pytest.mark.parametrize(
+    "module,old,target",
+    [
+        ("core", " and state.recruited <= self.epoch", "tests.test_control_safety.core"),
+        ("snapshots", " or state.writes.leaving", "silverglade.control.snapshots.accept_recruiting"),
+    ],
+)
+def test_without_its_guard_a_recruit_leaves_too_early(module, old, target, monkeypatch):
+    without(monkeypatch, f"silverglade.control.{module}", old, "", target)
+    with pytest.raises(AssertionError):
+        test_a_recruit_that_leaves_stays_until_the_view_is_known_that_may_name_it()
