--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -129,9 +129,10 @@
             replication.replicate_again(self, view, now)
 
     def release_if_free(self) -> None:
-        """A core that leaves says once that it may end. Not while it is a recruit: the view that names it may be chosen by now."""
+        """A core that leaves says once that it may end. Not while it is a recruit: the view that names it may be chosen by now;
+        nor while it has met nobody in this life: who has said that they leave too is not known then."""
         state = self.state
-        if state.writes.leaving and not state.released and state.recruited <= self.epoch:
+        if state.writes.leaving and not state.released and state.recruited <= self.epoch and state.met | state.leaving:
             staying = state.met - state.leaving
             state.released = plan.may_end(
                 me=self.me, view=state.view, staying=staying, places=state.places, tolerance=self.settings.tolerance
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -155,6 +155,17 @@
     assert not c.last("snapok") and c.gen.state.released  # it is recruited no more
 
 
+def test_a_member_that_has_met_nobody_yet_stays():
+    b = safety.backup()
+    b.gen.state.met.clear()
+    b.feed(("state", "leaving"))
+    b.feed(("pulse",))
+    assert not b.gen.state.released
+    b.feed(("roll", tuple((n, "l", 1, 0, "z" + n, "r" + n, "", "", True, "leaving", (), ()) for n in "abc")))
+    b.feed(("pulse",))
+    assert b.gen.state.released  # all leave: nobody waits for anybody
+
+
 def wanted(was, live, *, gone=(), leaving=(), tolerance=(2, 1, 1)):
     return "".join(spread.witnesses(was=tuple(was), live=live, gone=gone, leaving=leaving, places=PLACES, tolerance=tolerance))
 
@@ -184,6 +195,7 @@
     "module,old,target",
     [
         ("core", " and state.recruited <= self.epoch", "tests.test_control_safety.core"),
+        ("core", " and state.met | state.leaving", "tests.test_control_safety.core"),
         ("snapshots", " or state.writes.leaving", "silverglade.control.snapshots.accept_recruiting"),
     ],
 )
@@ -191,3 +203,4 @@
     without(monkeypatch, f"silverglade.control.{module}", old, "", target)
     with pytest.raises(AssertionError):
         test_a_recruit_that_leaves_stays_until_the_view_is_known_that_may_name_it()
+        test_a_member_that_has_met_nobody_yet_stays()
