A replaced core's witness goes though a live one must go with it; repairs by command

That is allowed now where another core is live in the zone of each silent one: it may have come for it.

--- a/silverglade/control/spread.py
+++ b/silverglade/control/spread.py
@@ -73,7 +73,8 @@
 
     Nobody who is silent leaves unless a live core takes its place, or it is `gone` for long, or the live ones bear the
     whole tolerance without it and not with it. A live core comes in where that makes the set bear no less, and leaves only
-    where the whole tolerance is not borne with it and all are live but those `leaving`. Fewer changes go before more.
+    where the whole tolerance is not borne with it and all are live but those `leaving` and those in whose zone another is
+    live, which may have come for them. Fewer changes go before more.
     """
 
     def borne(names: tuple[str, ...]) -> int:
@@ -91,7 +92,9 @@
     best = max((names for size in sizes for names in combinations(pool, size)), key=worth, default=None)
     whole = sum(tolerance)
     if borne(best or was) < whole:
-        staying = set() if set(was) <= {*live, *leaving} else set(kept) & set(live)
+        taken = {places[name] for name in live if name in places}
+        away = {name for name in was if name not in live and name not in leaving and places.get(name) not in taken}
+        staying = set(kept) & set(live) if away else set()
         fewer = (names for size in range(LEAST_WITNESSES, least) for names in combinations([n for n in pool if n in live], size))
         best = max((names for names in fewer if staying <= set(names) and borne(names) == whole), key=worth, default=best)
     return best if best and worth(best) > worth(was) else was
--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -57,27 +57,29 @@
 
 
 def sitting(job):
-    from .trials import storm
+    from . import repairs, trials
 
-    seed, size, tolerance = job
-    c, t = storm(seed=seed, size=size, tolerance=tolerance)
-    return seed, c.faults, t
+    play, seed, size, tolerance = job
+    c, t = (repairs.mixed if play == "repairs" else trials.storm)(seed=seed, size=size, tolerance=tolerance)
+    return seed, c.faults, t, max((s or 0.0 for s in c.whole_in), default=0.0) if play == "repairs" else 0.0
 
 
 def cores(a):
-    tolerance, fell, worst = tuple(map(int, a.tolerance.split(","))), 0, 0.0
+    tolerance, fell, worst, whole = tuple(map(int, a.tolerance.split(","))), 0, 0.0, 0.0
     with ProcessPoolExecutor(a.jobs) as pool:
-        for seed, bad, t in pool.map(sitting, [(n, a.size, tolerance) for n in range(a.first, a.first + a.count)]):
-            worst = max(worst, t or 0.0)
+        for seed, bad, t, w in pool.map(sitting, [(a.play, n, a.size, tolerance) for n in range(a.first, a.first + a.count)]):
+            worst, whole = max(worst, t or 0.0), max(whole, w)
             if bad:
                 fell += 1
                 print(
-                    f"seed {seed}: {len(bad)} broken; replay: python -m silverglade.rehearsal council --size {a.size}"
+                    f"seed {seed}: {len(bad)} broken; replay: python -m silverglade.rehearsal council --play {a.play} --size {a.size}"
                     f" --tolerance {a.tolerance} --first {seed} --count 1"
                 )
                 for b in bad[:6]:
                     print("   ", *b)
     print(f"{a.count - fell} sound, {fell} broken; longest until control served again after the closing fault: {worst:.1f} s")
+    if a.play == "repairs":
+        print(f"longest until any loss was borne again after a core was back: {whole:.1f} s")
     return 1 if fell else 0
 
 
@@ -115,7 +117,8 @@
     q.add_argument("--count", type=int, default=2)
     q.add_argument("--secs", type=int, default=600)
     q = sub.add_parser("council", help="the cores alone: every fault of the core, mixed, and a closing one (simulated)")
-    q.add_argument("--size", type=int, choices=(3, 5, 7, 9), default=5)
+    q.add_argument("--size", type=int, choices=(3, 4, 5, 7, 9), default=5)
+    q.add_argument("--play", choices=("storm", "repairs"), default="storm", help="repairs: the next loss when one is repaired")
     q.add_argument("--tolerance", default="2,1,1", help="machines, zones, regions")
     for k, v in (("first", 1), ("count", 100), ("jobs", 2)):
         q.add_argument("--" + k, type=int, default=v)
--- a/silverglade/rehearsal/repairs.py
+++ b/silverglade/rehearsal/repairs.py
@@ -4,6 +4,7 @@
 has started, it counts as whole again, and the next loss that the tolerance names may come.
 """
 
+import random
 from datetime import timedelta
 
 import ormsgpack
@@ -281,3 +282,11 @@
     left = [n for n, x in c.cores.items() if x is not full]
     c.cores[c.rng.choice(left)].power()
     return c, served(c, 8)
+
+
+def mixed(*, seed, size=5, tolerance=(2, 1, 1)):
+    """Steps drawn by the seed, on slow processors, links and disks; every third seed the day of replacements."""
+    rng = random.Random(seed)
+    steps = REPLACEMENTS if seed % 3 == 0 else rng.choices((*STEPS, two_leave), k=3)
+    slow = dict(stalls=rng.choice((0, 0.01, 0.02)), megabits=rng.choice((0, 86)), sync_ms=rng.choice((2, 60)))
+    return play(steps, seed=seed, size=size, tolerance=tolerance, catch_up=4.0 if max(tolerance) == 1 else 6.0, **slow)
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -177,6 +177,7 @@
     assert wanted("abcde", "abcd", leaving="e") == "abcde"
     assert wanted("abcde", "bcde", tolerance=(1, 1, 1)) == "abcde"  # no live one goes for one that may be back
     assert wanted("abcde", "bcde", leaving="a", tolerance=(1, 1, 1)) == "bcd"  # but for one that leaves
+    assert wanted("abcdf", "abdf", tolerance=(1, 1, 1)) == "abf"  # or in whose zone another is there
     assert wanted("abcd", "abcd", tolerance=(1, 1, 1)) == "abc"  # four in three regions could not lose the one with two
 
 
