A primary that has not opened proves nothing

Seen: of 300 storms of the cores alone in which each life has a clock of its own and every core is asked for news four times a second, three had a core prove a moment before which a change was acknowledged that it did not tell (0.2 to 0.9 s). All in views with one backup. Cause: a primary starts again before its backup heard that the newest change was acknowledged. Both hold it; neither shows it. It hears the backup's proof, so its heartbeats carry an age; the only backup takes such a heartbeat for the proof of this very moment. Ruled out: clocks (the same with one clock for all); views with two backups (their proof wants an open primary). Change: a primary that has not opened its view says no age.

--- a/silverglade/control/liveness.py
+++ b/silverglade/control/liveness.py
@@ -27,7 +27,7 @@
             blank=state.view is None and state.register.view is None and core.settings.may_form,
             stamp=state.stamp_origin + ms(now),
             echo=state.peers.echo(to),
-            age=serving.proof_age(core, now),
+            age=-1 if core.led_view() and not core.open_view() else serving.proof_age(core, now),
         ),
     )
 
--- a/tests/test_control_safety.py
+++ b/tests/test_control_safety.py
@@ -248,6 +248,21 @@
     return a
 
 
+def test_a_primary_that_has_not_opened_proves_nothing():
+    """Started again before its only backup heard of the newest acknowledgement: both hold it and neither shows it. The backup takes a
+    heartbeat with an age for a proof of this moment."""
+    a = Alone(me="a", shown=(2, 9))
+    a.now += 1
+    a.heartbeat("b", echo=a.stamp("b"), age=10, shown=(2, 9))
+    a.feed(("pulse",))
+    assert a.last("hb", "b")[9] == -1
+    a.hear("b", "snapok", 3, a.last("snap")[2], "B")
+    a.now += 1
+    a.heartbeat("b", echo=a.stamp("b"), age=10, shown=(2, 9))
+    a.feed(("pulse",))
+    assert 0 <= a.last("hb", "b")[9] <= 2000
+
+
 STALE = ("config", (9, 9), NEW)
 
 
--- /dev/null
+++ b/tests/test_control_staleness.py
@@ -0,0 +1,164 @@
+"""How old a proof is told to be (docs/control-safety.md, Bounded-staleness): the cores alone, each life with a clock of its own.
+
+Every core is asked for news four times a second. What was acknowledged before the time that its answer proves must be in it.
+"""
+
+import random
+
+import pytest
+
+from silverglade.control.core import core
+from silverglade.part import span
+from silverglade.rehearsal import council, trials
+
+from .guards import without
+
+HOUR = 3600
+
+
+class OwnClock:
+    """A core whose steady clock stands anywhere, in each life elsewhere; and an ear on what it tells daemons."""
+
+    def __init__(self, part, offset, told):
+        self.part, self.offset, self.told = part, offset, told
+
+    def send(self, value):
+        if value is None:
+            return self.part.send(None)
+        now, event = value
+        effects = self.part.send((now + self.offset, event))
+        for effect in effects:
+            if effect[:2] == ("post", "table") and effect[2][0] == "answer":
+                self.told(now, effect[2][2])
+        return effects
+
+    @property
+    def state(self):
+        return self.part.state
+
+
+class Watched:
+    """A council whose cores are asked for news all along, and which judges what they prove."""
+
+    def __init__(self, monkeypatch, *, seed, clock=lambda rng, life: rng.uniform(1, 2 * HOUR)):
+        self.acknowledged, self.proofs, self.c = [], 0, None
+        rng, lives = random.Random(seed), {}
+
+        def made(**kw):
+            name = kw["me"]
+            lives[name] = lives.get(name, 0) + 1
+            return OwnClock(core(**kw), council.SEC * clock(rng, lives[name]), self.told)
+
+        monkeypatch.setattr(council, "core", made)
+
+    def watch(self, c):
+        self.c, answered = c, c.answered
+
+        def judged(client, frm, job, result):
+            answered(client, frm, job, result)
+            if result[0] == "ok" and len(result) == 2:
+                self.acknowledged.append((c.now, result[1]))
+
+        c.answered = judged
+        self.ask()
+
+    def ask(self):
+        for x in list(self.c.cores.values()):
+            x.feed(("msg", "daemon", ("get", self.c.rng.getrandbits(40), (0, 0), None)))
+        self.c.after(council.SEC / 4, self.ask)
+
+    def told(self, now, news):
+        _, _, version, items, age, _ = news
+        if age < 0 or self.c is None:
+            return
+        self.proofs += 1
+        before = now - span(age)
+        newest = max((v for at, v in self.acknowledged if at < before), default=(0, 0))
+        if newest > version:
+            self.c.bad("proved-what-is-old", version, newest, age)
+        newest_held = max((v for _, v, _ in items), default=(0, 0))
+        if newest_held > version:
+            self.c.bad("told-beyond-its-version", version, newest_held)
+
+
+def settled(monkeypatch, *, seed, size=5, tolerance=(2, 1, 1), **kw):
+    w = Watched(monkeypatch, seed=seed, **kw)
+    c = council.settled(seed=seed, size=size, tolerance=tolerance)
+    w.watch(c)
+    return w, c
+
+
+def stormed(monkeypatch, seed, **kw):
+    """Faults of every kind, one upon another, then some that come back."""
+    w, c = settled(monkeypatch, seed=seed, **kw)
+    for _ in range(4):
+        end = c.rng.choice(trials.TRIALS)(c)
+        c.run(c.rng.uniform(0.5, 6))
+        end()
+        c.cuts.clear()
+        if c.run(30, until=c.sound) is None:
+            c.bad("not-whole", c.view())
+            break
+    return w, c
+
+
+@pytest.mark.parametrize("size,tolerance", [(3, (1, 1, 1)), (5, (2, 1, 1)), (5, (1, 1, 1))])
+def test_what_a_core_proves_holds_all_that_was_acknowledged_before(size, tolerance, monkeypatch):
+    proofs = 0
+    for seed in range(8):
+        w, c = stormed(monkeypatch, seed, size=size, tolerance=tolerance)
+        assert c.faults == [], seed
+        proofs += w.proofs
+    assert proofs > 1000
+
+
+def started_again_and_cut_off(monkeypatch, seed):
+    """Each core starts again with a clock that stands some seconds behind, and is cut off a moment later while the others go on."""
+    w, c = settled(monkeypatch, seed=seed, clock=lambda rng, life: 100 - life * rng.uniform(3, 8))
+    for name in sorted(c.cores):
+        x = c.cores[name]
+        x.power()
+        c.run(1)
+        x.boot()
+        c.run(c.rng.uniform(0.1, 1))
+        c.cut([name], [n for n in c.cores if n != name])
+        c.run(10)
+        c.cuts.clear()
+        c.run(4)
+    assert w.proofs > 100
+    return {b[1] for b in c.faults}
+
+
+def cores_are_behind(monkeypatch, seed):
+    w, c = settled(monkeypatch, seed=seed)
+    c.loss = 0.3
+    c.run(20)
+    return {b[1] for b in c.faults}
+
+
+GUARDS = [
+    (
+        "stamps of all lives count from the clock alone",
+        started_again_and_cut_off,
+        "liveness",
+        ("sent = echo - core.state.stamp_origin", "stamp=state.stamp_origin + ms(now)", "return sent if 0 <= sent <= ms(now) else -1"),
+        ("sent = echo", "stamp=ms(now)", "return sent"),
+        ("own_echo", "send_heartbeat"),
+    ),
+    (
+        "a proof counts for one who shows less",
+        cores_are_behind,
+        "liveness",
+        "    elif beat.age >= 0:",
+        "    if beat.age >= 0:",
+        ("on_heartbeat",),
+    ),
+]
+
+
+@pytest.mark.parametrize("what,play,module,old,new,targets", GUARDS, ids=[g[0] for g in GUARDS])
+def test_without_its_guard_a_proof_is_wrong(what, play, module, old, new, targets, monkeypatch):
+    for seed in range(3):
+        assert play(monkeypatch, seed) == set()
+    without(monkeypatch, f"silverglade.control.{module}", old, new, *(f"silverglade.control.{module}.{t}" for t in targets))
+    assert any("proved-what-is-old" in play(monkeypatch, seed) for seed in range(16))
