Messages between cores that come twice, late, and to a later life: no word of control breaks

Three guards cut out are seen: a confirmation of any change, a late copy for a recruit, a change on any version.

--- /dev/null
+++ b/tests/test_control_late.py
@@ -0,0 +1,91 @@
+"""Messages between cores that come twice, late, and to a later life of whom they were meant for (docs/control-safety.md, 1).
+
+Storms of the cores as in test_control_staleness, with every core asked for news; one message in `EVERY` is handed over once more, up to
+`LATEST` seconds later, to whoever has the name by then. Only what is said is judged here, not how soon.
+"""
+
+import pytest
+
+from silverglade.rehearsal import council, trials
+
+from .guards import without
+from .test_control_staleness import settled
+
+EVERY, LATEST = 12, 25
+SLOW = {"not-back", "not-whole", "not-formed", "not-read-back", "no-service-before"}  # how soon, not what
+
+
+def hand_over_again(c):
+    """From now on."""
+    deliver, again = c.deliver, [0]
+
+    def late(frm, to, body):
+        x = c.cores.get(to)
+        if x and x.gen:
+            again[0] += 1
+            x.feed(("msg", frm, body))
+
+    def twice(frm, to, body):
+        if to in c.cores and c.rng.randrange(EVERY) == 0:
+            c.after(council.SEC * LATEST * c.rng.random() ** 3, late, frm.name, to, body)  # most of them soon
+        return deliver(frm, to, body)
+
+    c.deliver = twice
+    return again
+
+
+def stormed(monkeypatch, seed, *, rounds=4, **kw):
+    w, c = settled(monkeypatch, seed=seed, **kw)
+    again = hand_over_again(c)
+    for _ in range(rounds):
+        end = c.rng.choice(trials.TRIALS)(c)
+        c.run(c.rng.uniform(0.5, 6))
+        end()
+        c.cuts.clear()
+        if c.run(20, until=c.sound) is None:
+            break
+    ways = list(council.losses(c))
+    council.closing(c, ways[seed % len(ways)])
+    trials.served(c, 12)
+    trials.read_back(c)
+    return w, c, again[0]
+
+
+@pytest.mark.parametrize("size,tolerance", [(3, (1, 1, 1)), (5, (2, 1, 1)), (5, (1, 1, 1))])
+def test_messages_that_come_twice_and_late_break_no_word_of_control(size, tolerance, monkeypatch):
+    repeated = acknowledged = 0
+    for seed in range(8):
+        w, c, again = stormed(monkeypatch, seed, size=size, tolerance=tolerance)
+        assert [b for b in c.faults if b[1] not in SLOW] == [], seed
+        repeated, acknowledged = repeated + again, acknowledged + len(c.acks)
+    assert repeated > 250 and acknowledged > 200
+
+
+GUARDS = [
+    ("a confirmation of any change counts", "replication", " or done.nonce != pending.nonce:", ":", "on_replicated"),
+    (
+        "a late copy for a recruit is taken",
+        "snapshots",
+        "if snapshot.epoch <= core.epoch or snapshot.epoch < state.recruited:",
+        "if False:",
+        "accept_recruiting",
+    ),
+    (
+        "a change is taken on any version",
+        "replication",
+        "if bk.version(state.store) not in (change.previous, change.version):",
+        "if False:",
+        "on_replicate",
+    ),
+]
+
+
+@pytest.mark.parametrize("what,module,old,new,target", GUARDS, ids=[g[0] for g in GUARDS])
+def test_without_its_guard_a_late_message_breaks_a_word(what, module, old, new, target, monkeypatch):
+    without(monkeypatch, f"silverglade.control.{module}", old, new, f"silverglade.control.{module}.{target}")
+
+    def broken(seed):
+        _, c, _ = stormed(monkeypatch, seed, size=(3, 5)[seed % 2], tolerance=(1, 1, 1))
+        return {b[1] for b in c.faults} & {"same-base", "both-won", "read-old"}
+
+    assert any(broken(seed) for seed in range(14))
