--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -28,12 +28,16 @@
         ("", "pass", 0),
     ],
 )
-def test_only_what_is_listed_and_fails_is_passed_over(tmp_path, red, body, code):
+@pytest.mark.parametrize("workers", [(), ("-n", "2", "--dist", "loadfile")], ids=["alone", "workers"])  # as .ci/run calls it
+def test_only_what_is_listed_and_fails_is_passed_over(tmp_path, red, body, code, workers):
     (tmp_path / "tests").mkdir()
     (tmp_path / "tests" / "conftest.py").write_text((HERE / "conftest.py").read_text())
     (tmp_path / "tests" / "test_x.py").write_text(f"def test_x():\n    {body}\n")
     (tmp_path / "KNOWN-RED.txt").write_text(red)
     (tmp_path / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
-    r = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=tmp_path, capture_output=True, text=True)
+    r = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *workers], cwd=tmp_path, capture_output=True, text=True
+    )
     assert r.returncode == code, r.stdout
+    assert ("names no test: tests/test_x.py::test_y" in r.stdout + r.stderr) == (code == 4)
     assert ("known red" in r.stdout) == bool(red)
