--- a/silverglade/control/spread.py
+++ b/silverglade/control/spread.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping, Sequence
+from functools import lru_cache
 from itertools import combinations
 
 from . import register as rg
@@ -76,6 +77,21 @@
     where the whole tolerance is not borne with it and all are live but those `leaving` and those in whose zone another is
     live, which may have come for them. Fewer changes go before more.
     """
+    known = tuple(sorted((name, places[name]) for name in {*was, *live} if name in places))
+    return best_witnesses(was, frozenset(live), frozenset(gone), frozenset(leaving), known, tolerance)
+
+
+@lru_cache(maxsize=64)
+def best_witnesses(
+    was: tuple[str, ...],
+    live: frozenset[str],
+    gone: frozenset[str],
+    leaving: frozenset[str],
+    known_places: tuple[tuple[str, Place], ...],
+    tolerance: Tolerance,
+) -> tuple[str, ...]:
+    """See `witnesses`. Weighs hundreds of sets, so the answer is kept: it is asked for again and again while nothing changes."""
+    places = dict(known_places)
 
     def borne(names: tuple[str, ...]) -> int:
         here = [name for name in names if name in live]
