Evacuations on both sides of a core that is cut off for twenty seconds

Nothing that was acknowledged on either side is undone: each role, each way, three and five cores, in every second play beside changes of the configuration. Seen without its guard: a primary that answers before its backups hold the change.

--- /dev/null
+++ b/tests/test_cut_evacuations.py
@@ -0,0 +1,92 @@
+"""Evacuations while one core is cut off for twenty seconds, called for on both sides (docs/control-safety.md, 3.1)."""
+
+import pytest
+
+from silverglade.control import book as bk
+from silverglade.rehearsal import council
+
+from .guards import without
+from .test_control_cuts import SIZES, WAYS, cut, the_one
+
+
+class Evacuator:
+    """Empties a zone and takes it back, on the version that a core tells; asks the same again until it is settled."""
+
+    def __init__(self, c, name, at=""):
+        self.c, self.name, self.at, self.on, self.n, self.job = c, name, at, False, 0, None
+        c.clients[name] = self
+        c.acknowledged = getattr(c, "acknowledged", {})
+        self.push()
+
+    def push(self):
+        c, to = self.c, self.at or self.c.primary()
+        x = c.cores.get(to)
+        if x and x.gen:
+            if self.job is None:
+                self.n += 1
+                op = ("evac", "za", self.on)
+                self.job = (c.rng.getrandbits(40), (*op, bk.fence(x.state.shown_items, op)), f"{self.name}.{self.n}")
+            number, op, change = self.job
+            c.after(council.SEC * 0.02, x.feed, ("msg", self.name, ("op", number, change, op, str(op))))
+        c.after(council.SEC / 4, self.push)
+
+    def told(self, frm, body):
+        if body[0] != "opr" or self.job is None or body[1] != self.job[0] or body[2][0] in ("unknown", "elsewhere"):
+            return
+        job, self.job = self.job, None
+        if body[2][0] != "ok":  # stale: made anew
+            return
+        version, (_, _, on, base) = body[2][1], job[1]
+        if self.c.acknowledged.setdefault(version, (on, base)) != (on, base):
+            self.c.bad("two-at-one-version", version)
+        self.on = not on
+
+
+def evacuated(role, way, *, size, tolerance, seed):
+    c = council.settled(seed=seed, size=size, tolerance=tolerance)
+    name = the_one(c, role)
+    Evacuator(c, "inside", at=name)
+    Evacuator(c, "outside")
+    c.run(2)
+    for client in c.clients.values():  # in every second play evacuations alone are called for
+        client.open = seed % 2 == 0
+    before = len(c.acknowledged)
+    cut(c, name, way)
+    c.run(20)
+    during = len(c.acknowledged) - before
+    c.cuts.clear()
+    c.run(6)
+    for client in list(c.clients.values()):
+        client.push = client.next = lambda *_: None
+    c.run(2)
+    version, on = c.cores[c.primary()].state.store["evac/za"]
+    newest = max(c.acknowledged)
+    if version < newest or c.acknowledged.get(version, (on,))[0] != on:
+        c.bad("acknowledged-and-undone", version, newest, on)
+    for later, (wanted, base) in c.acknowledged.items():  # what is so already may be said again; else it rests on its base
+        passed_over = max((v for v in c.acknowledged if base < v < later), default=None)
+        if passed_over and c.acknowledged[passed_over][0] != wanted:
+            c.bad("acknowledged-and-undone", passed_over, base, later)
+    return c, during
+
+
+@pytest.mark.parametrize("size,tolerance", SIZES)
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("role", ["primary", "backup", "witness"])
+def test_no_evacuation_that_was_acknowledged_on_either_side_is_undone(role, way, size, tolerance):
+    for seed in range(2):
+        c, during = evacuated(role, way, size=size, tolerance=tolerance, seed=seed)
+        assert c.faults == [], seed
+        assert during >= 5
+
+
+def test_one_that_is_acknowledged_before_the_backups_hold_it_is_seen(monkeypatch):
+    def fell(seeds):
+        return {fault[1] for seed in seeds for fault in evacuated("primary", "both", size=3, tolerance=(1, 1, 1), seed=seed)[0].faults}
+
+    assert fell(range(4)) == set()
+    module = "silverglade.control.replication"
+    old = "        if ok:\n            replicate(core, view, pending)"
+    new = old + "\n            answer(core, pending.client, pending.result)"
+    without(monkeypatch, module, old, new, module + ".on_written_by_primary")
+    assert fell(range(24)) & {"two-at-one-version", "acknowledged-and-undone", "both-won"}
