--- a/silverglade/control/snapshots.py
+++ b/silverglade/control/snapshots.py
@@ -85,7 +85,9 @@
     A core that leaves is none: it may end before that view is chosen, which would rest on it.
     """
     state = core.state
-    if snapshot.epoch <= core.epoch or snapshot.epoch < state.recruited or state.writes.leaving:
+    if snapshot.epoch <= core.epoch or snapshot.epoch < state.recruited:
+        return False
+    if state.writes.leaving:
         return False
     if core.me in rg.members(state.view):
         state.sealed = max(state.sealed, core.epoch)
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -197,7 +197,7 @@
     [
         ("core", " and state.recruited <= self.epoch", "tests.test_control_safety.core"),
         ("core", " and state.met | state.leaving", "tests.test_control_safety.core"),
-        ("snapshots", " or state.writes.leaving", "silverglade.control.snapshots.accept_recruiting"),
+        ("snapshots", "    if state.writes.leaving:\n        return False\n", "silverglade.control.snapshots.accept_recruiting"),
     ],
 )
 def test_without_its_guard_a_recruit_leaves_too_early(module, old, target, monkeypatch):
