--- a/silverglade/rehearsal/backlog.py
+++ b/silverglade/rehearsal/backlog.py
@@ -78,6 +78,5 @@
         c.bad("left-behind", number_shown(x), c.newest())
     closing(c, c.rng.choice(list(losses(c))))
     served(c, 12)
-    council.Operator(c, "reader", reads=1.0)
     read_back(c)
     return c, took, received, store_bytes(x)
--- a/silverglade/rehearsal/repairs.py
+++ b/silverglade/rehearsal/repairs.py
@@ -262,7 +262,6 @@
     ways = list(losses(c))
     closing(c, c.rng.choice(ways))
     t = served(c, 12)
-    council.Operator(c, "reader", reads=1.0)
     read_back(c)
     return c, t
 
--- a/silverglade/rehearsal/trials.py
+++ b/silverglade/rehearsal/trials.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from ..control.register import majority
-from .council import SEC, Core, closing, losses, served, settled
+from .council import SEC, Core, Operator, closing, losses, served, settled
 
 BACK = 8.0  # seconds until control serves again, whatever failed within the tolerance
 
@@ -219,7 +219,9 @@
 
 
 def read_back(c):
+    """Somebody who does nothing else reads what is in force, twice."""
     n = c.reads
+    Operator(c, "reader", reads=1.0)
     if c.run(6, until=lambda: c.reads > n + 1) is None:
         c.bad("not-read-back")
 
