--- a/silverglade/control/values.py
+++ b/silverglade/control/values.py
@@ -15,6 +15,8 @@
 PLAIN = frozenset((str, int, bool, bytes, float, timedelta, type(None)))
 """Types of which a value is its own canonical form."""
 
+COLLECTIONS = frozenset((dict, set, list))
+
 SHARED = "tuning"
 """The field of settings that every record shares: no part of the state."""
 
@@ -25,17 +27,29 @@
     return tuple(f.name for f in dataclasses.fields(kind) if f.name != SHARED)
 
 
+@functools.cache
+def changed_fields(kind: type) -> tuple[str, ...]:
+    """The fields of a record that is changed in place; none of a value that is not."""
+    if not dataclasses.is_dataclass(kind) or kind.__dataclass_params__.frozen:  # type: ignore[attr-defined]
+        return ()
+    return tuple(f.name for f in dataclasses.fields(kind))
+
+
 def copied(value: Any) -> Any:
     """A copy of a state, or of a field of one. Only maps, sets, lists and the records that hold them are changed in place:
     these are copied, all else is shared."""
-    if isinstance(value, dict | set | list):
+    kind: type = type(value)
+    if kind in PLAIN:
+        return value
+    if kind in COLLECTIONS:
         return value.copy()
-    if not dataclasses.is_dataclass(value) or value.__dataclass_params__.frozen:  # type: ignore[union-attr]
+    names = changed_fields(kind)
+    if not names:
         return value
-    twin = object.__new__(type(value))
-    for field in dataclasses.fields(value):
-        held = getattr(value, field.name)
-        setattr(twin, field.name, held if field.name == SHARED else copied(held))
+    twin: Any = object.__new__(kind)
+    for name in names:
+        held = getattr(value, name)
+        setattr(twin, name, held if name == SHARED else copied(held))
     return twin
 
 
