A model checker over the real control parts

Cause: the simulators play seeds; what needs one exact order of messages, syncs and losses they meet by luck. Ruled out: a second model beside the program, which would have to be kept true to it; every interleaving by depth alone, as a view change takes some forty steps and the states grow fivefold with each. Change: `python -m silverglade.rehearsal check-model` (silverglade/rehearsal/model). Cores are stepped and copied as they are (ControlCore); around them are disks, a network, time and operators. Two bounds: every action up to a depth, and deviations from an ordinary schedule, by which whole view changes are reached; seeded walks beyond both. States are hashed, steps of one core remembered. An oracle of its own judges histories: nothing acknowledged is lost, no two changes on one base, no old read or refusal, one view and one answering primary an epoch, no version that goes back or is older than its proof.

--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -9,6 +9,7 @@
 from ..faults import Fault
 from . import mishaps
 from . import seeds as days
+from .model import command as check_model
 from .towns import SITES, TOWNS
 
 PATHS = {"orders": (days, TOWNS), "forward": (mishaps, SITES)}
@@ -122,6 +123,7 @@
     q.add_argument("--tolerance", default="2,1,1", help="machines, zones, regions")
     for k, v in (("first", 1), ("count", 100), ("jobs", 2)):
         q.add_argument("--" + k, type=int, default=v)
+    check_model.add_arguments(sub.add_parser("check-model", help="every interleaving of a few cores' control parts, up to a bound"))
     q = sub.add_parser("need", help="a long day of replicas that nobody orders: what daemons say of it (simulated)")
     q.add_argument("--secs", type=int, default=1200)
     q.add_argument("--seed", type=int, default=1)
@@ -138,6 +140,8 @@
     a = p.parse_args(argv)
     if a.cmd == "seeds":
         return seeds(a)
+    if a.cmd == "check-model":
+        return check_model.run(a)
     if a.cmd == "council":
         return cores(a)
     if a.cmd == "days":
