--- a/tests/test_check_model.py
+++ b/tests/test_check_model.py
@@ -63,7 +63,7 @@
     return cut(
         "replication",
         CONFIRMED,
-        f"    elif result[0] == '{kind}':\n        commit(core, view, pending, now)\n{CONFIRMED}",
+        f"    elif all(told.result[0] == '{kind}' for told in answers):\n        commit(core, view, pending, now)\n{CONFIRMED}",
         "replication.begin",
     )
 
@@ -97,7 +97,8 @@
         cut(
             "replication",
             "        if ok:\n            replicate(core, view, pending)",
-            "        if ok:\n            replicate(core, view, pending)\n            answer(core, pending.client, pending.result)",
+            "        if ok:\n            replicate(core, view, pending)\n            "
+            "for told in pending.answers:\n                answer(core, told.client, told.result)",
             "replication.on_written_by_primary",
         ),
     ),
