Storm: stops and cuts of 20 s of each core role, with operators on both sides

Change: rehearsal/long_cuts.py stops (SIGSTOP) or cuts off, for 20 s, the core that is primary, one that is a backup and one that is a witness: both ways, outwards or inwards alone, through the relay, which now cuts between two machines in one direction. `storm` ends with it; `--long-cuts-only` plays it alone.

--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -113,6 +113,7 @@
     q.add_argument("--town", choices=TOWNS, default="navrang")
     q.add_argument("--seed", type=int, default=1)
     q.add_argument("--folder", default="")
+    q.add_argument("--long-cuts-only", action="store_true", help="only stops and cuts of 20 s of the cores, with operators at work")
     q = sub.add_parser("days", help="long days of the scaler with a platform that follows (simulated)")
     q.add_argument("--count", type=int, default=2)
     q.add_argument("--secs", type=int, default=600)
@@ -164,7 +165,7 @@
     if a.cmd == "storm":
         from .pressure import storm
 
-        return storm(town=a.town, seed=a.seed, folder=folder)
+        return storm(town=a.town, seed=a.seed, folder=folder, long_cuts_only=a.long_cuts_only)
     from .minute import rehearse
 
     return rehearse(town=a.cmd, secs=a.secs, seed=a.seed, folder=folder, other=a.other)
--- a/silverglade/rehearsal/pressure.py
+++ b/silverglade/rehearsal/pressure.py
@@ -8,12 +8,14 @@
 
 import anyio
 
+from .long_cuts import LongCuts
 from .minute import BACK, Minute
 
 
 class Storm(Minute):
-    def __init__(self, **kw):
+    def __init__(self, *, long_cuts_only=False, **kw):
         super().__init__(**kw)
+        self.long_cuts_only, self.seed = long_cuts_only, kw["seed"]
         self.rng, self.done, self.n = random.Random(kw["seed"]), [], 0
 
     def some(self, core=None):
@@ -148,8 +150,16 @@
                 await anyio.sleep(0.005)
 
     async def events(self):
-        """One place after another, a second's peace between, with replicas, operators and crowds beside."""
         self.t0 = time.monotonic()
+        if not self.long_cuts_only:
+            await self.short_events()
+        await LongCuts(self, seed=self.seed).run()
+        await self.changed()
+        for row in self.done:
+            print("  at", *row)
+
+    async def short_events(self):
+        """One place after another, a second's peace between, with replicas, operators and crowds beside."""
         places = [
             self.kill,
             self.kill_primary,
@@ -173,12 +183,10 @@
                 await self.blackout()
             await self.rng.choice(beside)()
         await self.changed()
-        for row in self.done:
-            print("  at", *row)
 
 
-def storm(*, town, seed, folder):
-    m = Storm(town=town, secs=0, seed=seed, folder=folder)
+def storm(*, town, seed, folder, long_cuts_only=False):
+    m = Storm(town=town, secs=0, seed=seed, folder=folder, long_cuts_only=long_cuts_only)
     print(f"logs and data: {folder}")
     anyio.run(m.run)
     for b in m.bad[:20]:
--- a/silverglade/rehearsal/relay.py
+++ b/silverglade/rehearsal/relay.py
@@ -15,13 +15,14 @@
 class Relay:
     def __init__(self, *, delay):
         self.delay, self.region, self.cut, self.group = delay, {}, set(), None
+        self.severed = set()  # (from, to): addresses of machines between which nothing passes in this direction
 
     def gap(self, a, b):
         ra, rb = self.region.get(a), self.region.get(b)
         return 0.0003 if ra == rb else self.delay / 1000
 
     def shut(self, a, b):
-        return (self.region.get(a), self.region.get(b)) in self.cut
+        return (a, b) in self.severed or (self.region.get(a), self.region.get(b)) in self.cut
 
     async def pass_(self, frm, to, a, b):
         put, got = anyio.create_memory_object_stream(256)
@@ -48,8 +49,11 @@
         """Listen at `told` (ip, port) for `real`."""
 
         async def one(s):
-            a = s.extra(anyio.abc.SocketAttribute.remote_address)[0]
+            caller = s.extra(anyio.abc.SocketAttribute.remote_address, None)
             async with s:
+                if caller is None:  # it was reset before it was accepted
+                    return
+                a = caller[0]
                 if self.shut(a, real[0]):
                     await anyio.sleep(3)
                     return
