--- a/silverglade/forward/cold.py
+++ b/silverglade/forward/cold.py
@@ -10,7 +10,7 @@
 that is cut off never. So what it would bear if it were cold (per_s times the rule's excess, and its
 slack) is dealt out to all daemons too, two parts to each of the replica's region for one to each other:
 within its part a daemon sends at any time, whoever knows what. Beyond its part it sends only while no other
-replica has room in its own, to the one of which it has used least: the bound is then not certain (design 16.2).
+replica has room in its own, and only while it hears from those who read the list.
 """
 
 from collections import deque
