A daemon that leaves takes only what ends in time, and answers the rest before it ends

Cause: for 6 s after SIGTERM a front went on taking requests, with deadlines of up to 15 s, yet ended at 7 s whatever ran. Neither the part that decides nor the shell knew of that end. A stream begun 4 s after the signal was cut 3 s later: LOST.

Ruled out: the close of the listeners (idle connections end in order, requests that cross it are not passed on), and the replicas' side (their runs went on).

Change: a timetable of the departure (leaving.py), one for the daemon and the simulator. The part learns it: a request is sent on only if its own deadline comes before the end, or if the longest answers of its route lately fit; a stream, which can't be taken back, only soon after the signal. Else 503 at once, with when to come back. Further tries get what is left. Shortly before the end the shell answers each request that has given its client nothing. Orders and operators' calls likewise. The grace runs from the signal, not from the loop's turn to it; a second SIGTERM changes nothing. A request that the part forgot is ended 0.2 s behind its deadline, not 2 s. Besides: a 404 for want of a route is given only with a proof of the configuration that is younger than `certain`, else 503.

A quarter of the clients hold on to addresses for three times as long as told.

--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -13,16 +13,17 @@
 import httpcore
 
 from ..faults import Fault
+from ..forward.departure import ELSEWHERE
 from ..log import line
 from .ask import Limits, kept, seconds, small
 from .events import Splitter, beyond, last_id
+from .silence import SilenceWatch
 from .upstream import SECOND, Pool, Stale, Unsent
 
 HOLD = 1024 * 1024  # bytes of an answer held until it is whole
 PROBES = 1 << 16  # a probe takes what connection there is
-LOOK = 0.1  # seconds between looks for silence
 SKIP = 4  # surplus answers read past in the place of ours
-SLACK = timedelta(seconds=2)  # behind the deadline the shell ends a request that the part forgot
+SLACK = timedelta(seconds=0.2)  # behind the deadline the shell ends a request that the part forgot
 LONGEST = timedelta(seconds=60)  # until the part has named a deadline
 BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, OSError)
 
@@ -50,8 +51,7 @@
         self.d, self.dialect = daemon, dialect
         self.pool = pool or Pool(local=local)
         self.limits, self.asks, self.n = Limits(), {}, 0
-        self.words = set()  # of silence, on their way to the part
-        self.live, self.timer = {}, None  # ask -> (n, try, connection, when silence is told)
+        self.silence = SilenceWatch(tell=self.tell_silence)
 
     def act(self, e):
         """Effects of the part; one for a request that is gone changes nothing."""
@@ -77,6 +77,15 @@
     async def tell(self, a, n, *what):
         await self.d.lanes.send(("tried", a.rid, n, *what), "work")
 
+    async def tell_silence(self, a, n):
+        await self.tell(a, n, "silent", a.last)
+
+    def conclude(self):
+        """The daemon ends soon: each request that has given its client nothing yet is answered now (15.9)."""
+        for a in list(self.asks.values()):
+            if not a.started:
+                a.put(("concluded", a.rid))
+
     async def run(self, a, facts):
         """One request from its door to its end."""
         self.asks[a.rid] = a
@@ -100,27 +109,6 @@
                 with anyio.CancelScope(shield=True):
                     await self.tell(a, a.n, "gone")
 
-    def listen(self, a, n, t, c):
-        """From here on silence of the replica is told; see `look`."""
-        if t.patience:
-            now = time.monotonic()
-            self.live[a] = [n, t, c, now]
-            if self.timer is None:
-                self.timer = asyncio.get_running_loop().call_later(LOOK, self.look)
-
-    def look(self):
-        """One timer for all tries: whose replica has said nothing for too long, to anybody?"""
-        self.timer, now = None, time.monotonic()
-        for a, row in self.live.items():
-            n, t, c, since = row
-            most = (t.pause if a.started and t.pause else t.patience) / SECOND
-            if now - max(since, c.tcp.heard, c.tcp.peer[0]) > most:
-                row[3] = now
-                self.words.add(w := asyncio.ensure_future(self.tell(a, n, "silent", a.last)))
-                w.add_done_callback(self.words.discard)
-        if self.live:
-            self.timer = asyncio.get_running_loop().call_later(LOOK, self.look)
-
     def watch(self, a, left):
         """A request that the part does not know any more still ends."""
         until = time.monotonic() + (left + SLACK) / SECOND
@@ -165,13 +153,15 @@
                     else:
                         await small(a.send, status, code, wait=wait, close=self.closing())
                     return True
-                case ("forgotten", _):
+                case ("forgotten" | "concluded" as why, _):
                     if a.started:
                         a.cut()
                     elif a.tried:
-                        await small(a.send, 502, 403)
+                        await small(a.send, 502, 403, close=self.closing())
+                    elif why == "concluded":
+                        await small(a.send, 503, 811, wait=ELSEWHERE, close=True)
                     else:
-                        await small(a.send, 503, 310, wait=1.0)
+                        await small(a.send, 503, 310, wait=1.0, close=self.closing())
                     return False
                 case ("break", *_):
                     a.cut()
@@ -193,7 +183,7 @@
                 return ("unsent", e.why)
             keep = None
             c.tcp.begin()
-            self.listen(a, n, t, c)
+            self.silence.begin(a, n, t, c)
             try:
                 what, keep = await self.exchange(a, n, t, c, due)
                 return what
@@ -201,7 +191,7 @@
                 if not c.until:  # a new one: this replica has no place for it
                     return ("unsent", e.why)
             finally:
-                self.live.pop(a, None)
+                self.silence.end(a)
                 self.pool.release(c, keep=keep, last=a.attempt)
 
     def request(self, a, t, c, due):
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import signal
-import time
 from datetime import timedelta
 
 import anyio
@@ -17,7 +16,8 @@
 from ..hub import Hub
 from ..log import line
 from ..rank import first
-from . import callout
+from . import callout, departure
+from .departure import clock
 from .disk import Store
 from .forwarding import Shell
 from .lanes import Lanes
@@ -29,11 +29,6 @@
 # what may change while a daemon runs; `cores` and `first` matter only where no view was ever formed (5.5)
 LIVE = frozenset(("tuning", "log_level", "seeds", "cores", "first"))
 SETTINGS_EVERY = 2.0  # seconds between looks at the settings file: it may change without a signal
-DRAIN, SECOND = timedelta(seconds=30), timedelta(seconds=1)
-
-
-def clock():
-    return timedelta(seconds=time.monotonic())
 
 
 class Daemon:
@@ -278,36 +273,17 @@
         body = await self.shell.get(replica=rid, addr=addr, path=self.outer.dialect.report)
         await self.lanes.send(("asked", rid, self.outer.report(body) if body is not None else None))
 
-    async def drain(self):
-        """SIGTERM: no new orders, the others learn it, those under way end (design 1.4); a core's places are taken (5.4)."""
-        self.lg.info(line("drain", []))
-        self.draining, begun = True, clock()
-        await self.lanes.send(("drain",))
-        await self.lanes.send(("state", "leaving"))
-        end, calm = begun + (self.outer.grace - SECOND if self.outer else DRAIN), begun
-        if self.outer and self.outer.front:  # clients come for as long as they hold the address (15.9)
-            calm = min(end - SECOND, begun + self.outer.linger)
-        half = end - (end - begun) / 2
-        while clock() < end and (clock() < calm or self.relays or self.jobs or self.shell.asks and clock() < half):
-            await anyio.sleep(0.1)
-        while clock() < end and self.store and not self.released:
-            await anyio.sleep(0.1)
-        await self.lanes.send(("state", "left"))
-        await anyio.sleep(0.3)
-        self.closing.set()  # no new connections; idle ones end, the others with their answers
-        while clock() < end and (self.shell.asks or self.open):
-            await anyio.sleep(0.05)
-        self.stopping.set()
-
     async def signals(self):
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as sigs:
+            times = departure.SignalTimes()
+            times.watch()
             async for s in sigs:
                 if s == signal.SIGHUP:
                     await self.reload()
                 elif s == signal.SIGINT:
                     self.stopping.set()
                 else:
-                    self.group.start_soon(self.drain)
+                    self.group.start_soon(lambda: departure.leave(self, told_at=times.told_at))
 
     def stamp(self):
         """What changes whenever the settings file is written; None where there is none, or it cannot be seen now."""
--- a/silverglade/faults.py
+++ b/silverglade/faults.py
@@ -62,6 +62,8 @@
     808: ("lost-answer", 502, "A replica may have run it; its answer was lost."),
     809: ("full", 503, "The replica said that it did not run it."),
     810: ("header-size", 431, "The head of the request is larger than the configuration allows."),
+    811: ("leaving", 503, "This daemon ends before an answer could be expected; another one takes it."),
+    812: ("uncertain-route", 503, "No route is known here, but this daemon has had no proof of late that its configuration is the newest."),
 }
 
 
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -14,6 +14,7 @@
 from . import replicas as rp
 from .budget import Budget
 from .cold import Cold
+from .departure import ELSEWHERE, Departure
 from .reach import FEW, Reach
 
 SECOND = timedelta(seconds=1)
@@ -21,17 +22,18 @@
 UNSENT = 4  # replicas that could not be reached, for one try of a client
 FEWEST = 3  # daemons, for shares: one that knows nobody yet is not alone
 EARLY = span(15)  # what is left of a deadline for the way back
+UNCERTAIN = 0.5  # seconds until the configuration is likely to be proved anew
 
 
 class Request:
     """One try of a client, from its head to its end."""
 
-    __slots__ = tuple("rid f route service born due tried n sent arrivals unreached at begun last live why weight".split())
+    __slots__ = tuple("rid f route service born due own_due tried n sent arrivals unreached at begun last live why weight".split())
 
     def __init__(self, rid, f, now):
         self.rid, self.f, self.born = rid, f, now
         self.route = self.service = self.at = None  # at: when the last replica got it
-        self.due, self.tried, self.n = now, set(), 0
+        self.due, self.own_due, self.tried, self.n = now, now, set(), 0  # own_due: its deadline, also beyond the daemon's end
         self.sent = 0  # tries that count towards the route's most: neither unsent nor turned away by another life
         self.unreached = Counter()  # region -> how many of its replicas took no connection for it
         self.arrivals = 0  # what reached any replica, also one that turned it away: what the retry budget counts
@@ -49,7 +51,7 @@
     tab, cfg, evac, reqs, reps = {}, None, frozenset(), {}, {}
     peers, members, edges, out, short = 1, {}, FEWEST, [], frozenset()
     budget, cold, listed, told = Budget(opt=opt), Cold(opt=opt), False, False
-    reach = Reach()
+    reach, departure, fresh = Reach(), Departure(), None
 
     def answer(q, status, wait, code):
         end(q)
@@ -81,12 +83,13 @@
         if cfg is None or not listed:
             return answer(q, 503, 1.0, 801)
         if q.route is None:
-            return answer(q, 404, None, 802)
+            return answer(q, 404, None, 802) if certain(now) else answer(q, 503, UNCERTAIN, 812)
         if not f["attempt"]:
             return answer(q, 400, None, 803)
         q.service = routes.service(q.route, f["attempt"])
         q.weight = weigh(f)
-        q.due = q.born + span(min(q.route["due_ms"], f["deadline_ms"] or q.route["due_ms"]))
+        q.own_due = q.born + span(min(q.route["due_ms"], f["deadline_ms"] or q.route["due_ms"]))
+        q.due = departure.due(q.own_due, q.route)
         out.append(("post", "need", ("arrived", q.service, False)))
         budget.came(now, q.service)
         return go(q, now)
@@ -97,6 +100,8 @@
         def none(*what):
             return None if instead else stop(q, *what)
 
+        if departure.begun and not q.begun and not in_time(q, now):
+            return none(503, ELSEWHERE, 811)
         left = q.due - now - EARLY
         if left <= ZERO:
             return none(504, None, 804)
@@ -144,6 +149,22 @@
             )
         )
 
+    def in_time(q, now):
+        """Can it be expected to end before this daemon does?"""
+        name = q.route["name"]
+        running = (now - x.born for x in reqs.values() if x.live and x.route["name"] == name)
+        return departure.may_start(now, route=q.route, due=q.own_due, running=running)
+
+    def certain(now):
+        """Is what is held surely as new as all that must be in force by now? Else "no such route" says too much."""
+        return fresh is not None and now - fresh <= opt["certain"]
+
+    def leave_soon(**times):
+        """The daemon was told to stop: what is under way gets no try that would go on beyond its end."""
+        departure.begin(**times)
+        for q in reqs.values():
+            q.due = departure.due(q.due, q.route)
+
     def by_reach(q, fit, now):
         """The replicas in the order in which their regions take connections: a region that takes none goes last (15.5)."""
         if not reach.doubts and not q.unreached:
@@ -205,6 +226,7 @@
                 if r:
                     r.worked(now)
                 out.append(("post", "need", ("served", q.service, (now - q.at).total_seconds())))
+                departure.durations.ended(now, q.route["name"], now - q.born)
                 end(q)
             case "unsent":
                 q.sent, q.arrivals = q.sent - 1, q.arrivals - 1  # nothing of it arrived
@@ -331,6 +353,10 @@
                     members[r[0]] = now
                 cold.knew(now, [r[0] for r in here])
                 peers = max(1, sum(1 for r in here if r[5] == region))
+            case ("fresh", f):
+                fresh = f
+            case ("leaving", streams_until, answer_at, end_at):
+                leave_soon(streams_until=streams_until, answer_at=answer_at, end_at=end_at)
             case ("froze",):
                 cold.froze(now)
             case ("short", s):
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -133,7 +133,7 @@
                 return (part,)
             case ("order" | "gone" | "ran" | "drain" | "drained", *_):
                 return ("path",)
-            case ("request" | "tried", *_):
+            case ("request" | "tried" | "leaving", *_):
                 return ("forward",)
             case ("read" | "asked", *_):
                 return ("catalog",)
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -27,6 +27,7 @@
     "ask_wait": c.span(default=td(seconds=1)),  # news long-ask
     "alone": c.span(default=td(seconds=4)),  # no confirmed news: start nothing
     "aged": c.span(default=td(seconds=2)),  # a core whose proof is older is passed over for another (5.7)
+    "certain": c.span(default=td(seconds=2.5)),  # with an older proof no request is refused for want of a route (5.7)
     "trust": c.flag(default=False),  # start with news that nobody has proved newer than this life
     "probe": c.span(default=td(milliseconds=500)),
     "stale": c.span(default=td(seconds=3)),  # a replica's status too old
--- a/silverglade/rehearsal/callers.py
+++ b/silverglade/rehearsal/callers.py
@@ -13,6 +13,7 @@
 from .world import World
 
 BOUNDS = Bounds()
+HOLDERS = 4  # one client in so many holds on to where to go for three times as long
 GOOD, AGAIN = (100,), (503, 504, 705)
 
 
@@ -222,7 +223,7 @@
         )
 
     def go(self, *, row, z, r, path, body, parts, tokens, due, tries, last):
-        ns = self.f.fronts(z)
+        ns = self.f.fronts(z, held=self.n % HOLDERS == 0)
         if not ns or due < 20 * MS:
             return
         again = r["kind"] == "pure" or r["kind"] == "streaming" and r.get("resumable", False)
--- a/silverglade/rehearsal/courier.py
+++ b/silverglade/rehearsal/courier.py
@@ -154,6 +154,17 @@
             self.hang(way)
             self.tell(trip, "gone")
 
+    def conclude(self):
+        """The daemon ends soon: what has given its client nothing is answered, as the shell does it."""
+        for way in [w for w in self.ways.values() if not w.started]:
+            trip = way.trip or Trip(way.rid, 0, {}, way)
+            status = 502 if way.trip and way.trip.sent is not None else 503
+            del self.ways[way.rid]
+            self.hang(way)
+            way.start(status, None, 0.1)
+            way.end(True, own=True)
+            self.tell(trip, "gone")
+
     def hang(self, way):
         if way.trip:
             way.trip.over = True
--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -12,6 +12,7 @@
 from .rules import Rules, seal
 
 TTL = 2 * SEC  # how long clients hold on to where to go
+HELD = 3 * TTL  # how long some of them do
 LIST = "platform"  # the place where the list is, for links that are cut
 LAG = 0.8 * SEC  # how far the list of replicas trails
 PATIENCE = 0.2 * SEC  # a client waits a little longer than it says
@@ -118,7 +119,8 @@
                 case ("body", _, data) if getattr(trip, "fail", None):
                     f.rules.failed(a, trip.run, trip.fail, data)
                 case ("cut" | "garbage", *_) | ("head", _, 200, None):
-                    f.rules.broke.add(a)
+                    if not self.cut_short(trip):
+                        f.rules.broke.add(a)
             if e[0] == "more" and e[2] == "late":
                 self.w.after(timedelta(milliseconds=self.w.rng.randrange(30, 400)), trip.conn.down.push, trip, e)
             else:
@@ -127,6 +129,11 @@
                 self.trips.pop(e[1], None)
         self.wake()
 
+    def cut_short(self, trip):
+        """Does it break off since the daemon gave it less time than the client has?"""
+        given, has = trip.sent + trip.t["deadline_ms"] * MS, trip.way.sent.at + trip.way.sent.due
+        return self.w.now >= given and given < has - SEC / 10
+
     def wake(self):
         due = self.e.due()
         if due is not None and (self.at is None or due < self.at):
@@ -153,7 +160,7 @@
         self.couriers, self.seats, self.lives, self.addrs = {}, {}, 0, {}
         self.mode, self.forgets, self.history = "", 0.0, []  # mode of the list: "", slow, part, down, busy
         self.busy, self.planned = [], set()  # places in trouble now, see faults; those by plan
-        self.unrest, self.known = ZERO, {}  # the last unplanned trouble; zone -> daemons its clients know
+        self.unrest, self.known = ZERO, {}  # the last unplanned trouble; zone -> (when, daemons) that its clients were told, oldest first
         world.field = self
         for r in seats:
             self.start(r, warm=True)
@@ -296,16 +303,25 @@
             if not done:
                 done.append(1)
                 if code == 100 and kw.get("fronts"):
-                    self.known[zone] = tuple(kw["fronts"])
+                    self.known[zone] = [(t, ns) for t, ns in self.known.get(zone, ()) if self.w.now - t < HELD] + [
+                        (self.w.now, tuple(kw["fronts"]))
+                    ]
                 else:
                     self.resolve(zone, turn + 1)
 
         self.w.after(SEC, lambda: got(0, {}))
         self.w.call(cores[turn].name, "fronts", (self.w.region[zone], zone), got)
 
-    def fronts(self, zone):
-        """Daemons that a client of this zone may choose from: it passes over those that take no connection."""
-        return [n for n in map(self.w.nodes.get, self.known.get(zone, ())) if n.hub is not None]
+    def fronts(self, zone, *, held=False):
+        """Daemons that a client of this zone may choose from: it passes over those that take no connection.
+
+        held: it holds on to an answer for three times as long as told.
+        """
+        answers = self.known.get(zone, ())
+        names = answers[-1][1] if answers else ()
+        if held and answers and set(answers[0][1]) != set(names):
+            names = answers[0][1]
+        return [n for n in map(self.w.nodes.get, names) if n.hub is not None]
 
 
 class Way:
--- a/silverglade/rehearsal/mishaps.py
+++ b/silverglade/rehearsal/mishaps.py
@@ -1,10 +1,9 @@
 """Faults of runs that forward (design 15): of daemons as ever, of replicas, lists, operators and clients."""
 
+from ..leaving import timetable
 from .asks import KINDS, MS, SEC
 from .faults import Faults, secs
-from .forwarding import LIST
-
-GRACE = 8
+from .forwarding import HELD, LIST
 
 
 class Mishaps(Faults):
@@ -124,18 +123,21 @@
         if n.hub is None or n.frozen is not None or not self.take(name):
             return
         self.planned.add(name)
-        life, asked = n.life, self.w.now
+        life, b = n.life, self.f.rules.b
+        times = timetable(told_at=self.w.now, grace=b.grace, linger=HELD, cut_streams_for=b.cut_streams_for)
+        self.f.rules.stopped[life] = self.w.now
         n.feed(("drain",))
+        n.feed(("leaving", times.streams_until, times.answer_at, times.end_at))
         n.feed(("state", "leaving"))
         self.w.note("term", name)
 
         def look():
             if n.life != life or n.hub is None:
                 return self.free(name)
-            late = self.w.now - asked > secs(GRACE)
-            if not late and (c.ways or self.w.now - asked < secs(5)):
-                return self.w.after(100 * MS, look)
-            self.f.rules.broke |= {w.sent.attempt for w in c.ways.values() if w.trip and w.trip.run}
+            if self.w.now < times.end_at and (c.ways or self.w.now < times.quiet_at):
+                if self.w.now >= times.answer_at:
+                    c.conclude()
+                return self.w.after(50 * MS, look)
             n.feed(("state", "left"))
             n.kill()
             return self.later(0.5, self.back, name)
--- a/silverglade/rehearsal/rules.py
+++ b/silverglade/rehearsal/rules.py
@@ -23,6 +23,8 @@
     contact: timedelta = 5 * SEC
     drain: timedelta = 5 * SEC
     lost: timedelta = 200 * MS  # after its last byte, a whole request that was read has to be answered
+    grace: timedelta = 8 * SEC  # from a SIGTERM to the kill
+    cut_streams_for: timedelta = 3 * SEC  # what is sent later after a SIGTERM ends whole, or is answered by the daemon
     apply: timedelta = 3 * SEC
     revert: timedelta = 250 * MS
     ratio: float = 0.2
@@ -66,6 +68,7 @@
         self.floor = {}  # daemon's life -> (number seen in effect, since when)
         self.said = defaultdict(list)  # attempt -> failures and refusals of its replicas
         self.broke = set()  # attempts whose replica broke off
+        self.stopped = {}  # daemon's life -> when it was told to stop
         self.denied = 0
 
     def bad(self, now, rule, *what):
@@ -121,7 +124,8 @@
         g["ended"] = (now, whole)
         if not whole:
             if calm and now < s.at + s.due and attempt not in self.broke and (self.reached[attempt] or now > s.at + self.b.lost):
-                self.bad(now, "LOST", attempt, s.life, round((now - s.at) / SEC, 3))
+                if not self.outlived(now, s):
+                    self.bad(now, "LOST", attempt, s.life, round((now - s.at) / SEC, 3))
             return None
         if not 200 <= g["status"] < 300:
             if (
@@ -140,6 +144,13 @@
             self.bad(now, "MIXED", attempt, "not the replica's whole body", g["body"][:60])
         return None
 
+    def outlived(self, now, s):
+        """Was a replica still at work on it in the last sixth of the daemon's grace, for a request sent soon after the stop?"""
+        told_at = self.stopped.get(s.life)
+        if told_at is None or not self.by[s.attempt]:
+            return False
+        return s.at <= told_at + self.b.cut_streams_for and now >= told_at + self.b.grace * 5 / 6
+
     def complete(self, now, g, s):
         stride = max((self.runs[r]["stride"] for r in self.by[s.attempt]), default=1)
         most = max(pieces(s.body, s.tokens[1], stride), s.last)
--- /dev/null
+++ b/tests/test_conclude.py
@@ -0,0 +1,65 @@
+"""The last moment of a daemon that leaves (design 15.9), over real sockets: an answer, not a cut, for what has begun nothing."""
+
+import asyncio
+
+from .scripted import answer, event, scene, stream
+from .test_forwarding import says
+
+
+async def conclude_after(c, d, word):
+    """Ask, wait until the part was told `word` (None: not at all), conclude, and read what comes."""
+    d.draining = True
+    await c.ask()
+    while not d.shell.asks:
+        await d.news.wait()
+    if word:
+        await d.heard(word)
+    d.shell.conclude()
+    return await c.answer(), await c.closed()
+
+
+def test_a_request_that_no_replica_has_is_told_to_go_elsewhere():
+    async def talk(c, d, rep, client):
+        return await conclude_after(c, d, None)
+
+    (got, closed), d, rep = scene(says(answer("a1")), talk, part=lambda addr: lambda ev: ())
+    status, headers, body, whole = got
+    assert (status, whole, closed, headers["connection"]) == (503, True, True, "close")
+    assert float(headers["retry-after"]) > 0 and b"811" in body and rep.conns == []
+
+
+def test_a_request_that_a_replica_has_is_answered_without_a_promise():
+    async def script(c):
+        await c.request()
+        c.replica.at_work.set()
+        await c.closed()
+
+    async def talk(c, d, rep, client):
+        rep.at_work = asyncio.Event()
+        d.draining = True
+        await c.ask()
+        await rep.at_work.wait()
+        d.shell.conclude()
+        return await c.answer(), await c.closed()
+
+    (got, closed), d, _ = scene(script, talk)
+    assert (got[0], got[3], closed, got[1]["connection"]) == (502, True, True, "close") and d.words() == [(1, "gone")]
+
+
+def test_a_stream_that_has_begun_is_not_touched():
+    async def script(c):
+        await c.request()
+        await c.say(stream("a1", event(1), last=False))
+        await c.replica.go_on.wait()
+        await c.say(f"{len(event(2)):x}\r\n{event(2)}\r\n0\r\n\r\n")
+
+    async def talk(c, d, rep, client):
+        rep.go_on = asyncio.Event()
+        await c.ask()
+        await d.heard("first")
+        d.shell.conclude()
+        rep.go_on.set()
+        return await c.answer()
+
+    got, d, _ = scene(script, talk)
+    assert got[2] == (event(1) + event(2)).encode() and got[3]
--- /dev/null
+++ b/tests/test_departure.py
@@ -0,0 +1,131 @@
+"""A daemon that is told to stop (design 15.9): what it takes late ends whole or is answered; incident lost-after-stop."""
+
+from datetime import timedelta
+
+import pytest
+
+from silverglade.forward.departure import Departure, Durations
+from silverglade.rehearsal import callers
+from silverglade.rehearsal.callers import Scene
+from silverglade.rehearsal.mishaps import Mishaps
+
+from .test_forward import Bench, one, rep, route
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture(autouse=True)
+def every_client_holds_on_to_its_addresses(monkeypatch):
+    monkeypatch.setattr(callers, "HOLDERS", 1)
+
+
+def crowded_roll(seed, town="banyan", rate=6.0, long=0.25):
+    """Daemons stopped one after the other while answers take long -> (scene, what was broken)."""
+    scene = Scene(town=town, seed=seed)
+    scene.settle()
+    scene.rate, scene.long = rate, long
+    scene.traffic()
+    mishaps = Mishaps(scene, most=1)
+    scene.w.run(6)
+    for name in [n.name for n in scene.w.nodes.values() if not n.core][:3]:
+        mishaps.term(name)
+        scene.w.run(10)
+    scene.open = False
+    scene.w.run(20)
+    return scene, scene.r.faults
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_nothing_that_was_taken_late_is_given_up(seed):
+    scene, broken = crowded_roll(seed)
+    assert [b for b in broken if b[1] == "LOST"] == []
+
+
+class Leaver(Bench):
+    """A part that served a stream of 2 s and a plain request of 0.5 s lately, and is told to stop 10 s later."""
+
+    def __init__(self):
+        super().__init__(
+            route(due_ms=15000), route("p", prefix="/p/", kind="pure", due_ms=15000, tries=3), reps=[rep(str(i)) for i in range(6)]
+        )
+        for path, seconds in (("/r/x", 2), ("/p/x", 0.5)):
+            rid, _ = self.ask(path)
+            self.go(seconds)
+            self.tried(rid, 1, "done")
+        self.go(10)
+
+    def leave(self):
+        self.feed("leaving", *(self.now + t * SECOND for t in (2.75, 6.5, 7)))
+
+
+def answered(effects):
+    """-> (status, code) of an answer of the daemon's own."""
+    _, _, status, wait, code = one(effects, "answer")
+    assert (wait is not None) == (status == 503)
+    return status, code
+
+
+def test_a_stream_is_taken_early_if_it_can_be_expected_to_end_and_refused_at_once_later():
+    b = Leaver()
+    b.leave()
+    for step in (0, 1, 0.5):
+        b.go(step)
+        one(b.ask(deadline_ms=15000)[1], "try")
+    b.go(1.5)  # 3 s after the signal: there would be time, but nothing may be promised
+    assert answered(b.ask(deadline_ms=15000)[1]) == (503, 811)
+    one(b.ask(deadline_ms=3000)[1], "try")  # its own deadline comes first
+    one(b.ask("/p/x", deadline_ms=15000)[1], "try")  # answered whole or not at all
+    b.go(3)
+    assert answered(b.ask("/p/x", deadline_ms=15000)[1]) == (503, 811)
+
+
+def test_what_nothing_is_known_of_is_not_taken():
+    b = Bench(route(due_ms=15000))
+    Leaver.leave(b)
+    assert answered(b.ask(deadline_ms=15000)[1]) == (503, 811)
+    one(b.ask(deadline_ms=4000)[1], "try")
+
+
+def test_requests_under_way_tell_how_long_answers_take_now():
+    b = Leaver()
+    b.ask(deadline_ms=15000)
+    b.go(5.5)  # longer than any that ended
+    b.leave()
+    assert answered(b.ask(deadline_ms=15000)[1]) == (503, 811)
+
+
+def test_no_replica_is_given_more_time_than_the_daemon_has():
+    b = Leaver()
+    before, _ = b.ask("/p/x", deadline_ms=15000)
+    b.leave()
+    assert one(b.ask(deadline_ms=15000)[1], "try")[3]["deadline_ms"] <= 7000
+    b.go(4)
+    assert one(b.tried(before, 1, "lost", "ReadError"), "try")[3]["deadline_ms"] <= 2500
+    b.go(2)
+    assert answered(b.tried(before, 2, "lost", "ReadError")) == (502, 808)  # no time for another: it may have run
+
+
+def test_the_longest_of_a_route_is_remembered_for_a_while():
+    durations, at = Durations(), 100 * SECOND
+    durations.ended(at, "r", 3 * SECOND)
+    durations.ended(at + SECOND, "r", SECOND)
+    assert durations.longest(at + 29 * SECOND, "r") == 3 * SECOND
+    assert durations.longest(at + 29 * SECOND, "other") is None
+    durations.ended(at + 31 * SECOND, "r", SECOND)
+    assert durations.longest(at + 32 * SECOND, "r") == 3 * SECOND
+    durations.ended(at + 62 * SECOND, "r", SECOND)
+    assert durations.longest(at + 63 * SECOND, "r") == SECOND
+    assert durations.longest(at + 130 * SECOND, "r") is None
+
+
+def test_without_the_guard_late_streams_are_given_up(monkeypatch):
+    monkeypatch.setattr(Departure, "may_start", lambda self, now, **_: True)
+    assert any(b[1] == "LOST" for seed in range(6) for b in crowded_roll(seed)[1])
+
+
+def test_a_leaving_daemon_refuses_few_and_nothing_else_is_broken():
+    for seed in range(3):
+        scene, broken = crowded_roll(seed)
+        assert broken == []
+        served, sent = scene.r.served(timedelta(0), scene.w.now)
+        assert served > 0.9 * sent
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -12,6 +12,7 @@
 from silverglade.part import start
 
 SEC = timedelta(seconds=1)
+OPT = tuning()
 ZONES = {"a1": {"region": "a"}, "b1": {"region": "b"}, "c1": {"region": "c"}}
 
 
@@ -53,8 +54,10 @@
         self.now += timedelta(seconds=secs)
         return self.feed("pulse")
 
-    def ask(self, path="/r/x", host="h", attempt=None, **kw):
+    def ask(self, path="/r/x", host="h", attempt=None, proved=0.0, **kw):
+        """proved: seconds since the proof that what is held is the newest; None: there is none."""
         self.n += 1
+        self.feed("fresh", None if proved is None else self.now - timedelta(seconds=proved))
         f = dict(
             host=host,
             path=path,
@@ -116,8 +119,14 @@
     assert status == 503 and rest[0] > 0
 
 
-def test_unknown_route_is_404():
-    assert one(Bench(route()).ask("/q/")[1], "answer")[2] == 404
+def test_unknown_route_is_404_only_from_one_who_is_sure_of_its_configuration():
+    b = Bench(route())
+    assert one(b.ask("/q/")[1], "answer")[2] == 404
+    assert one(b.ask("/q/", proved=OPT["certain"] / SEC)[1], "answer")[2] == 404
+    for proved in (OPT["certain"] / SEC + 0.01, 60, None):
+        _, _, status, wait, code = one(b.ask("/q/", proved=proved)[1], "answer")
+        assert (status, code) == (503, 812) and wait > 0
+        one(b.ask(proved=proved)[1], "try")  # a route that is known is served on
 
 
 @pytest.mark.parametrize("kind, resumable", [("effectful", False), ("streaming", False)])
--- a/tests/test_forwarding_ends.py
+++ b/tests/test_forwarding_ends.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
-from silverglade.daemon import forwarding, upstream
+from silverglade.daemon import forwarding, silence, upstream
 
 from .scripted import Daemon, answer, chunk, event, one, scene, stream
 from .test_events import cuts, text, whole
@@ -252,32 +252,32 @@
     async def go():
         d = Daemon(lambda ev: ())
         now = [100.0]
-        monkeypatch.setattr(forwarding.time, "monotonic", lambda: now[0])
+        monkeypatch.setattr(silence.time, "monotonic", lambda: now[0])
 
         def row(patience, *, pause=None, started=False):
             a = Stands(rid="r1", started=started, last=None)
             tcp = SimpleNamespace(heard=0.0, peer=peer)
-            d.shell.listen(a, 1, SimpleNamespace(patience=patience, pause=pause), SimpleNamespace(tcp=tcp))
+            d.shell.silence.begin(a, 1, SimpleNamespace(patience=patience, pause=pause), SimpleNamespace(tcp=tcp))
             return a
 
         peer = [0.0]
         quiet, other = row(SHORT), row(None)
         stream = row(SHORT * 100, pause=SHORT, started=True)
-        assert quiet in d.shell.live and other not in d.shell.live
+        assert quiet in d.shell.silence.under_way and other not in d.shell.silence.under_way
         now[0] += 0.02
-        d.shell.look()
-        assert not d.shell.words  # not long enough
+        d.shell.silence.look()
+        assert not d.shell.silence.reports  # not long enough
         now[0], peer[0] = 100.1, 100.09
-        d.shell.look()
-        assert not d.shell.words  # bytes came on another connection
+        d.shell.silence.look()
+        assert not d.shell.silence.reports  # bytes came on another connection
         now[0] = 100.2
-        d.shell.look()
-        assert len(d.shell.words) == 2  # the quiet one, and the stream by its own measure
-        d.shell.look()
-        assert len(d.shell.words) == 2  # told once, until as long has gone by again
-        await asyncio.gather(*d.shell.words)
-        del d.shell.live[quiet], d.shell.live[stream]
-        d.shell.timer.cancel()
+        d.shell.silence.look()
+        assert len(d.shell.silence.reports) == 2  # the quiet one, and the stream by its own measure
+        d.shell.silence.look()
+        assert len(d.shell.silence.reports) == 2  # told once, until as long has gone by again
+        await asyncio.gather(*d.shell.silence.reports)
+        del d.shell.silence.under_way[quiet], d.shell.silence.under_way[stream]
+        d.shell.silence.timer.cancel()
         assert [e[3] for e in d.told] == ["silent", "silent"]
 
     asyncio.run(go())
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,36 +6,52 @@
 import anyio.lowlevel
 import pytest
 
-from silverglade.daemon import run
+from silverglade.daemon import departure
+from silverglade.leaving import timetable
 
 from .test_lanes import daemon
 
 SEC = timedelta(seconds=1)
 
 
-def leave(monkeypatch, step, *, grace=8 * SEC, linger=0 * SEC, most=400, core=False):
-    """Drains on a clock that goes on with each wait; `step(daemon, seconds)` -> when it shut its door, and ended."""
-    now = [0.0]
+class Request:
+    """A client's request under way, as the shell holds it."""
+
+    def __init__(self, *, started=True):
+        self.rid, self.started, self.told = "r1", started, []
+
+    def put(self, effect):
+        self.told.append(effect)
+
+
+def leave(monkeypatch, step, *, grace=8 * SEC, linger=0 * SEC, most=400, core=False, told_at=None, before=lambda d: None):
+    """Leaves on a clock that goes on with each wait; `step(daemon, seconds)` -> when it shut its door, and ended."""
+    now = [0.0 if told_at is None else 20.0]
+    begun = now[0]
 
     async def wait(t):
         now[0] += t
-        step(d, now[0])
+        step(d, now[0] - begun)
         assert now[0] < most
         await anyio.lowlevel.checkpoint()
 
     class Door:
         def set(self):
-            self.at = now[0]
+            self.at = now[0] - begun
+
+    async def go():
+        await departure.leave(d, told_at=told_at)
 
     d = daemon()
     d.closing, d.store = Door(), core
-    d.outer = type("Outer", (), {"grace": grace, "linger": linger, "front": "x"})() if grace else None
-    monkeypatch.setattr(run.anyio, "sleep", wait)
-    monkeypatch.setattr(run, "clock", lambda: timedelta(seconds=now[0]))
+    d.outer = type("Outer", (), {"grace": grace, "linger": linger, "front": "x", "cut_streams_for": 3 * SEC})() if grace else None
+    monkeypatch.setattr(departure.anyio, "sleep", wait)
+    monkeypatch.setattr(departure, "clock", lambda: timedelta(seconds=now[0]))
+    before(d)
     step(d, 0)
-    anyio.run(d.drain)
+    anyio.run(go)
     assert d.draining and d.stopping.is_set()
-    return d.closing.at, now[0]
+    return d.closing.at, now[0] - begun
 
 
 def test_what_is_idle_leaves_at_once(monkeypatch):
@@ -52,7 +68,7 @@
 
 def test_requests_under_way_end_first(monkeypatch):
     def step(d, t):
-        d.shell.asks = {"r1": 1} if t < 2 else {}
+        d.shell.asks = {"r1": Request()} if t < 2 else {}
 
     closing, stopping = leave(monkeypatch, step)
     assert 2 <= closing < stopping + 0.1 < 3
@@ -60,7 +76,7 @@
 
 def test_the_door_shuts_half_way_and_the_rest_still_ends(monkeypatch):
     def step(d, t):
-        d.shell.asks = {"r1": 1} if t < 6 else {}
+        d.shell.asks = {"r1": Request()} if t < 6 else {}
         d.open = {1} if t < 6.5 else set()  # an answer still on its way out
 
     closing, stopping = leave(monkeypatch, step)
@@ -69,7 +85,7 @@
 
 def test_the_time_given_is_kept(monkeypatch):
     def step(d, t):
-        d.shell.asks, d.open = {"r1": 1}, {1}
+        d.shell.asks, d.open = {"r1": Request()}, {1}
 
     assert leave(monkeypatch, step)[1] == pytest.approx(7, abs=0.2)
     assert leave(monkeypatch, step, grace=None)[1] == pytest.approx(30, abs=0.7)
@@ -91,3 +107,71 @@
 
     assert 2 <= leave(monkeypatch, step, grace=grace, core=True)[1] < 3
     assert leave(monkeypatch, lambda d, t: None, grace=grace, core=True)[1] == pytest.approx(end, abs=0.5)
+
+
+def test_what_has_given_its_client_nothing_is_answered_before_the_end(monkeypatch):
+    waiting, begun = Request(started=False), Request()
+
+    def step(d, t):
+        d.shell.asks = {"r1": waiting, "r2": begun}
+
+    _, stopping = leave(monkeypatch, step, linger=6 * SEC)
+    assert waiting.told == [("concluded", "r1")] and begun.told == []
+    assert stopping == pytest.approx(7, abs=0.1)
+
+
+def test_orders_and_calls_that_still_wait_are_answered_before_the_end(monkeypatch):
+    results, call = [], [anyio.Event(), None]
+
+    def before(d):
+        d.result = lambda order, kind, rest: results.append((order, kind, *rest))
+        d.relays, d.calls = {"o1": 1}, {"c1": call}
+
+    leave(monkeypatch, lambda d, t: None, before=before)
+    assert results == [("o1", "fault", 405, "maybe", 1000)]
+    assert call[1] == (503, {}) and call[0].is_set()
+
+
+def test_the_grace_runs_from_the_signal_not_from_the_time_at_which_the_loop_got_to_it(monkeypatch):
+    def step(d, t):
+        d.shell.asks, d.open = {"r1": Request()}, {1}
+
+    assert leave(monkeypatch, step, told_at=timedelta(seconds=18.5))[1] == pytest.approx(5.5, abs=0.2)
+
+
+def test_a_second_signal_changes_nothing(monkeypatch):
+    async def go():
+        d = daemon()
+        d.draining = True
+        await departure.leave(d)
+        return d.stopping.is_set()
+
+    assert anyio.run(go) is False
+
+
+def test_the_time_of_a_signal_is_noted_while_the_loop_is_busy():
+    import os
+    import signal
+    import time
+
+    async def go():
+        times = departure.SignalTimes()
+        with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+            times.watch()
+            at = time.monotonic()
+            os.kill(os.getpid(), signal.SIGTERM)
+            while time.monotonic() - at < 0.3:  # a turn of the loop that takes long
+                pass
+            async for _ in signals:
+                return times.told_at.total_seconds() - at
+
+    assert 0 <= anyio.run(go) < 0.1
+
+
+def test_the_timetable_is_in_order_and_ends_in_the_last_sixth_of_any_grace():
+    for grace in (2, 4, 8, 30):
+        for linger in (0, 3, 6, 60):
+            t = timetable(told_at=5 * SEC, grace=grace * SEC, linger=linger * SEC, cut_streams_for=3 * SEC)
+            assert 5 * SEC <= t.quiet_at <= t.close_by < t.answer_at < t.end_at <= (5 + grace) * SEC
+            assert t.end_at - 5 * SEC >= grace * SEC * 5 / 6
+            assert t.streams_until < 8 * SEC
