--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -152,8 +152,8 @@
     def in_time(q, now):
         """Can it be expected to end before this daemon does?"""
         name = q.route["name"]
-        running = (now - x.born for x in reqs.values() if x.live and x.route["name"] == name)
-        return departure.may_start(now, route=q.route, due=q.own_due, running=running)
+        running = ((now - x.born, x.weight) for x in reqs.values() if x.live and x.route["name"] == name)
+        return departure.may_start(now, route=q.route, due=q.own_due, work=q.weight, running=running)
 
     def certain(now):
         """Is what is held surely as new as all that must be in force by now? Else "no such route" says too much."""
@@ -226,7 +226,7 @@
                 if r:
                     r.worked(now)
                 out.append(("post", "need", ("served", q.service, (now - q.at).total_seconds())))
-                departure.durations.ended(now, q.route["name"], now - q.born)
+                departure.durations.ended(now, q.route["name"], now - q.born, q.weight)
                 end(q)
             case "unsent":
                 q.sent, q.arrivals = q.sent - 1, q.arrivals - 1  # nothing of it arrived
