News after a cut: links give up what nobody takes; an old proof makes a daemon ask another core

A link between daemons whose bytes a cut holds up is sent again by the kernel at ever longer intervals (0.2, 0.4, ... 6.4 s), so it stays dead for up to as long again as the cut lasted: longer than the 4 s after which a machine is in touch. Nothing ended such a connection. Two more, by reading: a refused attempt to connect lost the message that waited and was not made again before the next one; and the proof's age was looked at only when an answer came, so that a core that falls behind just then costs 0.6 of the bound plus a whole long ask (worked out: 2.9 of 3 s; measured 2.3).

Change: TCP_USER_TIMEOUT of 2 s on links, connections are tried for 0.5 s with pauses of 0.25 s at most, at once when the peer is heard; what waits is kept for its 2 s. With a proof older than `hedge_after` a daemon asks another core besides, as one who lacks the last change, so that it is answered at once, and one more after `hedge_gap`, growing; not while answers take long on the way.

test_proxy_cut: the planted breach took out one guard of what are now two; it takes out both, and each alone is shown to do.

--- a/silverglade/news.py
+++ b/silverglade/news.py
@@ -7,6 +7,12 @@
 ASKS_KEPT = 8
 
 
+def before(version):
+    """The version just before one that was acknowledged."""
+    epoch, number = version
+    return (epoch, number - 1) if number else version
+
+
 def news(*, me, zone, region, core, addr, seeds, opt, rng):
     """Casts ("book", book, version) and ("fresh", time of the last confirmed news).
 
@@ -19,6 +25,8 @@
     unproved_since = None  # when the first answer of this life came
     at, last, due, turn = (), None, ZERO, rng.randrange(len(seeds) or 1)
     asks = {}  # number -> (when, position) of those without an answer: over a slow link one may come late
+    unproved_from, gap = None, opt["hedge_gap"]  # since when there is no proof at all; until the next core is asked besides
+    transit = ZERO  # how long the last answer was on its way: over a slow link no more is asked for meanwhile
 
     def near(now):
         """The nearest core that nothing speaks against; else the one that may be tried again first."""
@@ -40,7 +48,26 @@
             return "@" + others[turn % len(others)]
         return c
 
-    def ask(now):
+    def overdue():
+        """When another core is asked besides the one that has not answered: the proof that is held has grown old."""
+        return max((unproved_from if fresh is None else fresh) + opt["hedge_after"], pend[2] + max(gap, 2 * transit))
+
+    def hedge(now):
+        """Ask another core, which answers at once; the one that was asked may be behind, cut off or silent."""
+        nonlocal gap
+        silent = now - pend[2] > opt["ask_wait"] + opt["beat"] * 2
+        bad[pend[1]] = now + opt["gone" if silent else "settle"]
+        if not silent:
+            out.append(log("news-overdue", core=pend[1], age_ms=ms(now - fresh) if fresh is not None else -1))
+        gap = min(gap * 2, opt["ask_wait"] + opt["beat"] * 2)
+        ask(now, urgent=True)
+
+    def give_up_at():
+        """When the core that was asked is passed over for another."""
+        return min(pend[2] + opt["ask_wait"] + opt["beat"] * 2, overdue())
+
+    def ask(now, urgent=False):
+        """urgent: as one who lacks the last change, so that a core which has it does not hold the request."""
         nonlocal pend, last
         c = near(now)
         if c is None:
@@ -53,27 +80,26 @@
             last = c
             out.append(("post", "roster", ("core", c)))
             out.append(("post", "proxy", ("core", c, any(r[0] == c and r[8] for r in roll))))
-        out.append(("post", "news", ("go", c, pend[0])))
+        out.append(("post", "news", ("go", c, pend[0], before(held) if urgent else held)))
 
     while True:
         now, ev = yield tuple(out)
         out = []
-        born = born or now
+        born, unproved_from = born or now, unproved_from or now
         match ev:
             case ("pulse",):
                 if pend is None and now >= due:
                     ask(now)
-                elif pend and now - pend[2] > opt["ask_wait"] + opt["beat"] * 2:
-                    bad[pend[1]] = now + opt["gone"]
-                    ask(now)
-                out.append(("due", pend[2] + opt["ask_wait"] + opt["beat"] * 2 if pend else max(due, now)))
+                elif pend and now > give_up_at():
+                    hedge(now)
+                out.append(("due", give_up_at() if pend else max(due, now)))
             case ("roll", r):
                 roll = r
             case ("seeds", s):  # the settings were read again: those of before are asked no more
                 seeds = s
                 bad = {c: t for c, t in bad.items() if not c.startswith("@")}
-            case ("go", c, n):
-                out.append(send(c, "get", n, held, at))
+            case ("go", c, n, version):
+                out.append(send(c, "get", n, version, at))
             case ("at", pos):
                 at = at if pos is None else pos
                 if pend is None and now >= due:
@@ -82,11 +108,12 @@
                     else:
                         ask(now)
             case ("froze",):
-                fresh = None
+                fresh, unproved_from = None, now
                 out.append(("cast", ("fresh", None)))
                 ask(now)
             case ("msg", frm, ("news", n, v, items, age, held_ms, delta)) if n in asks:
                 asked, asked_at = asks.pop(n)
+                transit = max(ZERO, now - asked - span(held_ms))
                 late = not pend or n != pend[0]
                 if not late:
                     pend = None
@@ -124,7 +151,7 @@
                     if any(k == "config" or k.startswith("evac/") for k, _, _ in new):
                         out.append(log("news", version=f"{held[0]}.{held[1]}", keys=",".join(k for k, _, _ in new)[:200]))
                 if age >= 0 and (fresh is None or f > fresh):
-                    fresh = f
+                    fresh, gap = f, opt["hedge_gap"]
                     out.append(("cast", ("fresh", fresh)))
                 if aged:
                     bad[frm] = now + opt["settle"]
--- a/silverglade/options.py
+++ b/silverglade/options.py
@@ -27,6 +27,8 @@
     "ask_wait": c.span(default=td(seconds=1)),  # news long-ask
     "alone": c.span(default=td(seconds=4)),  # no confirmed news: start nothing
     "aged": c.span(default=td(seconds=2)),  # a core whose proof is older is passed over for another (5.7)
+    "hedge_after": c.span(default=td(milliseconds=2200)),  # with an older proof another core is asked besides (5.7)
+    "hedge_gap": c.span(default=td(milliseconds=350)),  # and after so long one more; twice as long each time
     "certain": c.span(default=td(seconds=2.5)),  # with an older proof no request is refused for want of a route (5.7)
     "trust": c.flag(default=False),  # start with news that nobody has proved newer than this life
     "probe": c.span(default=td(milliseconds=500)),
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from .. import wire
+from ..daemon import links
 from ..daemon.lanes import lane
 from ..hub import Hub
 from ..messages import MOST, SHAPES
@@ -50,6 +51,43 @@
     return (*r[:3], (*r[3], "more"), *r[4:]) if len(r) > 4 and isinstance(r[3], tuple) and len(r[3]) in (10, 12) else r
 
 
+class StuckLinks:
+    """Connections with bytes that a cut holds up: sent again at ever longer intervals, so that they stay stuck beyond the cut.
+
+    Those that the daemons give up on (daemon/links.py) are replaced by new ones soon after it.
+    """
+
+    def __init__(self):
+        self.links = {}  # way -> [when its bytes were first held up, when last, when it moves again or None]
+
+    def holds(self, way, now, is_open):
+        """Is what is sent on this way now held up or lost?"""
+        link = self.links.get(way)
+        if not is_open:
+            if link is None:
+                link = self.links[way] = [now, now, None]
+            link[1:] = now, None
+            return True
+        if link is None:
+            return False
+        if link[2] is None:
+            link[2] = self.moves_at(*link[:2])
+        if now >= link[2]:
+            del self.links[way]
+        return way in self.links
+
+    @staticmethod
+    def moves_at(since, until):
+        """When a connection whose bytes were held up from then until then takes bytes again."""
+        untaken = span(links.UNTAKEN)
+        if until - since >= untaken:  # ended and made anew
+            return until + timedelta(seconds=links.CONNECT + links.LONGEST_PAUSE)
+        again, wait = since, span(200)
+        while again < until:
+            again, wait = again + wait, 2 * wait
+        return min(again, max(until, since + untaken) + timedelta(seconds=links.CONNECT + links.LONGEST_PAUSE))
+
+
 class Node:
     def __init__(self, *, world, name, zone, region, core, n):
         self.w, self.name, self.zone, self.region, self.core = world, name, zone, region, core
@@ -148,7 +186,7 @@
         self.named, self.tolerance = self.cores[:3], tolerance  # as in the settings
         self.seeds = tuple(self.nodes[c].addr for c in self.named)
         self.by_addr = {n.addr: n for n in self.nodes.values()}
-        self.delay, self.cuts, self.links, self.trace = delay_ms, set(), {}, []
+        self.delay, self.cuts, self.links, self.trace, self.stuck = delay_ms, set(), {}, [], StuckLinks()
         self.region = {z: d["region"] for z, d in config["zones"].items()}
         self.config, self.calls, self.asked, self.jobs = config, {}, {}, {}
         self.oracle, self.reps, self.field = Oracle(world=self), 0, None  # field: what is forwarded (15)
@@ -202,10 +240,10 @@
         if self.num % 16 == 0:  # some go through the codec, all could
             body = wire.unpack(wire.pack(frm=frm.name, life=frm.life, body=body)[4:])[2]
         self.oracle.watch.sent(frm, n, body)
-        if not self.open(frm.name, n.name) or self.rng.random() < self.loss:
-            return
         bulk = body[0] in wire.BULK  # a connection of its own, as in daemons (3.1)
         way = (frm.life, n.name, "bulk" if bulk else lane(body[0]))
+        if self.stuck.holds(way, self.now, self.open(frm.name, n.name)) or self.rng.random() < self.loss:
+            return
         at = max(self.now + self.hop(frm.zone, n.zone), self.links.get(way, ZERO))
         if bulk and self.rate:
             at += timedelta(seconds=len(wire.pack(frm=frm.name, life=frm.life, body=body)) / self.rate)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -151,6 +151,12 @@
     def __init__(self, chunks):
         self.chunks, self.shut = list(chunks), False
 
+    def extra(self, attribute):
+        return self
+
+    def setsockopt(self, *option):
+        pass
+
     async def __aenter__(self):
         return self
 
@@ -224,6 +230,12 @@
     def __init__(self):
         self.sent, self.over = [], anyio.Event()
 
+    def extra(self, attribute):
+        return self
+
+    def setsockopt(self, *option):
+        pass
+
     async def send(self, data):
         self.sent.append(data)  # as a socket does, even when nobody is there any more
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,4 +1,6 @@
-"""Links between daemons (design 3.1) without sockets: what a peer that was away is told when it is back."""
+"""Links between daemons (design 3.1): what a peer that was away is told when it is back, and how soon."""
+
+import socket
 
 import anyio
 import anyio.lowlevel
@@ -18,7 +20,13 @@
     """A connection that takes all and says nothing."""
 
     def __init__(self, got):
-        self.got = got
+        self.got, self.options = got, {}
+
+    def extra(self, attribute):
+        return self
+
+    def setsockopt(self, level, name, value):
+        self.options[level, name] = value
 
     async def send(self, data):
         self.got.append(wire.unpack(data[4:])[2])
@@ -44,7 +52,7 @@
         up.set()
         return Wire(got)
 
-    async def rest(seconds):
+    async def rest(link, addr, seconds):
         await anyio.lowlevel.checkpoint()
 
     async def go():
@@ -63,7 +71,7 @@
 
     monkeypatch.setattr(links, "HELD", held)
     monkeypatch.setattr(links.anyio, "connect_tcp", connect)
-    monkeypatch.setattr(links.anyio, "sleep", rest)
+    monkeypatch.setattr(links.Links, "pause", rest)
     anyio.run(go)
     return [body[1] for body in got]
 
@@ -73,6 +81,59 @@
 
 
 def test_what_waited_a_moment_does_and_a_peer_that_was_there_loses_nothing(monkeypatch):
-    assert told(monkeypatch, held=60.0, away=2) == [2, 3, 4, 5, 99]  # one message for each try
+    assert told(monkeypatch, held=60.0, away=2) == [0, 1, 2, 3, 4, 5, 99]
     monkeypatch.undo()
     assert told(monkeypatch, held=0.0, away=0) == [0, 1, 2, 3, 4, 5, 99]
+
+
+def test_a_peer_that_takes_no_bytes_is_not_waited_for_as_long_as_the_kernel_would(monkeypatch):
+    made = []
+
+    async def connect(ip, port, local_host):
+        made.append(Wire([]))
+        return made[-1]
+
+    async def go():
+        link = links.Links(me="a", life="l", addr="127.0.0.1:1", heard=None, lg=Quiet())
+        link.peer("b", "127.0.0.1:2")
+        async with anyio.create_task_group() as link.group:
+            link.send("b", ("alive", 1, 0))
+            await anyio.wait_all_tasks_blocked()
+            link.group.cancel_scope.cancel()
+
+    monkeypatch.setattr(links.anyio, "connect_tcp", connect)
+    anyio.run(go)
+    assert 0 < made[0].options[socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT] <= 2000
+
+
+def test_a_peer_that_is_heard_is_tried_at_once(monkeypatch):
+    """After a cut: whoever finds the way first brings the other back."""
+    tries, failed = [], anyio.Event()
+
+    async def connect(ip, port, local_host):
+        tries.append(port)
+        if len(tries) == 1:
+            failed.set()
+            raise OSError("no way there")
+        return Wire([])
+
+    async def go():
+        link = links.Links(me="a", life="l", addr="127.0.0.1:1", heard=None, lg=Quiet())
+        link.peer("b", "127.0.0.1:2")
+        async with anyio.create_task_group() as link.group:
+            link.send("b", ("alive", 1, 0))
+            await failed.wait()
+            await anyio.wait_all_tasks_blocked()
+            assert len(tries) == 1
+            link.nudge("somebody else")
+            await anyio.wait_all_tasks_blocked()
+            assert len(tries) == 1
+            link.nudge("b")
+            await anyio.wait_all_tasks_blocked()
+            link.group.cancel_scope.cancel()
+
+    monkeypatch.setattr(links, "FIRST_PAUSE", 3600)
+    monkeypatch.setattr(links, "HELD", 7200)
+    monkeypatch.setattr(links.anyio, "connect_tcp", connect)
+    anyio.run(go)
+    assert tries == [2, 2]
--- a/tests/test_proxy_cut.py
+++ b/tests/test_proxy_cut.py
@@ -76,13 +76,26 @@
     assert all(held == {new} for new, held in beside_a_cut_off_core(s, both)) and s.o.faults == []
 
 
-def test_a_proxy_that_asks_on_whatever_the_age_of_the_proof_stays_behind(s, monkeypatch):
-    breach = ('aged = age < 0 or age > ms(opt["aged"])', "aged = False")
-    without(monkeypatch, "silverglade.news", *breach, "silverglade.hub.news")
+AGED = ('aged = age < 0 or age > ms(opt["aged"])', "aged = False")
+HEDGED = ("elif pend and now > give_up_at():", 'elif pend and now - pend[2] > opt["ask_wait"] + opt["beat"] * 2:')
+
+
+def without_guards(s, monkeypatch, *guards):
+    """The same town whose daemons ask for news without these guards; -> does its zone stay behind?"""
+    without(monkeypatch, "silverglade.news", *zip(*guards), "silverglade.hub.news")
     for n in s.w.nodes.values():
         n.boot()
     s.w.run(9)
-    assert any(held != {new} for new, held in beside_a_cut_off_core(s, True))
+    return any(held != {new} for new, held in beside_a_cut_off_core(s, True))
+
+
+def test_a_proxy_that_asks_on_whatever_the_age_of_the_proof_stays_behind(s, monkeypatch):
+    assert without_guards(s, monkeypatch, AGED, HEDGED)
+
+
+@pytest.mark.parametrize("guard", [AGED, HEDGED], ids=["aged", "hedged"])
+def test_either_guard_keeps_a_zone_from_staying_behind(s, monkeypatch, guard):
+    assert not without_guards(s, monkeypatch, guard)
 
 
 def test_while_its_proxy_is_cut_off_a_zone_learns_of_changes_from_the_cores(s):
