--- a/silverglade/desk.py
+++ b/silverglade/desk.py
@@ -3,6 +3,7 @@
 from . import __version__, wire
 from .changes import Calls, reply
 from .control import book as bk
+from .directory import named
 from .part import IDLE, ms
 from .replicas.registry import ADDR, HOMES, INC, KIND, LEAVING, PREFIXES, S_CAP, S_RUNNING, S_STATE, S_USE, S_USED, SLOTS, ZONE
 from .roster import extra
@@ -72,14 +73,6 @@
             for i, (r, s, at) in sorted(reps.items())
         }
 
-    def fronts(region, zone):
-        """Where clients may go: those of the zone; where it has fewer than two, of the region; else all (15.7)."""
-        up = [(r, f) for r in roll if r[9] == "ready" and extra(r, "serves") and (f := extra(r, "front", ""))]
-        near = [f for r, f in up if r[4] == zone]
-        if len(near) < 2:
-            near = [f for r, f in up if r[5] == region] or [f for _, f in up]
-        return sorted(near, key=lambda f: rng.random())
-
     def orders(region):
         cfg = bk.get(book, "config") or {"zones": {}}
         zs = {z for z, d in cfg["zones"].items() if d["region"] == region}
@@ -142,8 +135,9 @@
                 )
             case ("call", cid, "replicas", _):
                 out.append(reply(cid, 100, replicas=replicas(now)))
-            case ("call", cid, "fronts", (region, zone)):
-                out.append(reply(cid, 100, fronts=fronts(region, zone)))
+            case ("call", cid, "fronts", (host, region, zone)):
+                addresses = named(roll, bk.get(book, "config"), host=host, region=region, zone=zone)
+                out.append(reply(cid, 100, fronts=sorted(addresses, key=lambda _: rng.random())))
             case ("call", cid, "orders", (region,)):
                 out.append(reply(cid, 100, **orders(region)))
             case ("call", cid, "status", _):
--- a/silverglade/dialect.py
+++ b/silverglade/dialect.py
@@ -15,6 +15,7 @@
     last_event: bytes = b"last-event-id"  # a stream goes on behind this event
     seal: bytes = b"silverglade-seal"  # a replica's word for a whole, successful answer
     expect: bytes = b"silverglade-replica"  # only this replica may run it; others answer 421
+    version: bytes = b"silverglade-expect-version"  # only weights of this version may run it; others answer 421
     not_run: bytes = b"silverglade-not-run"  # the replica's word that it did not run the request
     replica: bytes = b"silverglade-replica-id"  # who answers a probe
     cold_ms: bytes = b"silverglade-cold"  # ms that the replica stays cold
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -238,7 +238,9 @@
                     q.unreached[r.region] += 1
                 go(q, now)
             case "not-run":
-                if r and more[0] == 421:  # another life has the address: it never came to a replica of ours
+                if r and more[0] == 421 and q.f.get("version"):  # that life, or other weights: both say so alike
+                    r.shy, q.sent = max(r.shy, now + span(200)), q.sent - 1
+                elif r and more[0] == 421:  # another life has the address: it never came to a replica of ours
                     r.gone, q.sent = now, q.sent - 1  # an arrival all the same: the budget pays for what follows
                     out.append(("forget", r.id))
                 elif r:
--- a/silverglade/front/forward.py
+++ b/silverglade/front/forward.py
@@ -102,6 +102,7 @@
         "tokens": pair(fields.get(dialect.tokens)),
         "model": text(dialect.model) or "",
         "last_event": text(dialect.last_event),
+        "version": text(dialect.version),
         "size": size,
     }
 
--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -310,7 +310,7 @@
                     self.resolve(zone, turn + 1)
 
         self.w.after(SEC, lambda: got(0, {}))
-        self.w.call(cores[turn].name, "fronts", (self.w.region[zone], zone), got)
+        self.w.call(cores[turn].name, "fronts", ("", self.w.region[zone], zone), got)
 
     def fronts(self, zone, *, held=False):
         """Daemons that a client of this zone may choose from: it passes over those that take no connection.
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -359,3 +359,12 @@
         paid.append(len(spent))
     assert paid == [0, 1, 2, 3]  # a send that replaces an unsent one is paid for again: the first charge is not given back
     b.tried(rid, 5, "done")
+
+
+def test_a_421_to_a_request_that_names_a_version_says_nothing_of_the_replicas_life():
+    b = Bench(route(kind="effectful", tries=1), reps=(rep("1"), rep("2")))
+    rid, es = b.ask(version="3")
+    first = one(es, "try")[3]["replica"]
+    assert one(b.tried(rid, 1, "not-run", 421, None), "try")[3]["replica"] != first
+    b.go(1)
+    assert {one(b.ask()[1], "try")[3]["replica"] for _ in range(12)} == {"1", "2"}  # both are still there
