--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,8 +2,11 @@
 
 import ast
 import json
+import os
 import pathlib
 import random
+import signal
+import subprocess
 import sys
 
 import anyio
@@ -271,3 +274,15 @@
 
 def test_the_folder_does_not_hide_the_standard_library():
     assert not (TOP / "platform" / "__init__.py").exists()
+
+
+def test_a_sighup_while_the_daemon_starts_does_not_end_it(tmp_path):
+    """It may come at any time: here while the settings file, a pipe, is being read."""
+    pipe = tmp_path / "node.toml"
+    os.mkfifo(pipe)
+    started = subprocess.Popen([sys.executable, str(TOP / "platform/daemon.py"), "--settings", str(pipe)], stderr=subprocess.PIPE)
+    with open(pipe, "wb") as writer:  # waits until it reads
+        started.send_signal(signal.SIGHUP)
+        writer.write(b"no settings")
+    said = started.communicate()[1]
+    assert started.returncode == 2 and b"701" in said
