--- a/silverglade/rehearsal/__main__.py
+++ b/silverglade/rehearsal/__main__.py
@@ -7,12 +7,12 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from ..faults import Fault
-from . import mishaps
+from . import forward_faults
 from . import seeds as days
 from .model import command as check_model
 from .towns import SITES, TOWNS
 
-PATHS = {"orders": (days, TOWNS), "forward": (mishaps, SITES)}
+PATHS = {"orders": (days, TOWNS), "forward": (forward_faults, SITES)}
 
 
 def one(job):
@@ -101,7 +101,7 @@
     for k, v in (("first", 1), ("count", 20), ("jobs", os.cpu_count() or 1), ("secs", 40)):
         q.add_argument("--" + k, type=int, default=v)
     q.add_argument("--most", type=int, default=0, help="places that may fail at once; 0: odd seeds two, even one")
-    q.add_argument("--only", help="comma-separated kinds of fault: " + ", ".join(sorted({*days.ALL, *mishaps.ALL})))
+    q.add_argument("--only", help="comma-separated kinds of fault: " + ", ".join(sorted({*days.ALL, *forward_faults.ALL})))
     q.add_argument("--trace", action="store_true")
     q.add_argument("--verbose", action="store_true")
     for t in TOWNS:
--- a/silverglade/rehearsal/callers.py
+++ b/silverglade/rehearsal/callers.py
@@ -58,7 +58,7 @@
         raw = dict(raw or self.raw())
         self.number = max(self.number, base or 0) + (step or self.rng.randint(1, 4))
         raw["number"] = number = self.number
-        base = self.r.laws.newest(self.w.now) or 0 if base is None else base
+        base = self.r.configs.newest(self.w.now) or 0 if base is None else base
         cfg, bad = config.checked(raw)
         assert valid == (not bad), bad
         self.raws[number] = raw
@@ -85,7 +85,7 @@
 
     def raw(self):
         """The newest acknowledged configuration as it was sent."""
-        return self.raws.get(self.r.laws.newest(self.w.now), self.t["config"])
+        return self.raws.get(self.r.configs.newest(self.w.now), self.t["config"])
 
     def change(self, how=""):
         """Moves, splits, times; routes added and taken out; many at once."""
@@ -276,8 +276,8 @@
         """The service for which the request counts: as the route's weights draw it."""
         from ..forward import routes
 
-        n = self.r.laws.newest(self.w.now)
-        p = next((p for p in self.r.laws.puts if p["number"] == n), None)
+        n = self.r.configs.newest(self.w.now)
+        p = next((p for p in self.r.configs.puts if p["number"] == n), None)
         top = routes.find(p["table"], s.host, s.path) if p else None
         return routes.service(top, s.attempt) if top else r["shares"][0]["service"]
 
@@ -351,5 +351,5 @@
             tries = sum(len(r.tries) for r in n.peek("forward", "reps").values())
             if tries:
                 self.r.bad(self.w.now, "LEAK", n.name, "tries", tries)
-            if self.f.couriers[n.name].ways:
-                self.r.bad(self.w.now, "LEAK", n.name, "asks", len(self.f.couriers[n.name].ways))
+            if self.f.shells[n.name].ways:
+                self.r.bad(self.w.now, "LEAK", n.name, "asks", len(self.f.shells[n.name].ways))
--- a/silverglade/rehearsal/bylaws.py
+++ b/silverglade/rehearsal/config_history.py
@@ -3,7 +3,7 @@
 from ..forward import routes
 
 
-class Bylaws:
+class ConfigHistory:
     """Configurations by their number; each stands as asked, taken, refused or unknown."""
 
     def __init__(self):
--- a/silverglade/rehearsal/visitors.py
+++ b/silverglade/rehearsal/fleet_clients.py
@@ -1,4 +1,4 @@
-"""Visitors of a rehearsed fleet: what they sent and what they were told (design 10.4)."""
+"""FleetClients of a rehearsed fleet: what they sent and what they were told (design 10.4)."""
 
 import json
 import random
@@ -11,7 +11,7 @@
 from .fleet import SLOW
 
 
-class Visitors:
+class FleetClients:
     def __init__(self, *, fleet, seed):
         self.f, self.rng, self.n, self.rows, self.open = fleet, random.Random(seed), 0, [], True
 
--- a/silverglade/rehearsal/mishaps.py
+++ b/silverglade/rehearsal/forward_faults.py
@@ -6,7 +6,7 @@
 from .forwarding import HELD, LIST
 
 
-class Mishaps(Faults):
+class ForwardFaults(Faults):
     def __init__(self, scene, *, most=1):
         super().__init__(scene, most=most)
         self.f, self.planned = scene.f, set()
@@ -119,7 +119,7 @@
     def term(self, name=None):
         """A daemon is stopped in order and started again."""
         name = name or self.rng.choice([n.name for n in self.w.nodes.values() if not n.core])
-        n, c = self.w.nodes[name], self.f.couriers[name]
+        n, c = self.w.nodes[name], self.f.shells[name]
         if n.hub is None or n.frozen is not None or not self.take(name):
             return
         self.planned.add(name)
@@ -382,7 +382,7 @@
     s.traffic()
     s.w.run(4)
     before = (9 * SEC, 12 * SEC)
-    m, t = Mishaps(s, most=most or 1 + seed % 2), 0.0
+    m, t = ForwardFaults(s, most=most or 1 + seed % 2), 0.0
     while t < secs_:
         m.later(t, getattr(m, s.rng.choice(kinds)))
         t += s.rng.expovariate(1 / gap)
--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -7,9 +7,9 @@
 
 from ..part import ZERO, ms
 from .asks import MS, SEC, Ask
-from .courier import CLIENT, Courier
 from .engine import Engine
 from .rules import Rules, seal
+from .simulated_shell import CLIENT, SimulatedShell
 
 TTL = 2 * SEC  # how long clients hold on to where to go
 HELD = 3 * TTL  # how long some of them do
@@ -157,7 +157,7 @@
     def __init__(self, *, world, seats, bounds=None, reuse=2 * SEC):
         """seats: keyword tables (name, service, zone, spec)."""
         self.w, self.rules, self.rows, self.reuse = world, Rules(bounds=bounds), seats, reuse
-        self.couriers, self.seats, self.lives, self.addrs = {}, {}, 0, {}
+        self.shells, self.seats, self.lives, self.addrs = {}, {}, 0, {}
         self.mode, self.forgets, self.history = "", 0.0, []  # mode of the list: "", slow, part, down, busy
         self.busy, self.planned = [], set()  # places in trouble now, see faults; those by plan
         self.unrest, self.known = ZERO, {}  # the last unplanned trouble; zone -> (when, daemons) that its clients were told, oldest first
@@ -261,10 +261,10 @@
 
     # daemons
     def boot(self, n):
-        self.couriers[n.name] = Courier(self, n)
+        self.shells[n.name] = SimulatedShell(self, n)
 
     def died(self, n):
-        c = self.couriers.get(n.name)
+        c = self.shells.get(n.name)
         if c is None:
             return
         ways, c.ways = c.ways, {}
@@ -277,7 +277,7 @@
                 x.close()
 
     def effect(self, n, e):
-        c = self.couriers[n.name]
+        c = self.shells[n.name]
         if c.alive():
             c.act(e)
 
@@ -332,7 +332,7 @@
         self.started, self.last, self.trip, self.held, self.rid = False, str(sent.last) if sent.last else None, None, None, ""
         self.status, self.wait, self.ended, self.closing = None, None, False, False  # closing: the end is on its way
         field.rules.asked(sent)
-        c = field.couriers[node.name]
+        c = field.shells[node.name]
         if node.hub is None:
             self.end(False)
         else:
--- a/silverglade/rehearsal/minute.py
+++ b/silverglade/rehearsal/minute.py
@@ -8,7 +8,7 @@
 import anyio
 
 from .fleet import Fleet
-from .visitors import Visitors
+from .fleet_clients import FleetClients
 
 FORCE, LEAVE, BACK = 3.0, 5.0, 12.0
 
@@ -16,7 +16,7 @@
 class Minute:
     def __init__(self, *, town, secs, seed, folder, keys=True, other=""):
         self.f = Fleet(town=town, folder=folder, keys=keys, other=other)
-        self.v, self.secs, self.town = Visitors(fleet=self.f, seed=seed), secs, town
+        self.v, self.secs, self.town = FleetClients(fleet=self.f, seed=seed), secs, town
         self.bad, self.times, self.acked = [], {}, None
 
     def rule(self, ok, name, detail=""):
--- a/silverglade/rehearsal/rules.py
+++ b/silverglade/rehearsal/rules.py
@@ -11,7 +11,7 @@
 
 from ..part import ZERO
 from .asks import answer, pieces, word
-from .bylaws import Bylaws
+from .config_history import ConfigHistory
 
 SEC, MS = timedelta(seconds=1), timedelta(milliseconds=1)
 PROMISES = (408, 421, 429, 503)
@@ -57,7 +57,7 @@
 
 class Rules:
     def __init__(self, *, bounds=None):
-        self.b, self.faults, self.laws = bounds or Bounds(), [], Bylaws()
+        self.b, self.faults, self.configs = bounds or Bounds(), [], ConfigHistory()
         self.sent, self.runs = {}, {}  # attempt -> Sent; run -> dict(attempt, seal, status, stride, at, service)
         self.by, self.reached = defaultdict(list), defaultdict(list)  # attempt -> its runs; replicas it reached
         self.offered = defaultdict(list)  # attempt -> replicas that it reached and that were meant
@@ -132,7 +132,7 @@
                 own
                 and g["status"] < 500
                 and g["status"] not in PROMISES
-                and all(self.laws.allows(p, s.host, s.path) for p in self.laws.sound())
+                and all(self.configs.allows(p, s.host, s.path) for p in self.configs.sound())
             ):
                 self.denied += 1
             if not own and (g["status"], g["body"]) not in self.said[attempt]:
@@ -173,11 +173,11 @@
         self.reached[attempt].append(rep)
         if status != 421:  # the word of another life: the most tries bound what may run
             self.offered[attempt].append(rep)
-        if len(self.offered[attempt]) > self.laws.tries(s.host, s.path):
+        if len(self.offered[attempt]) > self.configs.tries(s.host, s.path):
             self.bad(now, "TRIES", attempt, *self.offered[attempt])
         if left is not None and touch and left > s.due - (sent - s.at) + self.b.due:
             self.bad(now, "DUE", attempt, left / SEC, (s.due - (sent - s.at)) / SEC)
-        homes = self.laws.homes(s.host, s.path, self.laws.newest(s.at - self.b.apply) if touch else None)
+        homes = self.configs.homes(s.host, s.path, self.configs.newest(s.at - self.b.apply) if touch else None)
         if homes is not None and homes and region not in homes:
             self.bad(now, "HOME", attempt, rep, region)
         if status == 421:
@@ -239,20 +239,20 @@
 
     # operators
     def put(self, now, cfg, *, base, valid=True, number=None):
-        return self.laws.asked(now, cfg, base=base, valid=valid, number=number)
+        return self.configs.asked(now, cfg, base=base, valid=valid, number=number)
 
     def told(self, now, p, ok):
-        why = self.laws.told(now, p, ok)
+        why = self.configs.told(now, p, ok)
         if why:
             self.bad(now, "CONFIG", why, p["number"])
 
     def read(self, now, number, cfg=None):
         """The configuration as it is read back at the end; number None: it did not come."""
-        newest = self.laws.newest(now)
+        newest = self.configs.newest(now)
         if number is None or newest is not None and number < newest:
             return self.bad(now, "CONFIG", "acknowledged one forgotten", number, newest)
-        of = [p for p in self.laws.puts if p["number"] == number]
-        if all(p not in self.laws.sound() for p in of):
+        of = [p for p in self.configs.puts if p["number"] == number]
+        if all(p not in self.configs.sound() for p in of):
             self.bad(now, "CONFIG", "invalid or refused one is in force", number)
         elif cfg is not None and all(p["cfg"] != cfg for p in of):
             self.bad(now, "CONFIG", "not as it was sent", number)
@@ -283,14 +283,14 @@
     # worked out
     def handled(self, now, s, service, *, touch):
         """Under which configurations a request may have been handled so; service None: refused for want of a route."""
-        ok, ever = self.laws.handled(s.host, s.path, service)
+        ok, ever = self.configs.handled(s.host, s.path, service)
         if not ok:
             if service is not None and not ever:
                 return self.bad(now, "ROUTE", s.attempt, service, s.host, s.path)
-            if self.laws.puts and (service is not None or any(p["acked"] for p in self.laws.puts)):
+            if self.configs.puts and (service is not None or any(p["acked"] for p in self.configs.puts)):
                 self.bad(now, "CONFIG", "as only an invalid or refused one allows" if ever else "as none allows", s.attempt, service)
             return None
-        newest = self.laws.newest(s.at - self.b.apply)
+        newest = self.configs.newest(s.at - self.b.apply)
         if touch and newest is not None and max(ok) < newest:
             self.bad(now, "CONFIG", "as only an older one allows", s.attempt, service, max(ok), newest)
         number, since = self.floor.get(s.life, (None, None))
--- a/silverglade/rehearsal/courier.py
+++ b/silverglade/rehearsal/simulated_shell.py
@@ -45,9 +45,9 @@
 class Conn:
     """A connection of one daemon's life to one life of a replica."""
 
-    def __init__(self, courier, seat, addr):
-        w, n = courier.w, courier.n
-        self.c, self.seat, self.addr, self.trip, self.until, self.over, self.stale = courier, seat, addr, None, None, False, False
+    def __init__(self, shell, seat, addr):
+        w, n = shell.w, shell.n
+        self.c, self.seat, self.addr, self.trip, self.until, self.over, self.stale = shell, seat, addr, None, None, False, False
         self.up = Pipe(world=w, a=n.name, b=seat.id, za=n.zone, zb=seat.zone, sink=self.asked)
         self.down = Pipe(world=w, a=seat.id, b=n.name, za=seat.zone, zb=n.zone, sink=self.heard)
         seat.conns[self] = True
@@ -83,7 +83,7 @@
         self.head, self.body, self.over, self.run, self.key = None, b"", False, None, None
 
 
-class Courier:
+class SimulatedShell:
     """One life of a daemon's shell."""
 
     def __init__(self, field, n):
@@ -178,6 +178,8 @@
         match e:
             case ("list",):
                 self.f.read(self)
+            case ("reach", rid, addr, wait):
+                self.reach(rid, addr, wait)
             case ("ask", rid, addr):
                 self.f.report(self, rid, addr)
             case ("limits", _):
@@ -214,6 +216,12 @@
                 way.end(False)
         return
 
+    def reach(self, rid, addr, wait):
+        """A bare connection: there and back, or nothing for so long."""
+        seat, w = self.f.at(addr), self.w
+        ok = seat is None or w.open(self.n.name, seat.id) and w.open(seat.id, self.n.name)
+        w.after(2 * w.hop(self.n.zone, seat.zone if seat else self.n.zone) if ok else wait, self.do, self.told, ("reached", rid, ok))
+
     def attempt(self, trip):
         t, w = trip.t, self.w
         pool = self.idle.setdefault((t["addr"], t["replica"]), [])
--- a/silverglade/rehearsal/world.py
+++ b/silverglade/rehearsal/world.py
@@ -15,6 +15,8 @@
 from .standin import Replica
 
 SEC = timedelta(seconds=1)
+# effects of the forwarding path (15), which a field settles where there is one
+FORWARDING = frozenset(("try", "pass", "drop", "answer", "break", "forget", "renew", "list", "ask", "reach", "limits"))
 
 
 class Disk:
@@ -290,7 +292,7 @@
                 r = next((r for r in self.replicas.values() if r.addr == addr), None)
                 if r and self.open(n.name, rid):
                     self.after(self.hop(n.zone, r.zone) * 2, r.probe, n, n.life, rid, inc)
-            case ("try" | "pass" | "drop" | "answer" | "break" | "forget" | "renew" | "list" | "ask" | "limits", *_) if self.field:
+            case (kind, *_) if kind in FORWARDING and self.field:
                 self.field.effect(n, e)
             case ("result", oid, *r):
                 self.oracle.result(oid, r)
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -7,7 +7,7 @@
 from silverglade.forward.departure import Departure, Durations
 from silverglade.rehearsal import callers
 from silverglade.rehearsal.callers import Scene
-from silverglade.rehearsal.mishaps import Mishaps
+from silverglade.rehearsal.forward_faults import ForwardFaults
 
 from .test_forward import Bench, one, rep, route
 
@@ -25,10 +25,10 @@
     scene.settle()
     scene.rate, scene.long = rate, long
     scene.traffic()
-    mishaps = Mishaps(scene, most=1)
+    forward_faults = ForwardFaults(scene, most=1)
     scene.w.run(6)
     for name in [n.name for n in scene.w.nodes.values() if not n.core][:3]:
-        mishaps.term(name)
+        forward_faults.term(name)
         scene.w.run(10)
     scene.open = False
     scene.w.run(20)
--- a/tests/test_forward_doubt.py
+++ b/tests/test_forward_doubt.py
@@ -62,6 +62,6 @@
     s.settle()
     s.traffic()
     s.w.run(3)
-    n, c, replica = next((s.w.nodes[i], c, k[1]) for i, c in s.f.couriers.items() for k, row in c.idle.items() if row)
+    n, c, replica = next((s.w.nodes[i], c, k[1]) for i, c in s.f.shells.items() for k, row in c.idle.items() if row)
     s.w.effect(n, ("renew", replica))
     assert not any(row for k, row in c.idle.items() if k[1] == replica)
--- a/tests/test_forward_once.py
+++ b/tests/test_forward_once.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from silverglade.rehearsal import mishaps
+from silverglade.rehearsal import forward_faults
 
 DAYS = {
     "frozen": ("freeze", "dark"),
@@ -14,7 +14,7 @@
 
 @pytest.mark.parametrize("name", DAYS)
 def test_no_request_runs_twice_or_gets_anothers_answer(name):
-    s, bad = mishaps.run(town="hamlet", seed=31, kinds=DAYS[name], secs_=14, gap=0.8)
+    s, bad = forward_faults.run(town="hamlet", seed=31, kinds=DAYS[name], secs_=14, gap=0.8)
     assert bad == [] and s.told()["200"] > 1000
     once = [a for a, sent in s.r.sent.items() if not sent.again]
     assert len(once) > 500 and all(len(s.r.by[a]) <= 1 for a in once)
@@ -26,4 +26,4 @@
     from silverglade.forward.part import Request
 
     monkeypatch.setattr(Request, "again", property(lambda q: True))
-    assert "TWICE" in {b[1] for b in mishaps.run(town="hamlet", seed=31, kinds=DAYS["reset"], secs_=14, gap=0.8, stop=True)[1]}
+    assert "TWICE" in {b[1] for b in forward_faults.run(town="hamlet", seed=31, kinds=DAYS["reset"], secs_=14, gap=0.8, stop=True)[1]}
--- a/tests/test_forward_seeds.py
+++ b/tests/test_forward_seeds.py
@@ -11,7 +11,7 @@
 from silverglade.forward import budget, choose, cold, part
 from silverglade.options import tuning
 from silverglade.part import start
-from silverglade.rehearsal import mishaps
+from silverglade.rehearsal import forward_faults
 from silverglade.rehearsal.callers import Scene
 from silverglade.rehearsal.rules import Bounds
 
@@ -29,14 +29,14 @@
 
 @pytest.mark.parametrize("town,seed", [("navrang", 1), ("banyan", 2), ("drawn", 3)])
 def test_a_day_of_all_failures_breaks_no_rule(town, seed):
-    s, bad = mishaps.run(town=town, seed=seed, secs_=20)
+    s, bad = forward_faults.run(town=town, seed=seed, secs_=20)
     assert bad == []
     assert s.told()["200"] > 200
 
 
 DAY = """
-from silverglade.rehearsal import mishaps
-s = mishaps.run(town="hamlet", seed=5, secs_=8)[0]
+from silverglade.rehearsal import forward_faults
+s = forward_faults.run(town="hamlet", seed=5, secs_=8)[0]
 print(len(s.w.trace), s.why, s.w.trace)
 """
 
@@ -185,7 +185,7 @@
 def test_a_part_with_a_planted_fault_is_caught(monkeypatch, rule, plant, kinds, kw):
     kw = dict(dict(gap=1.5, town="hamlet", seed=2, kinds=kinds or ("swing",), secs_=14), **kw)
     if (key := repr(kw)) not in SOUND:
-        SOUND[key] = mishaps.run(**kw)[1]
+        SOUND[key] = forward_faults.run(**kw)[1]
     assert SOUND[key] == []
     plant(monkeypatch)
-    assert rule in {b[1] for b in mishaps.run(stop=True, **kw)[1]}
+    assert rule in {b[1] for b in forward_faults.run(stop=True, **kw)[1]}
