A region that takes no connection is tested by bare connections, not by requests

Change: a closed region gets no request. The daemon tries bare connections, ended at once: when the region is closed to two replicas that were not tried, when a new one is listed, and to one or two each second; a refusal is a sign of a way, too. The pause grows to 1 s instead of 2: a test costs no request.

--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -145,6 +145,8 @@
                 self.shell.act(e)
             case ("list",):
                 self.group.start_soon(self.read_list)
+            case ("reach", replica, addr, wait):
+                self.group.start_soon(self.reach, replica, addr, wait)
             case ("ask", rid, addr):
                 self.group.start_soon(self.ask, rid, addr)
             case ("probe", rid, inc, addr):
@@ -268,6 +270,11 @@
         """The list of replicas that somebody else keeps (design 15.4)."""
         await self.lanes.send(("read", await self.outer.replicas(self.get)))
 
+    async def reach(self, replica, addr, wait):
+        """Does a replica's machine take a connection? -> ("reached", id, whether it did, or refused it)."""
+        ok = await self.shell.pool.reaches(addr=addr, timeout=wait)
+        await self.lanes.send(("reached", replica, ok), "work")
+
     async def ask(self, rid, addr):
         """How a replica does -> ("asked", id, (active, queued, slots) or None)."""
         body = await self.shell.get(replica=rid, addr=addr, path=self.outer.dialect.report)
--- a/silverglade/daemon/upstream.py
+++ b/silverglade/daemon/upstream.py
@@ -224,6 +224,17 @@
                 self.close(c)
         return c
 
+    async def reaches(self, *, addr, timeout):
+        """Is there a way to this address? A bare connection, ended at once; a refusal came from there too."""
+        try:
+            tcp = await connect(addr=addr, local=self.local, timeout=timeout)
+        except ConnectionError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        tcp.close()
+        return True
+
     def release(self, c, *, keep=None, last=None):
         """Back to the pool for `keep` seconds; closed without."""
         now = time.monotonic()
--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -118,7 +118,6 @@
         for n in list(q.live):  # instead of a silent one, which may have run it: no promise can be given any more
             leave(q, n)
             q.why = "lost"
-        reach.tried(now, r.region)
         q.n += 1
         q.sent += 1
         q.arrivals += 1
@@ -166,17 +165,21 @@
             q.due = departure.due(q.due, q.route)
 
     def by_reach(q, fit, now):
-        """The replicas in the order in which their regions take connections: a region that takes none goes last (15.5)."""
+        """The replicas in the order in which their regions take connections: a region that takes none is passed over (15.5)."""
         if not reach.doubts and not q.unreached:
             return [fit]
         fit = [r for r in fit if q.unreached[r.region] < FEW]
         groups = (
             [r for r in fit if not reach.closed(r.region) and not q.unreached[r.region]],
             [r for r in fit if not reach.closed(r.region) and q.unreached[r.region]],
-            [r for r in fit if reach.closed(r.region) and (reach.may(now, r.region) or not r.tries and reach.untested(r.region, r.id))],
         )
         return [rs for rs in groups if rs]
 
+    def test_reach(now):
+        """Bare connections to replicas of regions that take none, until one comes up."""
+        for r in reach.due_tests(now, [r for r in reps.values() if r.gone is None]):
+            out.append(("reach", r.id, r.addr, opt["connect_near"] if r.region == region else opt["connect_wait"]))
+
     def chosen(q, fit, bears, now):
         """The replica of these that gets it, or None."""
 
@@ -236,6 +239,7 @@
                 if r and why == "connect-timeout":
                     reach.failed(now, r.region, r.id, since=q.at)
                     q.unreached[r.region] += 1
+                    test_reach(now)
                 go(q, now)
             case "not-run":
                 if r and more[0] == 421 and q.f.get("version"):  # that life, or other weights: both say so alike
@@ -287,7 +291,8 @@
             seen.add(rec[rp.RID])
             r = reps.get(rec[rp.RID])
             if r is None:
-                reps[rec[rp.RID]] = rp.Replica(rec, now)
+                r = reps[rec[rp.RID]] = rp.Replica(rec, now)
+                reach.appeared(now, r.region)
                 out.append(log("replica", id=rec[rp.RID], service=rec[rp.SERVICE], zone=rec[rp.ZONE], cold_ms=rec[rp.COLD_MS]))
             else:
                 if rec[rp.LEAVING] and not r.leaving:
@@ -295,6 +300,7 @@
                 r.told(rec, now)
         if whole:
             on_unlisted([i for i in reps if i not in seen], now)
+        test_reach(now)
 
     def on_unlisted(ids, now):
         for i in [i for i in ids if i in reps]:
@@ -341,6 +347,11 @@
                 settle(q, now)
             case ("tried", rid, n, what, *more) if rid in reqs:
                 on_tried(reqs[rid], n, what, more, now)
+            case ("reached", i, ok) if i in reps:
+                if ok:
+                    reach.answered(now, reps[i].region)
+                else:
+                    reach.failed(now, reps[i].region, i, since=now - opt["connect_wait"])
             case ("listed", rs, whole):
                 on_listed(rs, whole, now)
             case ("unlisted", ids):
@@ -366,7 +377,8 @@
             case ("call", cid, "serving", _):
                 out.append(("reply", cid, 100, dict(ready=cfg is not None and listed and bool(members))))
             case ("pulse",):
-                out.append(("due", now + (4 if told else 1) * SECOND))
+                test_reach(now)
+                out.append(("due", reach.next_test(now + (4 if told else 1) * SECOND)))
                 if not told and cfg is not None and listed:
                     told = True
                     out.append(("post", "roster", ("extra", "serves", True)))
--- a/silverglade/forward/reach.py
+++ b/silverglade/forward/reach.py
@@ -1,25 +1,32 @@
 """Regions that take no connection, as one daemon sees them (design 15.5).
 
 A cut between regions shows as connections that do not come up, replica by replica, each at the price of a connection's
-wait. So once a few replicas of a region have taken none within a moment, the region as a whole goes last: its replicas are
-tried when nobody else can take a request, and then by one request in a while that grows, until one of them answers.
+wait. So once a few replicas of a region have taken none within a moment, the region as a whole is closed: no request is sent
+there, and none waits. The daemon tries bare connections instead, to replicas that were not tried yet first, until one comes up.
 """
 
 from datetime import timedelta
 
-FEW = 2  # replicas that took no connection, before their region is doubted
+FEW = 2  # replicas that took no connection, before their region is closed; how many are tried at once
 MOMENT = timedelta(seconds=5)  # within which they count together
-PAUSE, PAUSE_MOST = timedelta(milliseconds=500), timedelta(seconds=2)  # between tries of a doubted region
+PAUSE, PAUSE_MOST = timedelta(milliseconds=500), timedelta(seconds=1)  # between tests of a closed region
 
 
 class Doubt:
-    """One region's replicas that took no connection; `next` is when it may be tried again, `pause` what follows."""
+    """One region's replicas that took no connection; `test_at`: when the region is tested next, once it is closed."""
 
-    __slots__ = ("replicas", "at", "next", "pause", "probed")
+    __slots__ = ("replicas", "at", "test_at", "pause", "turn")
 
     def __init__(self, now):
-        self.replicas, self.at, self.next, self.pause = set(), now, now, PAUSE
-        self.probed = None  # since when a request looks whether it is back
+        self.replicas, self.at, self.test_at, self.pause, self.turn = set(), now, now, PAUSE, 0
+
+    def choose(self, replicas):
+        """Those of the region's replicas (with an `id`) to be tested now: not tried yet, else one after another."""
+        untested = [r for r in replicas if r.id not in self.replicas]
+        if untested:
+            return untested[:FEW]
+        self.turn += 1
+        return replicas[self.turn % len(replicas) :][:1] if replicas else []
 
 
 class Reach:
@@ -33,15 +40,10 @@
         if self.heard.get(region, since) > since:
             return
         doubt = self.doubts.get(region)
-        if self.closed(region):
-            doubt.replicas.add(replica)
-            if doubt.probed is not None and since >= doubt.probed:  # else it was under way when the region was closed
-                doubt.next, doubt.pause, doubt.probed = now + doubt.pause, min(PAUSE_MOST, 2 * doubt.pause), None
-            return
-        if doubt is None or now - doubt.at > MOMENT:
+        if doubt is None or now - doubt.at > MOMENT and not self.closed(region):
             doubt = self.doubts[region] = Doubt(now)
         doubt.replicas.add(replica)
-        doubt.at = doubt.next = now
+        doubt.at = now
 
     def answered(self, now, region):
         """A replica of the region was reached."""
@@ -53,16 +55,20 @@
         doubt = self.doubts.get(region)
         return doubt is not None and len(doubt.replicas) >= FEW
 
-    def may(self, now, region):
-        """May a request try it nevertheless? One in each pause."""
-        return not self.closed(region) or now >= self.doubts[region].next
+    def appeared(self, now, region):
+        """A new replica of the region is listed: it is tried at once."""
+        if self.closed(region):
+            self.doubts[region].test_at = now
 
-    def untested(self, region, replica):
-        """Is it not among those that took no connection? It may be that only the others are cut off."""
-        return replica not in self.doubts[region].replicas
+    def due_tests(self, now, replicas):
+        """The replicas to which a connection is to be tried now. replicas: all that are there, each with `id` and `region`."""
+        chosen = []
+        for region, doubt in self.doubts.items():
+            if self.closed(region) and now >= doubt.test_at:
+                doubt.test_at, doubt.pause = now + doubt.pause, min(PAUSE_MOST, 2 * doubt.pause)
+                chosen += doubt.choose([r for r in replicas if r.region == region])
+        return chosen
 
-    def tried(self, now, region):
-        """A request is sent to a replica of the region."""
-        if self.closed(region):
-            doubt = self.doubts[region]
-            doubt.probed, doubt.next = now, now + doubt.pause
+    def next_test(self, default):
+        """When a closed region is to be tested next."""
+        return min((d.test_at for region, d in self.doubts.items() if self.closed(region)), default=default)
--- a/silverglade/hub.py
+++ b/silverglade/hub.py
@@ -133,7 +133,7 @@
                 return (part,)
             case ("order" | "gone" | "ran" | "drain" | "drained", *_):
                 return ("path",)
-            case ("request" | "tried" | "leaving", *_):
+            case ("request" | "tried" | "reached" | "leaving", *_):
                 return ("forward",)
             case ("read" | "asked", *_):
                 return ("catalog",)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -374,3 +374,24 @@
     status, d, rep = scene(script, ask)
     what = d.words()[-1]
     assert rep.seen == [] and status in (502, 503) and what[1] in ("unsent", "lost")
+
+
+def test_a_bare_connection_tells_whether_there_is_a_way():
+    async def go():
+        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        up = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        pool = upstream.Pool()
+        reached = await pool.reaches(addr=up, timeout=SEC)
+        server.close()
+        refused = await pool.reaches(addr=up, timeout=SEC)  # nobody listens, but that word came from there
+        return reached, refused, pool.all
+
+    assert asyncio.run(go()) == (True, True, {})
+
+
+def test_a_bare_connection_that_does_not_come_up_in_time_says_that_there_is_none(monkeypatch):
+    async def never(**_):
+        raise TimeoutError
+
+    monkeypatch.setattr(upstream, "connect", never)
+    assert asyncio.run(upstream.Pool().reaches(addr="127.0.0.1:9", timeout=SEC)) is False
