Judge: a route's own deadline is no time that a leaving daemon took away

The judge's new narrowing took every deadline shorter than the client's for one that a departure had cut short. It now asks whether the daemon was told to stop.

--- a/silverglade/rehearsal/forwarding.py
+++ b/silverglade/rehearsal/forwarding.py
@@ -130,9 +130,10 @@
         self.wake()
 
     def cut_short(self, trip):
-        """Does it break off since the daemon gave it less time than the client has?"""
+        """Does it break off since a daemon that leaves gave it less time than the request has? A route's own deadline is none of that."""
         given, has = trip.sent + trip.t["deadline_ms"] * MS, trip.way.sent.at + trip.way.sent.due
-        return self.w.now >= given and given < has - SEC / 10
+        leaving = trip.way.sent.life in self.f.rules.stopped
+        return leaving and self.w.now >= given and given < has - SEC / 10
 
     def wake(self):
         due = self.e.due()
