--- a/silverglade/forward/part.py
+++ b/silverglade/forward/part.py
@@ -46,7 +46,7 @@
             leave(q, n)
 
     def leave(q, n):
-        out.extend(placement.over(q))
+        out.extend(placement.read(q))
         r = reps.get(q.live.pop(n, None))
         if r and r.tries.pop((q.rid, n), None) is not None:
             r.work = max(0.0, r.work - q.weight) if r.tries else 0.0
@@ -131,7 +131,7 @@
 
     def ask_first(q, fit, avoid, now):
         """Are the ledgers asked now, and is an answer waited for?"""
-        messages, waits = placement.ask(now, q, in_order(q, [r for r in fit if r.fit(now)], avoid, now))
+        messages, waits = placement.ask(now, q, in_order(q, fit, avoid, now))
         out.extend(messages)
         return waits
 
@@ -162,13 +162,13 @@
             return answer(q, 502, None, 808)
         return answer(q, status, wait, code)
 
-    def accuse(r, now, silence=False):
+    def accuse(r, now):
         """Others are to know that it failed a request (15.10)."""
         if "shared-suspicion" in opt["without"]:
             return
-        suspicions.accuse(now, r, [x for x in reps.values() if x.gone is None], silence=silence)
+        suspicions.accuse(now, r, [x for x in reps.values() if x.gone is None])
         if tell_suspicions():
-            out.append(log("request-accused", replica=r.id, silence=silence))
+            out.append(log("request-accused", replica=r.id))
 
     def vouch(r, now):
         """It served one."""
@@ -182,14 +182,13 @@
         out.extend(("post", "roster", ("publish", SUSPECT, row.key, row.rank, row.value)) for row in rows)
         return bool(rows)
 
-    def doubted(r, now, *, dark, silence=False):
+    def doubted(r, now, *, dark):
         """It is silent or broke off: others go first and its prober asks it; if it may be dark, idle connections end.
 
         A machine that goes dark ends no connection. What is written on an old one to its next life is lost, whereas a
         new one says for sure that nothing arrived, or brings that life's word.
         """
         r.failed(now)
-        accuse(r, now, silence)
         out.append(("post", "catalog", ("doubt", r.id)))
         if dark:
             out.append(("renew", r.id))
@@ -204,7 +203,7 @@
             reach.answered(now, r.region)
         match what:
             case "began" | "first":
-                out.extend(placement.first_token(now, q))
+                out.extend(placement.read(q))
                 q.begun = q.begun or q.route["kind"] == "streaming"
                 if r:
                     vouch(r, now)
@@ -254,6 +253,7 @@
             case "lost" | "cut":
                 if r:
                     doubted(r, now, dark=what == "lost" and more[:1] == ["ReadError"])
+                    accuse(r, now)
                 if what == "cut" and more and more[0] is not None:
                     q.last = more[0]
                 q.why = what
@@ -265,7 +265,7 @@
                 if more and more[0] is not None:
                     q.last = more[0]
                 if r:
-                    doubted(r, now, dark=True, silence=True)
+                    doubted(r, now, dark=True)
                 if q.again:
                     go(q, now, instead=True)
             case "gone":
--- a/silverglade/forward/placement.py
+++ b/silverglade/forward/placement.py
@@ -8,29 +8,14 @@
 """
 
 from datetime import timedelta
-from typing import NamedTuple
 
 from ..part import send
-from ..rank import score
 from .prefill import Ledger, Lengths, Prompt, Question, prompt_of, sound_parts
 from .probe import prober
 
 ANSWER_WITHIN = timedelta(milliseconds=30)  # a holder's answer; it is of the own region
-MILLISECOND = timedelta(milliseconds=1)
 SILENT_FOR = timedelta(seconds=2)  # a holder that did not answer is not asked for so long
 CHOICES = 2  # replicas whose ledgers are asked
-OVERFLOW = 0.5  # part of the aim that reading may be expected to take, before some prompts go to another region
-PACE_SMOOTHING = 16  # first tokens over which the pace of reading is taken
-
-
-class Reading(NamedTuple):
-    """A prompt that was sent. cost: tokens to be read until its first token, where the ledger was asked."""
-
-    replica: str
-    holder: str
-    number: int
-    since: timedelta
-    cost: int | None
 
 
 class Placement:
@@ -43,7 +28,6 @@
         self.silent = {}  # holder -> until when it is not asked
         self.asked = {}  # number -> the request that asks
         self.rooms = {}
-        self.paces = {}  # service -> tokens read in a millisecond, as first tokens show it
         self.number = 0
 
     def known(self, live):
@@ -101,48 +85,30 @@
         return late
 
     def preferred(self, request, order):
-        """The order with the replica first whose ledger says least, or one of another region where all here read for too long.
-
-        Of prompts that are expected to wait beyond `OVERFLOW` of their aim as many go elsewhere as it takes to come back to it, drawn
-        by the request's own name.
-        """
+        """The order with the replica first whose ledger says least."""
         question = request.question
         if question is None or len(question.costs) < len(question.replicas):
             return order
         best = question.best()
-        wait = question.costs[best] / self.paces[request.service] if self.paces.get(request.service) else 0.0
-        over = 1 - OVERFLOW * request.route["aim_ms"] / wait if wait else 0.0
-        if over > 0 and int.from_bytes(score("overflow", request.f["attempt"])[:4]) < over * 2**32:
-            return sorted(order, key=lambda r: r.region == self.region)
         return sorted(order, key=lambda r: r.id != best)
 
     # once it is sent
     def sent(self, now, request, replica):
         """-> messages: the prompt is to be read there."""
-        if request.prompt is None or (holder := self.holder(replica)) is None:
+        if request.prompt is None or replica.region != self.region or (holder := self.holder(replica)) is None:
             return ()
         self.number += 1
-        cost = request.question.costs.get(replica.id) if request.question else None
-        request.reading = Reading(replica.id, holder, self.number, now, cost)
+        request.reading = (replica.id, holder, self.number)
         if holder == self.me:
             self.ledger.put(now, replica.id, self.me, self.number, request.prompt, self.rooms.get(request.service, 0))
             return ()
         return (send(holder, "load-put", replica.id, self.number, request.prompt.shared, request.prompt.own),)
 
-    def first_token(self, now, request):
-        """-> messages: its first token came; how long it took shows how fast prompts are read."""
-        reading = request.reading
-        if reading and reading.cost and now > reading.since:
-            pace = reading.cost / ((now - reading.since) / MILLISECOND)
-            mean = self.paces.setdefault(request.service, pace)
-            self.paces[request.service] = mean + (pace - mean) / PACE_SMOOTHING
-        return self.over(request)
-
-    def over(self, request):
+    def read(self, request):
         """-> messages: it is read, or nothing more will be."""
         if request.reading is None:
             return ()
-        replica, holder, number = request.reading[:3]
+        replica, holder, number = request.reading
         request.reading = None
         if holder == self.me:
             self.ledger.read(replica, self.me, number)
--- a/silverglade/forward/suspicion.py
+++ b/silverglade/forward/suspicion.py
@@ -5,8 +5,7 @@
 others accuse. One daemon's word never takes a replica from all, and all their words never take more than half of a service's
 replicas in a region. After a while one daemon, the same for all, tries the replica again and acquits it if it answers.
 
-A replica that is busy may say nothing to one daemon for long, while others hear it all the time. So silence counts only as long
-as no daemon that has heard the replica since then says so.
+Silence is no accusation: a busy replica is silent to some for long, and where it was one, load ejected replicas and so grew.
 
 Pure state: no clock is read, nothing is sent. All times are timedeltas on the caller's monotonic clock.
 """
@@ -18,16 +17,13 @@
 from ..part import ms, span
 from ..rank import first
 
-SUSPECT = "suspect"  # kind of soft state: "REPLICA DAEMON" -> (for how many ms the accusation counts, was it silence?)
-HEARD = (0, 1)  # the same row: this daemon has heard the replica, which ends what was said of its silence
-SOUND = (0, 0)  # and: it tried the replica, which ends all that was said
+SUSPECT = "suspect"  # kind of soft state: "REPLICA DAEMON" -> (for how many ms the accusation counts,)
+SOUND = (0,)  # the same row: this daemon tried the replica, which ends all that was said
 QUORUM = 2  # daemons whose accusations eject a replica
 HOLD, HOLD_MOST = timedelta(seconds=1), timedelta(seconds=8)  # how long an ejection lasts: doubled each time up to the most
 TRIAL = timedelta(seconds=2)  # how long after an ejection one daemon alone may try the replica
-IMMUNE = timedelta(seconds=1)  # after it was heard silence alone speaks against no replica for so long
 CALM = timedelta(seconds=10)  # after so long without an accusation the next ejection is short again
 PANIC = 2  # one of so many replicas of a service in a region may be ejected, no more
-CROWD = 6  # more than one of so many that are silent at once are busy, not hung: silence ejects none of them
 
 
 class Member(NamedTuple):
@@ -48,14 +44,14 @@
 class Case:
     """What speaks against one replica.
 
-    accusers: daemon -> until when its word counts; silence: is it silence alone that they met; immune_until: so long it was
-    heard lately; rounds: ejections so far, by which the next one's length goes; out_until, trial_until: of this ejection.
+    accusers: daemon -> until when its word counts; rounds: ejections so far, by which the next one's length goes; out_until,
+    trial_until: of this ejection; last: when it was accused last.
     """
 
-    __slots__ = ("accusers", "silence", "immune_until", "rounds", "out_until", "trial_until", "last")
+    __slots__ = ("accusers", "rounds", "out_until", "trial_until", "last")
 
     def __init__(self, now):
-        self.accusers, self.silence, self.immune_until, self.rounds, self.last = {}, True, now, 0, now
+        self.accusers, self.rounds, self.last = {}, 0, now
         self.out_until = self.trial_until = None
 
     def eject(self, now):
@@ -74,16 +70,8 @@
     def settle(self):
         """It was found sound: what was said before counts no more, how often it was ejected is remembered for `CALM`."""
         self.accusers.clear()
-        self.silence = True
         self.out_until = self.trial_until = None
 
-    def heard(self, now):
-        """Somebody has heard it: if silence is all that was said, it is free, and that ejection doesn't lengthen the next one."""
-        self.immune_until = now + IMMUNE
-        if self.silence:
-            self.rounds -= self.held(now)
-            self.settle()
-
 
 class Suspicions:
     """One daemon's view of all accusations. Replicas are objects with `id`, `service`, `zone` and `region`."""
@@ -114,19 +102,19 @@
         self.published.append(Publication(f"{replica} {self.me}", (self.ranks[replica],), value))
 
     # what this daemon meets itself
-    def accuse(self, now, replica, replicas, *, silence=False):
-        """A request to it failed for no reason of the request's own, or met nothing but silence. replicas: all there are."""
+    def accuse(self, now, replica, replicas):
+        """A request to it failed for no reason of the request's own. replicas: all that there are."""
         if replica.id in self.mine or not self.witness(self.me, replica):
             return
         case = self.case(now, replica.id)
-        if case.held(now) and not case.on_trial(now) or self.said_enough(now, case) or silence and now < case.immune_until:
+        if case.held(now) and not case.on_trial(now) or self.said_enough(now, case):
             return  # known already
         peers = [r for r in replicas if r.service == replica.service and r.region == replica.region]
         if sum(r.id in self.mine for r in peers) >= max(1, len(peers) // PANIC):
             return  # one that finds most replicas ill is likely to be cut off itself
         self.mine[replica.id] = now + HOLD
-        self.publish(replica.id, (ms(HOLD), int(silence)))
-        self.accused(now, replica, self.me, HOLD, silence)
+        self.publish(replica.id, (ms(HOLD),))
+        self.accused(now, replica, self.me, HOLD)
 
     def answered(self, now, replica):
         """It answered a request of this daemon's well."""
@@ -135,17 +123,11 @@
             return
         if case.on_trial(now) and self.tester(replica) == self.me:
             case.settle()
-            self.vouch(now, replica.id, SOUND)
-        elif case.silence and any(a != self.me for a in self.live_accusers(now, case)):
-            case.heard(now)
-            self.vouch(now, replica.id, HEARD)
-        elif case.accusers.pop(self.me, None) is not None:  # a word for it stands until it is old: others are to hear it
+            self.mine[replica.id] = now + HOLD
+            self.publish(replica.id, SOUND)
+        elif case.accusers.pop(self.me, None) is not None:  # an acquittal stands until it is old: others are to hear it
             self.withdraw(replica.id)
 
-    def vouch(self, now, replica, word):
-        self.mine[replica] = now + HOLD
-        self.publish(replica, word)
-
     def withdraw(self, replica):
         if self.mine.pop(replica, None) is not None:
             self.publish(replica, None)
@@ -165,24 +147,20 @@
         if value is None:
             if replica.id in self.cases:
                 self.cases[replica.id].accusers.pop(daemon, None)
-        elif value in (SOUND, HEARD):
+        elif value == SOUND:
             if replica.id in self.cases:
-                case = self.cases[replica.id]
-                case.settle() if value == SOUND else case.heard(now)
+                self.cases[replica.id].settle()
         elif fit(value):
             self.case(now, replica.id)
-            self.accused(now, replica, daemon, min(HOLD_MOST, span(value[0])), bool(value[1]))
+            self.accused(now, replica, daemon, min(HOLD_MOST, span(value[0])))
 
     def case(self, now, replica):
         return self.cases.setdefault(replica, Case(now))
 
-    def accused(self, now, replica, accuser, hold, silence):
+    def accused(self, now, replica, accuser, hold):
         case = self.cases[replica.id]
-        if silence and now < case.immune_until:
-            return
         case.last = now
         case.accusers[accuser] = now + hold
-        case.silence = case.silence and silence
         if case.on_trial(now) or not case.held(now) and self.quorum(now, replica, case):
             case.eject(now)
 
@@ -221,10 +199,7 @@
         return frozenset(r.id for region, rs in held.items() for r in self.ejected(rs, counts[region]) if not self.mine_to_try(now, r))
 
     def ejected(self, held, count):
-        """Of the held ones among `count` replicas of a region those that are passed over: the bounds on how many."""
-        silent = [r for r in held if self.cases[r.id].silence]
-        if len(silent) > max(1, count // CROWD):
-            held = [r for r in held if r not in silent]
+        """Of the held ones among `count` replicas of a region those that are passed over: the bound on how many."""
         held.sort(key=lambda r: (-len(self.cases[r.id].accusers), r.id))
         return held[: count // PANIC]
 
@@ -249,5 +224,5 @@
 
 
 def fit(value):
-    """Is it what an accusation says: for how many milliseconds it counts, and whether it was silence?"""
-    return type(value) is tuple and len(value) >= 2 and type(value[0]) is type(value[1]) is int and value[0] > 0
+    """Is it what an accusation says: for how many milliseconds it counts?"""
+    return type(value) is tuple and len(value) >= 1 and type(value[0]) is int and value[0] > 0
