--- a/silverglade/daemon/forwarding.py
+++ b/silverglade/daemon/forwarding.py
@@ -47,10 +47,11 @@
 
 
 class Shell:
-    def __init__(self, *, daemon, dialect, local=None, pool=None):
+    def __init__(self, *, daemon, dialect, local=None, pool=None, reuse=True):
         self.d, self.dialect = daemon, dialect
         self.pool = pool or Pool(local=local)
         self.limits, self.asks, self.n = Limits(), {}, 0
+        self.reuse = reuse  # are connections kept for further requests? (docs/measures.md)
         self.silence = SilenceWatch(tell=self.tell_silence)
 
     def act(self, e):
@@ -384,6 +385,4 @@
 
     def settle(self, c, h):
         """May the connection be used again, and for how long? Bytes behind a whole answer end it."""
-        if "reuse" in self.d.opt["without"]:
-            return None
-        return self.pool.patience(h, c.tcp.trip) if c.http.is_idle() and not c.surplus() and not c.tcp.ended else None
+        return self.pool.patience(h, c.tcp.trip) if self.reuse and c.http.is_idle() and not c.surplus() and not c.tcp.ended else None
--- a/silverglade/daemon/run.py
+++ b/silverglade/daemon/run.py
@@ -67,7 +67,8 @@
         self.relays, self.calls, self.n, self.counts, self.fed = {}, {}, 0, {}, 0
         self.early = anyio.Event()  # a pulse is wanted sooner than it seemed
         self.stopping, self.ready = anyio.Event(), anyio.Event()
-        self.shell = Shell(daemon=self, dialect=outer.dialect if outer else OWN, local=s["http"].rsplit(":", 1)[0])
+        dialect, local = outer.dialect if outer else OWN, s["http"].rsplit(":", 1)[0]
+        self.shell = Shell(daemon=self, dialect=dialect, local=local, reuse="reuse" not in self.opt["without"])
 
     def faces(self):
         """Addresses beside the product's own and the clients', each with its app (design 15.7)."""
