A stream's last event id goes to the replica byte for byte

Clients resumed with an id that is no ASCII and the replica saw other bytes: the header was read as Latin-1, an event's id as UTF-8 with losses, and both were sent as UTF-8. Now one encoding that returns every byte both ways.

--- a/silverglade/http/event_stream.py
+++ b/silverglade/http/event_stream.py
@@ -12,6 +12,9 @@
 MAX_ID_DIGITS = 18
 """Of an event's id that counts as a number."""
 
+ENCODING, UNDECODABLE = "utf-8", "surrogateescape"
+"""How an event's id is text here: its bytes come out again as they were, whatever they are."""
+
 NO_NUMBER = -1
 """Stands for an id that is no number."""
 
@@ -78,7 +81,7 @@
     while end < len(events) and events[end] not in LINE_ENDS:
         end += 1
     value = events[start:end]
-    return (value[1:] if value[:1] == b" " else value).decode("utf-8", "replace")
+    return (value[1:] if value[:1] == b" " else value).decode(ENCODING, UNDECODABLE)
 
 
 def event_number(event_id: str) -> int:
--- a/silverglade/http/forwarding_protocol.py
+++ b/silverglade/http/forwarding_protocol.py
@@ -18,12 +18,13 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from ..runtime import result_codes
-from ..runtime.outside_input import is_whole_number
+from ..runtime.outside_input import MAX_LENGTH_DIGITS, is_whole_number
 from ..server.client_request import ClientLimits, ClientRequest, RequestEnd, end_to_end_headers, send_result_code
 from ..server.limits import MAX_BUFFERED_BODY_BYTES
-from .asgi import MAX_LENGTH_DIGITS, Receive, Scope, Send
+from .asgi import Receive, Scope, Send
 from .connection_pool import SECOND
 from .dialect import Dialect
+from .event_stream import ENCODING, UNDECODABLE
 
 if TYPE_CHECKING:
     from ..server.request_forwarding import ForwardingDaemon, RequestForwarder
@@ -148,7 +149,7 @@
         "prefix": parse_prompt_parts(fields.get(dialect.prefix)),
         "tokens": parse_token_counts(fields.get(dialect.tokens)),
         "model": text(dialect.model) or "",
-        "last_event": text(dialect.last_event),
+        "last_event": fields[dialect.last_event].decode(ENCODING, UNDECODABLE) if dialect.last_event in fields else None,
         "version": text(dialect.version),
         "size": size,
     }
--- a/silverglade/server/attempt_runner.py
+++ b/silverglade/server/attempt_runner.py
@@ -15,7 +15,7 @@
 
 from ..http.connection_pool import SECOND, ConnectionPool, PooledConnection, RequestNotSentError, StaleConnectionError
 from ..http.dialect import Dialect
-from ..http.event_stream import EventSplitter, events_after, last_event_id
+from ..http.event_stream import ENCODING, UNDECODABLE, EventSplitter, events_after, last_event_id
 from .attempt import Attempt, AttemptResult, AttemptTarget, LossReason, Outcome
 from .client_request import ClientRequest, Headers, HeaderTable, HeldResponse, end_to_end_headers, parse_seconds
 from .response_timeouts import ReportSilence, SilenceWatch
@@ -212,7 +212,7 @@
         if target.urgency is not None:
             added.append((dialect.urgency, b"%d" % target.urgency))
         if target.last_event is not None:
-            added.append((dialect.last_event, target.last_event.encode()))
+            added.append((dialect.last_event, target.last_event.encode(ENCODING, UNDECODABLE)))
         replaced = {name for name, _ in added}
         ip, port = attempt.connection.key[0].rsplit(":", 1)
         return httpcore.Request(
--- a/tests/http/test_forwarding.py
+++ b/tests/http/test_forwarding.py
@@ -346,3 +346,15 @@
     assert got[2] == body.encode() and got[3]
     got, d, rep = scene(says(answer("a1", body)[:-1]), ask)
     assert d.words()[-1] == (1, "cut", None) and len(got[2]) < len(body) and not got[3]
+
+
+# A stream's id that is no ASCII came to the replica as other bytes than the client sent.
+def test_the_id_of_a_streams_last_event_goes_on_byte_for_byte():
+    async def talk(c, d, rep, client):
+        await c.ask(more=("Last-Event-Id: \xe47\xc3",))
+        await c.answer()
+
+    as_told = b"\xe47\xc3".decode("utf-8", "surrogateescape")
+    _, d, rep = scene(says(answer("a1")), talk, last_event=as_told)
+    assert d.told[0][2]["last_event"] == as_told
+    assert rep.seen[0][1]["last-event-id"] == "\xe47\xc3"
