One limit on the digits of a stated length; a reader that served tests alone goes

MAX_LENGTH_DIGITS stood in asgi.py and replica_calls.py; parse_whole_number was called by a test only, which now calls int() behind the same check.

--- a/silverglade/http/app.py
+++ b/silverglade/http/app.py
@@ -15,9 +15,8 @@
 
 from ..runtime import result_codes
 from ..runtime.errors import InvalidHeaderError, SilvergladeError, error_body
-from ..runtime.outside_input import is_whole_number
+from ..runtime.outside_input import MAX_LENGTH_DIGITS, is_whole_number
 from .asgi import (
-    MAX_LENGTH_DIGITS,
     App,
     HeaderTable,
     Receive,
--- a/silverglade/http/asgi.py
+++ b/silverglade/http/asgi.py
@@ -10,7 +10,7 @@
 import anyio
 
 from ..runtime.errors import BodyTooLargeError, SlowBodyError, TruncatedBodyError, error_body, http_status
-from ..runtime.outside_input import is_whole_number
+from ..runtime.outside_input import MAX_LENGTH_DIGITS, is_whole_number
 
 Scope = Mapping[str, Any]
 Message = dict[str, Any]
@@ -26,9 +26,6 @@
 
 BODY_TIMEOUT_S: float = 20
 
-MAX_LENGTH_DIGITS = 20
-"""Of a stated length; the HTTP library refuses longer ones."""
-
 JITTER = (0.8, 1.6)
 """Of `Retry-After`, so that a crowd does not return at once."""
 
--- a/silverglade/runtime/outside_input.py
+++ b/silverglade/runtime/outside_input.py
@@ -24,6 +24,9 @@
 
 MAX_PORT, MAX_PORT_DIGITS = 65535, 5
 
+MAX_LENGTH_DIGITS = 20
+"""Of a stated length of a body; the HTTP library refuses longer ones."""
+
 MAX_DEPTH = 64
 """Arrays and objects within each other."""
 
@@ -34,16 +37,6 @@
 """A header's value that can be passed on: visible characters, with spaces or tabs between them only."""
 
 
-def parse_whole_number(text: str | bytes, *, max_digits: int) -> int:
-    """Return a whole number from 0 that is written in ASCII digits.
-
-    :raises InvalidInputError: it is none, or has too many digits.
-    """
-    if not (text.isascii() and text.isdigit() and len(text) <= max_digits):
-        raise InvalidInputError(f"no whole number of at most {max_digits} digits")
-    return int(text)
-
-
 def is_whole_number(text: str | bytes, *, max_digits: int) -> bool:
     """Whether a text is a whole number from 0, in ASCII digits."""
     return text.isascii() and text.isdigit() and len(text) <= max_digits
--- a/silverglade/server/replica_calls.py
+++ b/silverglade/server/replica_calls.py
@@ -11,7 +11,7 @@
 import httpcore
 
 from ..runtime.errors import InvalidInputError
-from ..runtime.outside_input import is_whole_number, parse_json
+from ..runtime.outside_input import MAX_LENGTH_DIGITS, is_whole_number, parse_json
 
 TIMEOUTS = {"connect": 1.0, "read": None, "write": 10.0, "pool": None}
 """In seconds. How long a response may take is bounded over the whole call."""
@@ -20,7 +20,6 @@
 """Of a response that is held until it is complete, and of one event."""
 
 MAX_EVENT_ID_DIGITS = 11
-MAX_LENGTH_DIGITS = 20
 DISPATCH_MARGIN_S = 1.0
 """So long after its due a dispatch ends here, whatever the replica does."""
 
--- a/tests/http/test_hostile_requests.py
+++ b/tests/http/test_hostile_requests.py
@@ -15,7 +15,6 @@
     is_header_value,
     is_whole_number,
     parse_json,
-    parse_whole_number,
 )
 from silverglade.runtime.result_codes import RESULT_CODES
 from silverglade.server import client_request
@@ -68,7 +67,7 @@
 @example("1.2.3.4:80\n")
 def test_texts_are_read_by_total_functions(text):
     for digits in (text, text.encode("utf-8", "replace")):
-        assert not is_whole_number(digits, max_digits=9) or parse_whole_number(digits, max_digits=9) >= 0
+        assert not is_whole_number(digits, max_digits=9) or int(digits) >= 0
     assert not is_address(text) or text.rpartition(":")[2].isascii()
     assert not is_header_value(text, max_length=200) or text.encode("ascii").strip() == text.encode()
     data = text.encode("utf-8", "replace")
