Only an address that is new is checked when a message is queued

Every message between daemons parsed the peer's address again, though set_address notes only addresses that were checked. What begins with @ still is.

--- a/silverglade/transport/connections.py
+++ b/silverglade/transport/connections.py
@@ -117,8 +117,8 @@
 
         Never waits: a message to an unknown daemon, or for a full queue, is dropped, which every protocol here survives.
         """
-        address = to[1:] if to.startswith("@") else self.addresses.get(to)
-        if address is None or self.task_group is None or not is_address(address):
+        address = self._address_of(to)
+        if address is None or self.task_group is None:
             return
         try:
             queue = self._queue(address, body[0], self.task_group)
@@ -128,6 +128,13 @@
         except SilvergladeError as error:
             self.logger.warning(format_line("frame-not-sent", [("to", to), ("kind", body[0]), ("code", error.code)]))
 
+    def _address_of(self, to: str) -> str | None:
+        """Return the address of a daemon, given by its name or as "@address"; None if it is not known, or is no address."""
+        if not to.startswith("@"):
+            return self.addresses.get(to)
+        address = to[1:]
+        return address if is_address(address) else None
+
     def _queue(self, address: str, kind: str, task_group: TaskGroup) -> MemoryObjectSendStream[QueuedFrame]:
         """Return the queue for messages of this kind to an address; the first use starts the task that empties it."""
         key = (address, "bulk" if kind in BULK_MESSAGES else queue_for(kind))
