Configuration: callers with digests of keys, homes and rank; a route may be public

Cause: the users' configurations hold tenants with keys; the adapter dropped them, so no request could be told by its key.

--- a/silverglade/configuration/schema.py
+++ b/silverglade/configuration/schema.py
@@ -10,13 +10,16 @@
 from hashlib import blake2b
 from typing import Any
 
+from ..runtime.outside_input import is_header_value
 from .validation import (
+    MAX_NAME_LENGTH,
     ValidationError,
     boolean,
     integer,
     list_of,
     mapping_of,
     number,
+    omittable,
     one_of,
     optional,
     record,
@@ -74,6 +77,7 @@
         "homes": list_of(text(), default=(), unique=True),  # regions; none: any
         "by_prefix": boolean(default=False),
         "resumable": boolean(default=False),
+        "public": omittable(boolean()),  # whether it wants no caller's key; left out: false
         "shares": list_of(record({"service": text(), "weight": number()}), least=1),
     }
 )
@@ -101,6 +105,15 @@
 )
 """A tenant."""
 
+CALLER = record(
+    {
+        "keys": list_of(text(least=32, most=64), default=(), unique=True),  # digests of its keys
+        "homes": list_of(text(), default=(), unique=True),  # regions; none: any
+        "rank": optional(integer(most=1000)),  # goes before the route's; None: the route's
+    }
+)
+"""A caller: a tenant of forwarded requests, known by its key (design 17)."""
+
 CONFIGURATION = record(
     {
         "number": integer(default=0),  # the operator's own version; 0: it uses control's alone
@@ -109,15 +122,16 @@
         "limits": optional(CLIENT_LIMITS),
         "zones": mapping_of(ZONE, least=1),
         "tenants": mapping_of(TENANT),
+        "callers": omittable(mapping_of(CALLER)),  # left out: routes want no key; empty: every key is unknown
         "body_cap": integer(default=MEBIBYTE, least=1, most=4 * MEBIBYTE),  # bytes of a tenant's request
     }
 )
 """The whole configuration."""
 
 
-def key_digest(key: str, /) -> str:
+def key_digest(key: str | bytes, /) -> str:
     """Digest a key: only its digest is kept, never the key (design 2.1)."""
-    return blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).hexdigest()
+    return blake2b(key.encode() if isinstance(key, str) else key, digest_size=KEY_DIGEST_BYTES).hexdigest()
 
 
 def parse_configuration(raw: Any, /) -> tuple[Any, Errors]:
@@ -128,7 +142,7 @@
     """
     configuration, errors = validate(CONFIGURATION, raw)
     if not errors:
-        errors = (*_route_errors(configuration), *_tenant_errors(configuration))
+        errors = (*_route_errors(configuration), *_tenant_errors(configuration), *_caller_errors(configuration))
     return (None, errors) if errors else (configuration, ())
 
 
@@ -145,6 +159,21 @@
             tenant_by_key[key] = name
 
 
+def _caller_errors(configuration: Configuration) -> Iterator[ValidationError]:
+    """Errors between callers and regions, and keys that two callers share (design 17)."""
+    caller_by_key: dict[str, str] = {}
+    regions = {zone["region"] for zone in configuration["zones"].values()}
+    for name, caller in configuration.get("callers", {}).items():
+        if not is_header_value(name, max_length=MAX_NAME_LENGTH):
+            yield ValidationError(f"callers.{name}", "wants a name that a header can carry")
+        for index, home in enumerate(caller["homes"]):
+            if home not in regions:
+                yield ValidationError(f"callers.{name}.homes[{index}]", f"unknown region {home}")
+        for index, key in enumerate(caller["keys"]):
+            if caller_by_key.setdefault(key, name) != name:
+                yield ValidationError(f"callers.{name}.keys[{index}]", f"also a key of {caller_by_key[key]}")
+
+
 def _route_errors(configuration: Configuration) -> Iterator[ValidationError]:
     """Errors between routes, services and regions (design 15.2)."""
     route_by_place: dict[tuple[str, str], str] = {}
--- a/silverglade/configuration/validation.py
+++ b/silverglade/configuration/validation.py
@@ -15,6 +15,9 @@
 MISSING = object()
 """The default of a field that must be given."""
 
+LEFT_OUT = object()
+"""The default of a field that stays out of the record when it is not given: what was stored before it existed stays the same."""
+
 MAX_NAME_LENGTH = 100
 """Characters of a name in a `mapping_of`."""
 
@@ -38,7 +41,7 @@
     """What the value of a field must be.
 
     :ivar check: the function that checks a value.
-    :ivar default: the value of a field that is left out, or `MISSING`.
+    :ivar default: the value of a field that is left out, `MISSING`, or `LEFT_OUT`.
     """
 
     __slots__ = ("check", "default")
@@ -196,7 +199,7 @@
                 kept[name] = rule.check(value[name], _field_path(path, name), errors)
             elif rule.default is MISSING:
                 errors.append(ValidationError(_field_path(path, name), "missing"))
-            else:
+            elif rule.default is not LEFT_OUT:
                 kept[name] = rule.default
         return kept
 
@@ -217,6 +220,11 @@
     return FieldRule(check, default=None)
 
 
+def omittable(rule: FieldRule) -> FieldRule:
+    """Rule for a field that may be left out, and is not in the record then."""
+    return FieldRule(rule.check, default=LEFT_OUT)
+
+
 def validate(rule: FieldRule, value: Any) -> tuple[Any, tuple[ValidationError, ...]]:
     """Check a value.
 
--- a/silverglade/http/dialect.py
+++ b/silverglade/http/dialect.py
@@ -24,6 +24,9 @@
     :ivar model: the model that is asked for.
     :ivar tokens: IN,OUT: tokens of the prompt, and the most out.
     :ivar urgency: 0 to 9, 0 goes first.
+    :ivar credentials: the client's scheme and key; no replica is shown it where the configuration has callers (design 17).
+    :ivar scheme: of the credentials, in lower case.
+    :ivar tenant: the caller that holds the key, said by the daemon alone.
     :ivar health: path of a GET: is the replica well.
     :ivar report: path of a GET: what the replica does now.
     """
@@ -41,6 +44,9 @@
     model: bytes = b"silverglade-model"
     tokens: bytes = b"silverglade-tokens"
     urgency: bytes = b"silverglade-urgency"
+    credentials: bytes = b"authorization"
+    scheme: bytes = b"bearer"
+    tenant: bytes = b"silverglade-tenant"
     health: str = "/v1/health"
     report: str = "/v1/report"
 
