Forwarding: a replica is shown the caller's name instead of the client's key

Cause: headers of clients were passed on as they came, the key among them, and a client could name any tenant. Change: the digest of the key is a fact of the request; where an attempt names a tenant (also an empty one), the header with the credentials and the client's own header of that name are left out, and the daemon's is set. Seen: tests/http/test_caller_keys.py over real sockets: odd case, several headers, `Connection` that lists them, kept connections, a resumed stream, trailers, any bytes; each fails without the change, and four guards cut out are seen.

--- a/silverglade/http/forwarding_protocol.py
+++ b/silverglade/http/forwarding_protocol.py
@@ -17,6 +17,7 @@
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from ..configuration.schema import key_digest
 from ..runtime import result_codes
 from ..runtime.outside_input import is_whole_number
 from ..server.client_request import ClientLimits, ClientRequest, RequestEnd, end_to_end_headers, send_result_code
@@ -123,6 +124,15 @@
     return None if tokens_in is None or tokens_out is None else (tokens_in, tokens_out)
 
 
+def parse_key(value: bytes | None, scheme: bytes) -> str | None:
+    """Return the digest of the key in a client's credentials, given as SCHEME KEY; None if there is none of this scheme."""
+    if value is None:
+        return None
+    given_scheme, _, key = value.strip().partition(b" ")
+    key = key.strip()
+    return key_digest(key) if key and given_scheme.lower() == scheme else None
+
+
 def host_name(value: bytes) -> str:
     """Return the host of a `Host` header in lower case, without its port."""
     host = value.decode("latin-1").strip().lower()
@@ -150,6 +160,7 @@
         "model": text(dialect.model) or "",
         "last_event": text(dialect.last_event),
         "version": text(dialect.version),
+        "key": parse_key(fields.get(dialect.credentials), dialect.scheme),
         "size": size,
     }
 
--- a/silverglade/server/attempt.py
+++ b/silverglade/server/attempt.py
@@ -21,6 +21,7 @@
     :ivar cap: the most connections of this daemon to this replica.
     :ivar stream: events are passed on as they come; else the response is held until it is complete.
     :ivar resume: goes on with a stream whose head was passed on.
+    :ivar tenant: the caller that the replica is told instead of the key; empty: none; None: the client's headers pass as they came.
     :ivar patience: silence of the replica, on all its connections, that the router is told of.
     :ivar pause: the same once events come.
     """
@@ -38,6 +39,7 @@
     resume: bool
     patience: timedelta | None = None
     pause: timedelta | None = None
+    tenant: str | None = None
 
 
 class Outcome(StrEnum):
--- a/silverglade/server/attempt_runner.py
+++ b/silverglade/server/attempt_runner.py
@@ -214,6 +214,10 @@
         if target.last_event is not None:
             added.append((dialect.last_event, target.last_event.encode()))
         replaced = {name for name, _ in added}
+        if target.tenant is not None:
+            replaced |= {dialect.credentials, dialect.tenant}  # no replica is shown a key, nor a tenant that the client named
+            if target.tenant:
+                added.append((dialect.tenant, target.tenant.encode()))
         ip, port = attempt.connection.key[0].rsplit(":", 1)
         return httpcore.Request(
             request.method,
