Router: keys of callers decide who is let in, where it goes and how urgently

Cause: a configuration's callers were known and not looked at. Change: the router looks a key's digest up in a table made once per configuration: 401 only while the configuration is certain, else 503 (813); homes of route and caller both bind, and none in common means nowhere; the caller's rank goes first. Public routes go on. Seen: tests/routing/test_callers.py and the new cases of test_platform fail without the change and pass with it; five guards cut out are each seen. test_router, test_departure, test_settings, test_architecture pass.

--- a/silverglade/routing/attempts.py
+++ b/silverglade/routing/attempts.py
@@ -16,12 +16,13 @@
 from ..runtime.effects import ZERO, BreakResponse, Post, StartAttempt, milliseconds
 from ..runtime.events import ServiceRequestObserved
 from .attempt_outcomes import AttemptOutcome
+from .callers import effective_homes
 from .context import RouterContext
 from .graceful_shutdown import RETRY_ELSEWHERE_S
 from .replica_selection import SelectionContext, order, usable
 from .replicas import ReplicaState
 from .request import Request, attempt_target, work_of
-from .route_table import ServiceConfiguration, choose_service, find_route
+from .route_table import Route, ServiceConfiguration, choose_service, find_route
 
 MOST_UNSENT = 4
 """Replicas that could not be reached, for one request."""
@@ -65,6 +66,9 @@
 NOT_SERVING = Refusal(HTTPStatus.SERVICE_UNAVAILABLE.value, RETRY_WHEN_SERVING_S, result_codes.NOT_SERVING)
 UNKNOWN_ROUTE = Refusal(HTTPStatus.NOT_FOUND.value, None, result_codes.NO_ROUTE)
 UNCERTAIN_ROUTE = Refusal(HTTPStatus.SERVICE_UNAVAILABLE.value, RETRY_WHEN_PROVED_S, result_codes.UNCERTAIN_ROUTE)
+MISSING_KEY = Refusal(HTTPStatus.UNAUTHORIZED.value, None, result_codes.NO_KEY)
+UNKNOWN_KEY = Refusal(HTTPStatus.UNAUTHORIZED.value, None, result_codes.UNKNOWN_KEY)
+UNCERTAIN_KEY = Refusal(HTTPStatus.SERVICE_UNAVAILABLE.value, RETRY_WHEN_PROVED_S, result_codes.UNCERTAIN_KEY)
 MISSING_ATTEMPT_ID = Refusal(HTTPStatus.BAD_REQUEST.value, None, result_codes.NO_ATTEMPT)
 
 
@@ -94,6 +98,10 @@
         if route is None:
             context.answer(request, *(UNKNOWN_ROUTE if context.is_configuration_certain(now) else UNCERTAIN_ROUTE))
             return
+        refusal = self.identify_caller(request, route, now)
+        if refusal is not None:
+            context.answer(request, *refusal)
+            return
         if not facts["attempt"]:
             context.answer(request, *MISSING_ATTEMPT_ID)
             return
@@ -108,6 +116,28 @@
         context.placement.on_request(request)
         self.send_next(request, now)
 
+    def identify_caller(self, request: Request, route: Route, now: timedelta) -> Refusal | None:
+        """Set who holds the request's key, and with it where it may be served (design 17).
+
+        :returns: why it is refused, if its route wants a key; None where it may go on.
+        """
+        context = self.context
+        request.homes = route["homes"]
+        if context.callers is None:
+            return None
+        key = request.facts.get("key")
+        caller = context.callers.get(key) if key else None
+        if not route.get("public"):
+            if not context.are_keys_certain(now):
+                return UNCERTAIN_KEY
+            if caller is None and not context.is_configuration_certain(now):
+                return UNCERTAIN_KEY
+            if caller is None:
+                return UNKNOWN_KEY if key else MISSING_KEY
+        request.caller = caller
+        request.homes = effective_homes(route["homes"], caller)
+        return None
+
     def send_next(self, request: Request, now: timedelta) -> None:
         """Send a request to the next replica, or give it up at once."""
         refusal = self.try_next(request, now)
@@ -129,7 +159,7 @@
         candidates = usable(
             context.replicas.values(),
             service=request.service,
-            homes=request.route["homes"],
+            homes=request.homes,
             drained_zones=context.drained_zones,
             tried=request.tried_replicas,
         )
@@ -248,6 +278,7 @@
             remaining=request.deadline - now - RESPONSE_MARGIN,
             connect_timeout=context.connect_timeout(replica),
             daemons=context.daemons,
+            wants_keys=context.callers is not None,
             tuning=context.tuning,
         )
         context.effects.append(StartAttempt(request.id, request.attempt_number, target))
--- a/silverglade/routing/context.py
+++ b/silverglade/routing/context.py
@@ -9,6 +9,7 @@
 from ..runtime.components import Component
 from ..runtime.effects import AnswerClient, Effect, Post, TestReachability, log_record
 from ..runtime.events import SoftStatePublished
+from .callers import CallerTable
 from .graceful_shutdown import GracefulShutdown
 from .outlier_ejection import SUSPECT, OutlierEjection
 from .prefill_placement import PrefillPlacement
@@ -35,6 +36,7 @@
     :ivar replicas: replicas that are listed, or still have attempts of ours, by id.
     :ivar has_endpoint_list: whether a list of replicas was ever received.
     :ivar routes: the route table of the configuration.
+    :ivar callers: who holds which key; None where the configuration wants no keys (design 17).
     :ivar configuration: the one in force, or None.
     :ivar services: its services by name.
     :ivar drained_zones: zones in which nothing new is started.
@@ -54,6 +56,7 @@
         "replicas",
         "has_endpoint_list",
         "routes",
+        "callers",
         "configuration",
         "services",
         "drained_zones",
@@ -79,6 +82,7 @@
         self.replicas: dict[str, ReplicaState] = {}
         self.has_endpoint_list = False
         self.routes: RouteTable = {}
+        self.callers: CallerTable | None = None
         self.configuration: Mapping[str, Any] | None = None
         self.services: Mapping[str, ServiceConfiguration] = {}
         self.drained_zones: frozenset[str] = frozenset()
@@ -106,6 +110,11 @@
         """Whether the configuration is surely as new as all that must be in force by now; else "no such route" says too much."""
         return self.proved_at is not None and now - self.proved_at <= self.tuning["certain"]
 
+    def are_keys_certain(self, now: timedelta) -> bool:
+        """Whether no key that is known here can have been taken away too long ago to be let in (design 17.3)."""
+        limit = self.tuning["keys_alone"]
+        return limit is None or self.proved_at is not None and now - self.proved_at < limit
+
     def answer(self, request: Request, status: int, retry_after: float | None, code: int) -> None:
         """Answer a request with a status and a result code of our own."""
         self.finish(request)
--- a/silverglade/routing/request.py
+++ b/silverglade/routing/request.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from datetime import timedelta
 from typing import Any, NotRequired, TypedDict
 
 from ..runtime.effects import milliseconds, to_milliseconds
 from .attempt_outcomes import AttemptOutcome
+from .callers import Caller, effective_rank
 from .prefill_backlog import BacklogQuery, OngoingPrefill, Prompt
 from .replicas import ReplicaState
 from .route_table import Route, ServiceConfiguration
@@ -30,7 +31,7 @@
     """What the HTTP layer read of a request's head (http/forwarding_protocol.py).
 
     `attempt` is the client's id of this attempt of its own; `prefix` holds the prompt's parts, (id, tokens) each, the last one the
-    request's own; `tokens` are those of the prompt and the most of an answer.
+    request's own; `tokens` are those of the prompt and the most of an answer; `key` is the digest of the client's key.
     """
 
     host: str
@@ -43,6 +44,7 @@
     model: str
     last_event: str | None
     version: NotRequired[str | None]
+    key: NotRequired[str | None]
     size: int
 
 
@@ -54,6 +56,8 @@
     :ivar received_at: when it arrived.
     :ivar route: the route that it takes; set once, before anything is sent.
     :ivar service: the service that its route chose for it.
+    :ivar caller: who holds its key, if that is known; else None.
+    :ivar homes: the regions where it may be served, by its route and its caller; none: any.
     :ivar deadline: until when it is worked on.
     :ivar client_deadline: its own deadline, also beyond the daemon's end.
     :ivar tried_replicas: ids of the replicas that were tried.
@@ -78,6 +82,8 @@
         "received_at",
         "route",
         "service",
+        "caller",
+        "homes",
         "deadline",
         "client_deadline",
         "tried_replicas",
@@ -103,6 +109,8 @@
         self.id = request_id
         self.facts = facts
         self.received_at = now
+        self.caller: Caller | None = None
+        self.homes: Collection[str] = ()
         self.deadline = now
         self.client_deadline = now
         self.tried_replicas: set[str] = set()
@@ -142,6 +150,7 @@
     :ivar expect: whether only this incarnation of the replica may run it.
     :ivar urgency: for the replica's queue, or None.
     :ivar resume: it goes on with a stream whose head was passed on.
+    :ivar tenant: name of the caller that the replica is told instead of the key; empty: none; left out: headers pass as they came.
     :ivar connect: for how long a connection is waited for.
     :ivar patience: silence of the replica, on all connections, after which the router is told.
     :ivar pause: the same once events come.
@@ -161,6 +170,7 @@
     pause: timedelta | None
     cap: int
     stream: bool
+    tenant: NotRequired[str]
 
 
 def work_of(facts: RequestFacts) -> float:
@@ -192,17 +202,21 @@
     remaining: timedelta,
     connect_timeout: timedelta,
     daemons: int,
+    wants_keys: bool,
     tuning: Mapping[str, Any],
 ) -> AttemptTarget:
     """Describe one attempt to the request forwarder.
 
     :param remaining: what is left of the deadline.
     :param daemons: how many share the replica's connections.
+    :param wants_keys: whether the configuration has callers.
     """
     switched_off = tuning["without"]
     watches_silence = "silence" not in switched_off
-    urgency = None if "urgency" in switched_off else min(LARGEST_URGENCY, MIDDLE_URGENCY + request.route["rank"])
-    return {
+    urgency = (
+        None if "urgency" in switched_off else min(LARGEST_URGENCY, MIDDLE_URGENCY + effective_rank(request.route["rank"], request.caller))
+    )
+    target: AttemptTarget = {
         "replica": replica.id,
         "addr": replica.address,
         "service": request.service,
@@ -217,3 +231,6 @@
         "cap": max(1, service["conns"] // max(1, daemons)),
         "stream": request.is_streaming,
     }
+    if wants_keys:
+        target["tenant"] = request.caller.name if request.caller else ""
+    return target
--- a/silverglade/routing/route_table.py
+++ b/silverglade/routing/route_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 from ..membership.rendezvous import hash_score
 
@@ -34,6 +34,7 @@
     homes: list[str]
     by_prefix: bool
     resumable: bool
+    public: NotRequired[bool]
 
 
 class ServiceConfiguration(TypedDict):
--- a/silverglade/routing/router.py
+++ b/silverglade/routing/router.py
@@ -37,6 +37,7 @@
 )
 from .attempt_progress import AttemptProgress
 from .attempts import DEADLINE_PASSED, Attempts
+from .callers import build_caller_table
 from .context import FEWEST_DAEMONS, RouterContext
 from .endpoints import Endpoints
 from .messages import BacklogReply, BacklogRequest, PrefillEnded, PrefillStarted, decode
@@ -183,6 +184,7 @@
         context.configuration = configuration
         context.services = configuration["services"]
         context.routes = build_route_table(configuration)
+        context.callers = build_caller_table(configuration)
         context.placement.cache_sizes = {name: service["keeps"] for name, service in context.services.items()}
         context.effects.append(SetClientLimits(configuration["limits"]))
         self.endpoints.set_slots()
--- a/silverglade/runtime/result_codes.py
+++ b/silverglade/runtime/result_codes.py
@@ -93,6 +93,7 @@
 HEADER_SIZE = 810
 LEAVING = 811
 UNCERTAIN_ROUTE = 812
+UNCERTAIN_KEY = 813
 
 RESULT_CODES: dict[int, ResultCode] = {
     OK: ResultCode("ok", 200, "Done."),
@@ -159,4 +160,7 @@
     UNCERTAIN_ROUTE: ResultCode(
         "uncertain-route", 503, "No route is known here, but this daemon has had no proof of late that its configuration is the newest."
     ),
+    UNCERTAIN_KEY: ResultCode(
+        "uncertain-key", 503, "The route wants a key, but this daemon has had no proof of late that the keys that it knows are the newest."
+    ),
 }
--- a/silverglade/runtime/settings.py
+++ b/silverglade/runtime/settings.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from typing import Any
 
-from ..configuration.validation import address, boolean, duration, integer, list_of, number, one_of, record, text, validate
+from ..configuration.validation import address, boolean, duration, integer, list_of, number, one_of, optional, record, text, validate
 from .errors import InvalidSettingsError
 
 ROLES = ("operator", "replica", "platform")
@@ -48,6 +48,7 @@
     "hedge_after": duration(default=timedelta(milliseconds=2200)),  # with an older proof another core is asked besides (5.7)
     "hedge_gap": duration(default=timedelta(milliseconds=350)),  # and after so long one more; twice as long each time
     "certain": duration(default=timedelta(seconds=2.5)),  # with an older proof no request is refused for want of a route (5.7)
+    "keys_alone": optional(duration()),  # with an older proof no request that wants a key is let in; None: however old it is (17.3)
     "trust": boolean(default=False),  # start with a store that nobody has proved newer than this process
     "probe": duration(default=timedelta(milliseconds=500)),  # between health checks of a tenants' replica (7.6)
     "stale": duration(default=timedelta(seconds=3)),  # a replica's status older than this gets no work
--- /dev/null
+++ b/tests/routing/test_callers.py
@@ -0,0 +1,204 @@
+"""Keys of callers at the router (design 17): who is let in, what is refused with which status, where it goes and how urgently."""
+
+from datetime import timedelta
+
+import pytest
+
+from silverglade.configuration.schema import key_digest
+from silverglade.routing import attempts
+from silverglade.routing.callers import Caller, effective_homes, effective_rank
+from silverglade.runtime.settings import tuning
+
+from ..support.router_bench import RouterBench, endpoint, only_effect, route
+from ..support.source_mutation import without
+
+SEC = timedelta(seconds=1)
+CERTAIN_S = tuning()["certain"] / SEC
+CLOSED = {"keys_alone": 4.5}
+ANN, BOB, GONE, NEVER = map(key_digest, ("ann's", "bob's", "taken away", "of nobody"))
+CALLERS = {"ann": {"keys": [ANN, GONE]}, "bob": {"keys": [BOB], "homes": ["b"], "rank": 3}}
+WITHOUT_GONE = {**CALLERS, "ann": {"keys": [ANN]}}
+PUBLIC = route("p", prefix="/p/", public=True)
+EVERYWHERE = (endpoint("1"), endpoint("2", zone="b1"), endpoint("3", zone="c1"))
+
+
+def bench(*routes, callers=CALLERS, replicas=EVERYWHERE, **kw):
+    return RouterBench(*(routes or (route(), PUBLIC)), callers=callers, replicas=replicas, **kw)
+
+
+def attempted(effects):
+    """The target of the attempt that is started."""
+    return only_effect(effects, "try")[3]
+
+
+def refused(effects):
+    """Status and code of the answer, and whether it says when to come back."""
+    _, _, status, wait, code = only_effect(effects, "answer")
+    return status, code, bool(wait)
+
+
+def test_a_request_with_a_known_key_goes_on_in_the_name_of_its_caller():
+    b = bench()
+    assert attempted(b.request(key=ANN)[1])["tenant"] == "ann"
+    assert attempted(b.request(key=BOB)[1])["tenant"] == "bob"
+
+
+def test_an_unknown_or_missing_key_is_401_only_from_one_who_is_sure_of_its_configuration():
+    b = bench()
+    for proved in (0, CERTAIN_S):
+        assert refused(b.request(key=NEVER, proved=proved)[1]) == (401, 202, False)
+        assert refused(b.request(key=None, proved=proved)[1]) == (401, 201, False)
+        assert refused(b.request(proved=proved)[1]) == (401, 201, False)
+    for proved in (CERTAIN_S + 0.01, 60, None):
+        assert refused(b.request(key=NEVER, proved=proved)[1]) == (503, 813, True)
+        assert refused(b.request(proved=proved)[1]) == (503, 813, True)
+        attempted(b.request(key=ANN, proved=proved)[1])  # a key that is known is served on
+
+
+def test_a_request_without_a_route_is_404_whatever_its_key():
+    assert refused(bench().request("/q/", key=NEVER)[1])[0] == 404
+
+
+def test_a_public_route_wants_no_key_and_names_the_caller_where_it_is_known():
+    b = bench()
+    for key, tenant in ((None, ""), (NEVER, ""), (ANN, "ann")):
+        assert attempted(b.request("/p/x", key=key)[1])["tenant"] == tenant
+
+
+def test_where_no_keys_are_wanted_headers_pass_and_nobody_is_refused():
+    b = bench(callers=None)
+    assert "tenant" not in attempted(b.request(key=NEVER)[1]) and "tenant" not in attempted(b.request()[1])
+
+
+def test_with_no_callers_at_all_every_key_is_unknown():
+    assert refused(bench(callers={}).request(key=ANN)[1]) == (401, 202, False)
+
+
+def test_a_key_holds_as_long_as_the_configuration_in_force_has_it():
+    b = bench()
+    attempted(b.request(key=GONE)[1])
+    b.configure(route(), callers=WITHOUT_GONE, number=2)
+    assert refused(b.request(key=GONE)[1]) == (401, 202, False)
+    attempted(b.request(key=ANN)[1])
+    b.configure(route(), callers=CALLERS, number=3)
+    attempted(b.request(key=GONE)[1])
+
+
+def test_further_attempts_and_the_rest_of_a_stream_carry_the_same_tenant():
+    """Guards against a second attempt that shows the replica the key, or no tenant, also when the key is taken away meanwhile."""
+    b = bench(route(kind="pure", tries=3))
+    request_id, _ = b.request(key=GONE)
+    b.configure(route(kind="pure", tries=3), callers=WITHOUT_GONE, number=2)
+    assert attempted(b.report(request_id, 1, "lost", "reset"))["tenant"] == "ann"
+    b = bench(route(resumable=True, tries=3))
+    request_id, _ = b.request(key=ANN)
+    b.report(request_id, 1, "began", 200)
+    b.report(request_id, 1, "first")
+    rest = attempted(b.report(request_id, 1, "cut", "4"))
+    assert (rest["tenant"], rest["resume"], rest["last_event"]) == ("ann", True, "4")
+
+
+@pytest.mark.parametrize(
+    "route_homes, caller_homes, regions",
+    [
+        ([], [], {"a", "b", "c"}),
+        (["a", "b"], [], {"a", "b"}),
+        ([], ["b", "c"], {"b", "c"}),
+        (["a", "b"], ["b", "c"], {"b"}),
+        (["a"], ["b"], set()),
+    ],
+)
+def test_homes_of_route_and_caller_both_bind(route_homes, caller_homes, regions):
+    """Guards against homes that exclude each other being taken for none, which would mean any region."""
+    b = bench(route(kind="effectful", tries=9, homes=route_homes), callers={"ann": {"keys": [ANN], "homes": caller_homes}})
+    region_of = {"1": "a", "2": "b", "3": "c"}
+    met, (request_id, effects) = set(), b.request(key=ANN)
+    for number in range(1, 5):
+        if effects[0][0] == "answer":
+            break
+        met.add(region_of[attempted(effects)["replica"]])
+        effects = b.report(request_id, number, "unsent", "refused")
+    assert met == regions and refused(effects)[0] == 503
+
+
+def test_the_homes_of_a_caller_bind_on_public_routes_too():
+    b = bench()
+    assert {attempted(b.request("/p/x", key=BOB)[1])["replica"] for _ in range(9)} == {"2"}
+
+
+@pytest.mark.parametrize("route_rank, rank, urgency", [(2, None, 6), (2, 0, 4), (0, 3, 7), (1, 99, 9)])
+def test_the_rank_of_a_caller_comes_before_that_of_its_route(route_rank, rank, urgency):
+    b = bench(route(rank=route_rank), callers={"ann": {"keys": [ANN], "rank": rank}})
+    assert attempted(b.request(key=ANN)[1])["urgency"] == urgency
+
+
+def test_homes_and_rank_of_a_request_without_a_caller_are_its_routes():
+    assert effective_homes(("a",), None) == ("a",) and effective_rank(5, None) == 5
+    assert effective_homes((), Caller("ann", frozenset(), None)) == ()
+
+
+def closed_revocation_holds():
+    b = bench(options=CLOSED)
+    for proved in (0, 4.49):
+        attempted(b.request(key=ANN, proved=proved)[1])
+    for proved in (4.5, 60, None):
+        assert refused(b.request(key=ANN, proved=proved)[1]) == (503, 813, True)
+        assert refused(b.request(key=NEVER, proved=proved)[1]) == (503, 813, True)
+        attempted(b.request("/p/x", proved=proved)[1])
+
+
+def test_with_closed_revocation_a_daemon_that_is_out_of_touch_lets_in_only_what_wants_no_key():
+    closed_revocation_holds()
+
+
+def test_without_closed_revocation_a_daemon_that_is_out_of_touch_goes_by_the_keys_it_knows():
+    b = bench()
+    for proved in (60, None):
+        attempted(b.request(key=ANN, proved=proved)[1])
+
+
+def test_after_a_pause_no_key_is_trusted_until_the_configuration_is_proved_anew():
+    """Guards against a process that was paused and judges keys by what it knew before: the updater drops its proof."""
+    b = bench(options=CLOSED)
+    attempted(b.request(key=ANN)[1])
+    b.feed("fresh", None)
+    usual = dict(host="h", path="/r/x", method="POST", attempt="t", deadline_ms=4000, prefix=(), tokens=None, model="", last_event=None)
+    facts = dict(usual, size=0, key=ANN)
+    assert refused(b.feed("request", "waited", facts)) == (503, 813, True)
+    b.feed("fresh", b.now)
+    attempted(b.feed("request", "later", facts))
+
+
+def test_a_request_is_judged_when_it_is_taken_and_not_by_the_proof_when_it_was_sent():
+    """Guards against a request that waits in a queue while the proof grows old: time passes between proof and request."""
+    b = bench(options=CLOSED)
+    attempted(b.request(key=ANN)[1])
+    b.advance(4.6)
+    usual = dict(host="h", path="/r/x", method="POST", attempt="t", deadline_ms=4000, prefix=(), tokens=None, model="", last_event=None)
+    assert refused(b.feed("request", "waited", dict(usual, size=0, key=ANN))) == (503, 813, True)
+
+
+GUARDS = [
+    (
+        attempts,
+        "caller is None and not context.is_configuration_certain(now)",
+        "False",
+        test_an_unknown_or_missing_key_is_401_only_from_one_who_is_sure_of_its_configuration,
+    ),
+    (attempts, "if not context.are_keys_certain(now):", "if False:", closed_revocation_holds),
+    (attempts, 'if not route.get("public"):', "if True:", test_a_public_route_wants_no_key_and_names_the_caller_where_it_is_known),
+    (attempts, 'request.homes = effective_homes(route["homes"], caller)', "pass", test_the_homes_of_a_caller_bind_on_public_routes_too),
+    (
+        attempts,
+        "wants_keys=context.callers is not None",
+        "wants_keys=False",
+        test_a_request_with_a_known_key_goes_on_in_the_name_of_its_caller,
+    ),
+]
+
+
+@pytest.mark.parametrize("module, guard, instead, check", GUARDS, ids=[guard for _, guard, _, _ in GUARDS])
+def test_a_guard_that_is_cut_out_is_missed(monkeypatch, module, guard, instead, check):
+    without(monkeypatch, module.__name__, guard, instead, "silverglade.routing.router.Attempts")
+    with pytest.raises((AssertionError, KeyError)):
+        check()
--- a/tests/support/router_bench.py
+++ b/tests/support/router_bench.py
@@ -21,10 +21,12 @@
     return dict(required, **fields)
 
 
-def parsed_configuration(*routes, number=1, **services):
-    """A configuration with these routes, which is valid."""
+def parsed_configuration(*routes, number=1, callers=None, **services):
+    """A configuration with these routes, which is valid; callers: name to fields, None: it wants no keys."""
     services = {"s": dict(conns=100, slots=8), **services}
     raw = dict(number=number, zones=ZONES, tenants={}, routes=routes, services=services)
+    if callers is not None:
+        raw["callers"] = callers
     configuration, errors = schema.parse_configuration(raw)
     assert not errors, errors
     return configuration
@@ -46,16 +48,16 @@
     return effects[0]
 
 
-def new_router(name=OWN_NAME, region="a"):
-    """A router without configuration or replicas."""
-    return MachineComponent(Router(own_name=name, region=region, tuning=tuning()))
+def new_router(name=OWN_NAME, region="a", options=None):
+    """A router without configuration or replicas; options: tuning that is not the default."""
+    return MachineComponent(Router(own_name=name, region=region, tuning=tuning(**(options or {}))))
 
 
 class RouterBench:
     """A router that has settled: it has a configuration, three live daemons and its replicas."""
 
-    def __init__(self, *routes, replicas=(endpoint("1"), endpoint("2")), region="a", **services):
-        self.component, self.now, self.requests_made = new_router(region=region), timedelta(seconds=100), 0
+    def __init__(self, *routes, replicas=(endpoint("1"), endpoint("2")), region="a", options=None, **services):
+        self.component, self.now, self.requests_made = new_router(region=region, options=options), timedelta(seconds=100), 0
         self.configure(*routes, **services)
         self.feed("roll", tuple(member(f"d{number}") for number in (1, 2, 3)))
         self.feed("listed", replicas, True)
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -93,6 +93,32 @@
     assert e.value.code == 701 and "\n" not in str(e.value).strip()
 
 
+def bounded(tmp_path, *lines):
+    """The tuning that follows from these bounds beside the usual ones, in seconds."""
+    got = settings.checked(file(tmp_path, FILE.replace("grace_s = 8", "\n".join(("grace_s = 8", *lines)))))[0]["tuning"]
+    return {name: got[name] and got[name].total_seconds() for name in ("keys_alone", "aged", "hedge_after", "certain")}
+
+
+def test_closed_revocation_bounds_how_old_the_keys_of_a_daemon_may_be(tmp_path):
+    usual = {"keys_alone": None, "aged": 1.8, "hedge_after": 2.1, "certain": 2.7}
+    assert bounded(tmp_path) == usual  # a site that knows nothing of it
+    assert bounded(tmp_path, "revocation_closed = false", "revoke_ms = 5000") == usual
+    assert bounded(tmp_path, "revocation_closed = true", "revoke_ms = 5000") == dict(usual, keys_alone=4.5)
+
+
+def test_proofs_come_often_enough_for_a_short_revocation(tmp_path):
+    """Guards against daemons in touch that refuse every key since their proofs are older than it allows."""
+    got = bounded(tmp_path, "revocation_closed = true", "revoke_ms = 2000")
+    assert got == {"keys_alone": 1.8, "aged": 1.2, "hedge_after": 1.4, "certain": 2.7}
+
+
+@pytest.mark.parametrize("lines", [("revocation_closed = true",), ("revocation_closed = true", 'revoke_ms = "long"')])
+def test_closed_revocation_without_its_time_is_a_faulty_file(tmp_path, lines):
+    with pytest.raises(SilvergladeError) as e:
+        bounded(tmp_path, *lines)
+    assert e.value.code == 701
+
+
 def test_without_a_file_it_is_said():
     with pytest.raises(SilvergladeError) as e:
         settings.checked("/nowhere/node.toml")
