A caller's rank goes before its route's, which still decides among equals

Requests of all callers of one rank were equally urgent: the caller's rank took the place of the route's. Where every tenant has a rank, as on both sites with duties (0 and 1 there), chats lost their precedence over long prompts. Now each rank of callers is a step over all ranks of routes. The test of the earlier reading gives way to one that holds the whole order, and fails on it.

--- a/silverglade/configuration/schema.py
+++ b/silverglade/configuration/schema.py
@@ -109,7 +109,7 @@
     {
         "keys": list_of(text(least=32, most=64), default=(), unique=True),  # digests of its keys
         "homes": list_of(text(), default=(), unique=True),  # regions; none: any
-        "rank": optional(integer(most=1000)),  # goes before the route's; None: the route's
+        "rank": optional(integer(most=1000)),  # goes before the route's; None: as 0
     }
 )
 """A caller: a tenant of forwarded requests, known by its key (design 17)."""
--- a/tests/routing/test_callers.py
+++ b/tests/routing/test_callers.py
@@ -126,15 +126,23 @@
     assert {attempted(b.request("/p/x", key=BOB)[1])["replica"] for _ in range(9)} == {"2"}
 
 
-@pytest.mark.parametrize("route_rank, rank, urgency", [(2, None, 6), (2, 0, 4), (0, 3, 7), (1, 99, 9)])
-def test_the_rank_of_a_caller_comes_before_that_of_its_route(route_rank, rank, urgency):
-    b = bench(route(rank=route_rank), callers={"ann": {"keys": [ANN], "rank": rank}})
-    assert attempted(b.request(key=ANN)[1])["urgency"] == urgency
+# Requests of one tenant's rank lost the order of their routes, or a route's rank went before a tenant's.
+def test_the_rank_of_a_caller_comes_before_that_of_its_route_which_decides_among_equals():
+    callers = {"ann": {"keys": [ANN], "rank": 3}, "bob": {"keys": [BOB], "rank": 99}}
+    b = bench(route(rank=0), route(prefix="/late/", rank=2), callers=callers)
+    urgencies = [attempted(b.request(path, key=key)[1])["urgency"] for key in (ANN, BOB) for path in ("/r/x", "/late/x")]
+    assert urgencies == [4, 6, 7, 9]
+
+
+@pytest.mark.parametrize("rank", [None, 0, 99])
+def test_where_all_callers_are_of_one_rank_the_routes_decide(rank):
+    b = bench(route(rank=2), callers={"ann": {"keys": [ANN], "rank": rank}})
+    assert attempted(b.request(key=ANN)[1])["urgency"] == 6
 
 
 def test_homes_and_rank_of_a_request_without_a_caller_are_its_routes():
     assert effective_homes(("a",), None) == ("a",) and effective_rank(5, None) == 5
-    assert effective_homes((), Caller("ann", frozenset(), None)) == ()
+    assert effective_homes((), Caller("ann", frozenset(), 0)) == ()
 
 
 def closed_revocation_holds():
