Duties: events and effects of leases and of calls to the platform

Cause: some calls to the platform must come from one daemon at a time; two components to come share the words for it. Change: events LeaseChanged, PlatformCallEnded, TenantRequestStarted, WallClockRead; effects SetLease, CallPlatform, ReadWallClock; names of the components. Nothing sends or hears them yet.

--- a/silverglade/runtime/components.py
+++ b/silverglade/runtime/components.py
@@ -22,3 +22,7 @@
     ROUTER = "router"
     ENDPOINT_LIST = "endpoint_list"
     SERVICE_SCALER = "service_scaler"
+    DUTY_LEASES = "duty_leases"
+    USAGE_COUNTER = "usage_counter"
+    USAGE_REPORTER = "usage_reporter"
+    REPLICA_ORDERS = "replica_orders"
--- a/silverglade/runtime/daemon_machine.py
+++ b/silverglade/runtime/daemon_machine.py
@@ -33,6 +33,7 @@
     EventDecoder,
     ForwardingRequested,
     MessageReceived,
+    PlatformCallEnded,
     ReachabilityTested,
     ReplicaProbed,
     ReplicaReportRead,
@@ -40,6 +41,7 @@
     ShutdownStarted,
     TenantRequestArrived,
     TimerFired,
+    WallClockRead,
     event_to_tuple,
 )
 from .state_machine import MachineComponent
@@ -114,6 +116,8 @@
     EndpointListRead.TAG: (Component.ENDPOINT_LIST,),
     ReplicaReportRead.TAG: (Component.ENDPOINT_LIST,),
     ReplicaProbed.TAG: (Component.SLOT_LEASES,),
+    WallClockRead.TAG: (Component.USAGE_COUNTER, Component.USAGE_REPORTER),
+    PlatformCallEnded.TAG: (Component.USAGE_REPORTER, Component.REPLICA_ORDERS),
     CallerDisconnected.TAG: (Component.OPERATOR_API,),
     DaemonStateChanged.TAG: (Component.MEMBERSHIP, Component.CONTROL),
     SeedsChanged.TAG: (Component.UPDATER, Component.CORE_TABLE),
@@ -136,6 +140,7 @@
         EndpointListRead,
         ForwardingRequested,
         MessageReceived,
+        PlatformCallEnded,
         ReachabilityTested,
         ReplicaProbed,
         ReplicaReportRead,
@@ -143,6 +148,7 @@
         ShutdownStarted,
         TenantRequestArrived,
         TimerFired,
+        WallClockRead,
     )
 )
 """From the tuple form of an event from outside to its class; None for one of another form."""
--- a/silverglade/runtime/effects.py
+++ b/silverglade/runtime/effects.py
@@ -139,6 +139,43 @@
     timeout: timedelta
 
 
+class ReadWallClock(Effect):
+    """Read the time of day; `WallClockRead` follows."""
+
+    TAG: ClassVar[str] = "wall"
+
+
+class SetLease(Effect):
+    """Until when calls of a duty may be written, for whoever writes them (design 17).
+
+    :ivar token: the fencing token; None: this daemon does not hold the lease.
+    :ivar usable_until: None: nothing may be written.
+    """
+
+    TAG: ClassVar[str] = "lease"
+    duty: str
+    token: int | None
+    usable_until: timedelta | None
+
+
+class CallPlatform(Effect):
+    """Call the platform as the holder of a duty; `PlatformCallEnded` follows (design 17).
+
+    The call is written only while the lease that `SetLease` gave last has this token and may be used.
+
+    :ivar call_id: names the call in its `PlatformCallEnded`.
+    :ivar path_kind: what is called for, one of `Duty`; the adapter knows its path.
+    :ivar body: in the product's own names; the adapter translates them.
+    """
+
+    TAG: ClassVar[str] = "call-platform"
+    call_id: str
+    duty: str
+    token: int
+    path_kind: str
+    body: Mapping[str, Any]
+
+
 class StartAttempt(Effect):
     """Send a client's request to a replica; `AttemptProgressed` follows."""
 
--- a/silverglade/runtime/events.py
+++ b/silverglade/runtime/events.py
@@ -125,6 +125,26 @@
     report: tuple[int, int, int] | None
 
 
+class WallClockRead(Event):
+    """The time of day: how long ago 1970 began (UTC). It may step, and differs a little between daemons."""
+
+    TAG: ClassVar[str] = "wall"
+    since_1970: timedelta
+
+
+class PlatformCallEnded(Event):
+    """A call of `CallPlatform` has ended.
+
+    :ivar status: of the platform's answer; None where there was none, or the call was not sent since the lease did not allow it.
+    :ivar body: the start of the answer's body; mostly empty.
+    """
+
+    TAG: ClassVar[str] = "platform-called"
+    call_id: str
+    status: int | None
+    body: bytes
+
+
 class ReachabilityTested(Event):
     """Whether a replica's machine took (or refused) a bare connection."""
 
@@ -382,6 +402,33 @@
     TAG: ClassVar[str] = "look"
 
 
+# --- from duties/
+
+
+class LeaseChanged(Event):
+    """Whether this daemon holds the lease of a duty, and until when it may act on it (design 17).
+
+    :ivar duty: one of `Duty`.
+    :ivar token: the fencing token; None: this daemon does not hold the lease.
+    :ivar usable_until: a call may be written only before this time; None while a new holder waits, or holds no proof.
+    """
+
+    TAG: ClassVar[str] = "lease-changed"
+    duty: str
+    token: int | None
+    usable_until: timedelta | None
+
+
+# --- from routing, for usage reports
+
+
+class TenantRequestStarted(Event):
+    """A request of this tenant began to run at a replica."""
+
+    TAG: ClassVar[str] = "tenant-started"
+    tenant: str
+
+
 # --- figures for the operator API
 
 
