Duties: a lease with a fencing token, held by one core at a time

Cause: usage reports and replica orders may come from one daemon at a time, also while holders are killed, stopped or cut off. Change: role kind platform, assigned to ready cores and never dropped; DutyLeases tells until when the holder may act; settings duties, duty_lease, duty_rate, usage_window, usage_late; a lease shorter than the age of a proof is refused. No daemon has the component yet.

--- a/silverglade/control/replicated_state.py
+++ b/silverglade/control/replicated_state.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "DUTY_ROLE",
     "EPOCH_FLOOR_PREFIX",
     "EVACUATION_PREFIX",
     "INITIAL_VERSION",
@@ -64,6 +65,9 @@
 SLOT_LEASES_ROLE = "ledger"
 """Kind of role: holder of a replica's slot leases; its name is the replica's."""
 
+DUTY_ROLE = "platform"
+"""Kind of role: holder of a duty at the platform (design 17); its name is the duty's. It is never dropped, so its epoch only rises."""
+
 
 class RoleAssignment(NamedTuple):
     """Who holds a singleton role (design 5.6).
--- a/silverglade/control/role_assigner.py
+++ b/silverglade/control/role_assigner.py
@@ -18,6 +18,7 @@
 from .operations import AssignRole
 from .replicated_state import (
     CONFIGURATION_KEY,
+    DUTY_ROLE,
     ROLE_PREFIX,
     SHARD_ROLE,
     SLOT_LEASES_ROLE,
@@ -32,12 +33,13 @@
 """Roles of a kind that one operation drops."""
 
 ROLE_KINDS = (SHARD_ROLE, SLOT_LEASES_ROLE)
+"""Kinds of roles that are dropped when nobody needs them."""
 
 NOBODY = RoleAssignment(0, "", "")
 
 
 class WantedRole(NamedTuple):
-    """A singleton role that is to be held by a daemon in one of these zones."""
+    """A singleton role that is to be held by a daemon in one of these zones; a duty by a core of any."""
 
     kind: str
     name: str
@@ -92,11 +94,13 @@
         return effects
 
     def wanted_roles(self) -> Iterator[WantedRole]:
-        """Yield every role that is to be held: of each tenant's shard, then of each replica's slot leases."""
+        """Yield every role that is to be held: of each tenant's shard, each replica's slot leases, then each duty."""
         for tenant, settings in self.tenants().items():
             yield WantedRole(SHARD_ROLE, tenant, frozenset(settings["homes"]))
         for replica, zone in self.replica_zones:
             yield WantedRole(SLOT_LEASES_ROLE, replica, frozenset((zone,)))
+        for duty in self.tuning["duties"]:
+            yield WantedRole(DUTY_ROLE, duty, frozenset())
 
     def tenants(self) -> Mapping[str, Any]:
         """Return the tenants of the configuration in force."""
@@ -117,7 +121,13 @@
                 yield AssignRole(role.kind, role.name, held.epoch, holder, held.follower)
 
     def candidates(self, role: WantedRole, ready: Mapping[str, MemberRecord]) -> list[str]:
-        """Return the daemons that may hold a role; slot leases also those of the replica's region, where its zone has none."""
+        """Return the daemons that may hold a role.
+
+        Slot leases also those of the replica's region, where its zone has none. A duty the cores of any zone: they are few, and the
+        store is proved to them before others.
+        """
+        if role.kind == DUTY_ROLE:
+            return [name for name, member in ready.items() if member.is_core]
         candidates = [name for name, member in ready.items() if member.zone in role.zones]
         if role.kind == SLOT_LEASES_ROLE and not candidates:
             regions = {member.region for member in self.members if member.zone in role.zones}
--- a/silverglade/runtime/settings.py
+++ b/silverglade/runtime/settings.py
@@ -13,6 +13,8 @@
 from typing import Any
 
 from ..configuration.validation import address, boolean, duration, integer, list_of, number, one_of, record, text, validate
+from ..duties.duty import Duty
+from ..duties.lease_times import LeaseTimes
 from .errors import InvalidSettingsError
 
 ROLES = ("operator", "replica", "platform")
@@ -23,6 +25,8 @@
 MECHANISMS = ("prefix", "hot-bound", "spill", "holds", "silence", "urgency", "reuse", "probed-load", "shared-suspicion", "prefill-ledger")
 """What decides over requests and can be switched off one by one (docs/measures.md); rules of a deployment need none of them."""
 
+DUTIES = tuple(Duty)
+
 FaultList = tuple[tuple[str, str], ...]
 """(path, what is wrong) each."""
 
@@ -96,6 +100,12 @@
     "cold_settle": duration(default=timedelta(seconds=5)),  # a daemon's age before it sends to a cold replica
     "cold_recall": duration(default=timedelta(seconds=300)),  # how long a daemon's name counts among those that share a cold replica
     "cold_ramp": duration(default=timedelta(seconds=3)),  # how long a replica that has turned warm gets more only step by step
+    # duties at the platform (17)
+    "duties": list_of(one_of(*DUTIES), default=(), unique=True),  # calls that one daemon at a time makes
+    "duty_lease": duration(default=timedelta(seconds=3)),  # holders that follow each other may not act in turn within it
+    "duty_rate": number(default=1.0),  # calls a second that the platform takes of all daemons
+    "usage_window": duration(default=timedelta(seconds=5)),  # of a usage report
+    "usage_late": duration(default=timedelta(seconds=10)),  # after the end of its window a report is late
     "without": list_of(one_of(*MECHANISMS), default=(), unique=True),  # mechanisms switched off, to see what they are worth
 }
 """Time settings and limits (docs/options.md explains each): name -> its type. In files times are seconds."""
@@ -151,10 +161,25 @@
     if faults:
         raise InvalidSettingsError(_message(faults))
     settings["tuning"] = settings["tuning"] or tuning()
+    faults = _duty_faults(settings["tuning"])
+    if faults:
+        raise InvalidSettingsError(_message(faults))
     settings["tolerance"] = settings["tolerance"] or dict.fromkeys(TOLERANCE, 1)
     return settings
 
 
+def _duty_faults(values: Mapping[str, Any]) -> FaultList:
+    """Return what is wrong with the times of duties: a lease must outlast the ordinary age of a proof (design 17)."""
+    if not values["duties"]:
+        return ()
+    least = LeaseTimes.shortest_lease(values)
+    if values["duty_lease"] < least:
+        return (("tuning.duty_lease", f"wants to be at least {least.total_seconds():.2f} s, so that a lease outlasts the age of a proof"),)
+    if not values["duty_rate"] or not values["usage_window"]:
+        return (("tuning.duties", "want duty_rate and usage_window above 0"),)
+    return ()
+
+
 def _core_faults(settings: Mapping[str, Any]) -> FaultList:
     """Return what is wrong with the cores that are named."""
     if not MIN_CORES <= len(settings["cores"]) <= MAX_CORES:
--- /dev/null
+++ b/tests/duties/test_leases.py
@@ -0,0 +1,128 @@
+"""When the holder of a duty may act, and what the role assigner makes of duties (design 17.1)."""
+
+from datetime import timedelta
+
+import pytest
+
+from silverglade.control.role_assigner import RoleAssigner
+from silverglade.duties.lease_times import LeaseTimes
+from silverglade.duties.leases import DutyLeases
+from silverglade.membership.records import MemberRecord
+from silverglade.runtime.effects import Post, SetLease
+from silverglade.runtime.errors import InvalidSettingsError
+from silverglade.runtime.events import AssignRoles, DropRoles, MembershipChanged, ProcessPaused, ProofRenewed, StoreUpdated, TimerFired
+from silverglade.runtime.settings import checked, tuning
+
+SECOND = timedelta(seconds=1)
+TIMES = LeaseTimes.of(3 * SECOND)
+
+
+def leases():
+    return DutyLeases(own_name="a", tuning=tuning(duties=["usage"], duty_lease=3.0))
+
+
+def store(epoch, holder):
+    return {"duty/platform/usage": ((1, epoch), (epoch, holder, ""))}
+
+
+def told(effects):
+    """The last lease that whoever writes calls was told."""
+    found = [(effect.token, effect.usable_until) for effect in effects if isinstance(effect, SetLease)]
+    return found[-1] if found else None
+
+
+def test_a_new_holder_waits_and_then_acts_while_its_proof_is_young():
+    machine = leases()
+    machine.step(SECOND, ProofRenewed(SECOND))
+    assert told(machine.step(SECOND, StoreUpdated(store(4, "a"), (1, 4)))) == (4, None)
+    over = SECOND + TIMES.takeover_wait
+    machine.step(over - timedelta(milliseconds=1), ProofRenewed(over - SECOND))
+    assert machine._told["usage"].usable_until is None
+    assert told(machine.step(over, TimerFired())) == (4, over - SECOND + TIMES.proof_lasts)
+
+
+def test_each_proof_lengthens_the_lease_and_another_holder_ends_it():
+    machine = leases()
+    machine.step(SECOND, StoreUpdated(store(4, "a"), (1, 4)))
+    assert told(machine.step(20 * SECOND, ProofRenewed(19 * SECOND))) == (4, 19 * SECOND + TIMES.proof_lasts)
+    assert told(machine.step(21 * SECOND, ProofRenewed(20 * SECOND))) == (4, 20 * SECOND + TIMES.proof_lasts)
+    assert told(machine.step(21 * SECOND, StoreUpdated(store(5, "b"), (1, 5)))) == (None, None)
+
+
+# Guards against: a holder that was away while another held the duty acts at once, as if it had held it all the time.
+def test_a_holder_that_missed_another_waits_anew():
+    machine = leases()
+    machine.step(SECOND, StoreUpdated(store(4, "a"), (1, 4)))
+    machine.step(20 * SECOND, ProofRenewed(20 * SECOND))
+    assert told(machine.step(20 * SECOND, StoreUpdated(store(6, "a"), (1, 6)))) == (6, None)
+
+
+# Guards against: a daemon that stood still acts on a proof of before.
+def test_a_pause_ends_the_lease_until_the_next_proof():
+    machine = leases()
+    machine.step(SECOND, StoreUpdated(store(4, "a"), (1, 4)))
+    machine.step(20 * SECOND, ProofRenewed(20 * SECOND))
+    assert told(machine.step(20 * SECOND, ProcessPaused())) == (4, None)
+
+
+@pytest.mark.parametrize("lease_s", [2.7, 3.0, 10.0])
+def test_the_times_leave_no_room_for_two_holders(lease_s):
+    lease = timedelta(seconds=lease_s)
+    times = LeaseTimes.of(lease)
+    last_act = times.proof_lasts + times.call_timeout  # of the old holder, after the change
+    assert times.takeover_wait > last_act
+    # A, B, A: B must have acted, with a proof of before A was named again
+    first_act_of_a_again = times.takeover_wait - times.proof_lasts + times.takeover_wait
+    assert first_act_of_a_again - last_act > lease
+
+
+def member(name, *, state="ready", is_core=True):
+    return MemberRecord(name, f"process-{name}", 1, 1, "z", "r", "", "", is_core, state)
+
+
+def posted(machine, now):
+    return [effect.event for effect in machine.step(now, TimerFired()) if isinstance(effect, Post)]
+
+
+def assigner(**values):
+    machine = RoleAssigner(tuning=tuning(**values))
+    machine.step(SECOND, MembershipChanged((member("a"), member("b"), member("edge", is_core=False))))
+    return machine
+
+
+def test_duties_go_to_cores_and_stay_where_they_are():
+    machine = assigner(duties=["usage", "scale"])
+    ((first, second),) = [event.assignments for event in posted(machine, SECOND)]
+    assert first[:3] == ("platform", "usage", 0) and second[:3] == ("platform", "scale", 0)
+    assert first[3] in ("a", "b") and second[3] in ("a", "b")
+    for holder in ("a", "b"):
+        machine = assigner(duties=["usage"])
+        machine.step(SECOND, StoreUpdated(store(7, holder), (1, 7)))
+        assert posted(machine, SECOND) == []
+
+
+def test_a_holder_that_leaves_is_replaced_on_its_epoch():
+    machine = assigner(duties=["usage"])
+    machine.step(SECOND, StoreUpdated(store(7, "a"), (1, 7)))
+    machine.step(SECOND, MembershipChanged((member("a", state="leaving"), member("b"))))
+    assert posted(machine, SECOND) == [AssignRoles((("platform", "usage", 7, "b", ""),))]
+
+
+# Guards against: a duty that is dropped and named again begins at an epoch that was used.
+def test_a_duty_is_never_dropped():
+    machine = assigner()
+    machine.step(SECOND, StoreUpdated(store(7, "a"), (1, 7)))
+    events = [event for turn in range(1, 2000) for event in posted(machine, turn * SECOND)]
+    assert not [event for event in events if isinstance(event, DropRoles)]
+    assert events == []
+
+
+SETTINGS = {"name": "n", "zone": "z", "region": "r", "listen": "127.0.0.1:1", "http": "127.0.0.1:2", "seeds": ["127.0.0.1:1"]}
+
+
+def test_a_lease_that_no_proof_would_keep_is_refused():
+    raw = {**SETTINGS, "cores": ["x", "y", "z"], "tuning": {"duties": ["usage"], "duty_lease": 1.0}}
+    with pytest.raises(InvalidSettingsError, match="duty_lease: wants to be at least 2.6"):
+        checked(raw)
+    checked({**raw, "tuning": {"duty_lease": 1.0}})
+    checked({**raw, "tuning": {"duties": ["usage"], "duty_lease": 3.0}})
