Duties: a window of usage is recorded in control before it is sent

Cause: two usage reports of one window with different counts must never leave, also from a holder that was deposed or forgot. Change: operation usage, resting on the epoch of the duty's role, taken once a window and only above the one before; one item, told to cores alone.

--- a/silverglade/control/decisions.py
+++ b/silverglade/control/decisions.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ..configuration import schema
+from ..duties.duty import Duty
 from ..runtime import result_codes
 from ..runtime.errors import SilvergladeError
 from ..transport import framing
@@ -24,17 +25,21 @@
     Evacuate,
     FencedOperation,
     ReadSource,
+    RecordUsage,
     ReopenShard,
     TableChange,
 )
 from .replicated_state import (
     CONFIGURATION_KEY,
+    DUTY_ROLE,
     INITIAL_VERSION,
     SHARD_ROLE,
     SOURCE_KEY,
+    USAGE_KEY,
     Items,
     RoleAssignment,
     StoreView,
+    UsageRecord,
     Version,
     configuration_number,
     epoch_floor,
@@ -43,6 +48,7 @@
     fencing_token_of,
     role_assignment,
     role_key,
+    usage_record,
     value_of,
     version_of,
 )
@@ -145,6 +151,8 @@
             return decide_drop(store, operation)
         case ReopenShard():
             return decide_reopening(store, operation)
+        case RecordUsage():
+            return decide_usage(store, operation)
     return Refused(result_codes.BAD_CALL, "unknown change")
 
 
@@ -258,3 +266,14 @@
     if held is None:
         return Refused(result_codes.NOT_FOUND, operation.name)
     return Take(((role_key(SHARD_ROLE, operation.name), tuple(RoleAssignment(held.epoch + 1, held.holder, ""))),))
+
+
+def decide_usage(store: StoreView, operation: RecordUsage) -> Decision:
+    """Judge a usage report: only the holder's, and each window once, so that no window is ever sent with two contents (design 17.2)."""
+    held = role_assignment(store, DUTY_ROLE, Duty.USAGE)
+    if held is None or held.epoch != operation.base_epoch:
+        return Refused(result_codes.CONFLICT, Duty.USAGE)
+    recorded = usage_record(store)
+    if recorded is not None and operation.window <= recorded.window:
+        return Refused(result_codes.CONFLICT, f"recorded is {recorded.window}")
+    return Take(((USAGE_KEY, tuple(UsageRecord(operation.window, operation.counts))),))
--- a/silverglade/control/operations.py
+++ b/silverglade/control/operations.py
@@ -135,6 +135,24 @@
         return (self.TAG, self.kind, self.names)
 
 
+class RecordUsage(Record):
+    """Record what the holder of the duty is about to report for a window, before it sends it (design 17.2).
+
+    :ivar base_epoch: epoch of the duty's role under which this was decided.
+    :ivar window: its number; all windows below it are closed with this.
+    :ivar counts: (tenant, requests) each.
+    """
+
+    TAG: ClassVar[str] = "usage"
+    base_epoch: int
+    window: int
+    counts: tuple[tuple[str, int], ...]
+
+    def encode(self) -> tuple[Any, ...]:
+        """Return the array that travels."""
+        return (self.TAG, self.base_epoch, self.window, self.counts)
+
+
 class UnknownOperation(Record):
     """An operation of a later program, or a malformed one."""
 
@@ -149,7 +167,16 @@
 """Operations without a base of their own: they rest on a fencing token (design 5.4)."""
 
 ControlOperation = (
-    ConfigurationChange | TableChange | ReadSource | Evacuate | ReopenShard | AssignRole | AssignRoles | DropRoles | UnknownOperation
+    ConfigurationChange
+    | TableChange
+    | ReadSource
+    | Evacuate
+    | ReopenShard
+    | AssignRole
+    | AssignRoles
+    | DropRoles
+    | RecordUsage
+    | UnknownOperation
 )
 
 
@@ -170,6 +197,8 @@
             return AssignRoles(tuple([AssignRole(*assignment) for assignment in assignments]))
         case (DropRoles.TAG, kind, names):
             return DropRoles(kind, names)
+        case (RecordUsage.TAG, base_epoch, window, counts):
+            return RecordUsage(base_epoch, window, counts)
     return UnknownOperation(raw)
 
 
--- a/silverglade/control/replicated_state.py
+++ b/silverglade/control/replicated_state.py
@@ -1,8 +1,8 @@
 """The store: what control holds, key to (version, value) (design 5.3).
 
 Keys are "config"; "source", the text in which an operator sent the configuration; "evac/ZONE"; "duty/KIND/NAME" and
-"floor/KIND" for singleton roles; "change/ID" and "forgotten" for outcomes of changes (outcomes.py). Daemons are not told of
-"source" and of outcomes.
+"floor/KIND" for singleton roles; "usage", the newest usage report (design 17.2); "change/ID" and "forgotten" for outcomes of
+changes (outcomes.py). Daemons are not told of "source" and of outcomes, and of "usage" only where they are cores.
 
 A role that nobody needs any more has the value None for a while, so that daemons drop it; its epoch is kept in the floor of its
 kind, above which every new role begins (design 5.6). A version is (epoch, number); `INITIAL_VERSION` is before every other.
@@ -27,10 +27,12 @@
     "SHARD_ROLE",
     "SLOT_LEASES_ROLE",
     "SOURCE_KEY",
+    "USAGE_KEY",
     "Item",
     "Items",
     "RoleAssignment",
     "StoreView",
+    "UsageRecord",
     "Version",
     "configuration_number",
     "epoch_floor",
@@ -45,6 +47,7 @@
     "pruned_keys",
     "role_assignment",
     "role_key",
+    "usage_record",
     "value_of",
     "version_of",
 ]
@@ -55,6 +58,7 @@
 """Dropped roles that are kept, so that daemons which were away learn of them."""
 
 SOURCE_KEY = "source"
+USAGE_KEY = "usage"
 EVACUATION_PREFIX = "evac/"
 ROLE_PREFIX = "duty/"
 EPOCH_FLOOR_PREFIX = "floor/"
@@ -82,6 +86,17 @@
     follower: str
 
 
+class UsageRecord(NamedTuple):
+    """What is reported of a window of usage, recorded before it is sent (design 17.2).
+
+    :ivar window: its number; those below it are closed.
+    :ivar counts: (tenant, requests) each.
+    """
+
+    window: int
+    counts: tuple[tuple[str, int], ...]
+
+
 def evacuation_key(zone: str) -> str:
     """Return the key that says whether a zone is drained."""
     return f"{EVACUATION_PREFIX}{zone}"
@@ -114,13 +129,14 @@
     return default if held is None else held[1]
 
 
-def items_since(store: StoreView, version: Version) -> Items:
+def items_since(store: StoreView, version: Version, *, for_core: bool = False) -> Items:
     """Return the items that an update brings to a daemon which holds `version`, sorted by key."""
+    untold = (SOURCE_KEY,) if for_core else (SOURCE_KEY, USAGE_KEY)
     return tuple(
         sorted(
             (key, item_version, value)
             for key, (item_version, value) in store.items()
-            if item_version > version and not outcomes.private(key) and key != SOURCE_KEY
+            if item_version > version and not outcomes.private(key) and key not in untold
         )
     )
 
@@ -138,6 +154,12 @@
     return None if row is None else RoleAssignment(*row)
 
 
+def usage_record(store: StoreView) -> UsageRecord | None:
+    """Return the newest usage report that was recorded; None for none."""
+    row = value_of(store, USAGE_KEY)
+    return None if row is None else UsageRecord(*row)
+
+
 def epoch_floor(store: StoreView, kind: str) -> int:
     """Return the highest epoch among the dropped roles of a kind; 0 for none."""
     floor: int = value_of(store, epoch_floor_key(kind), 0)
--- a/silverglade/control/serving.py
+++ b/silverglade/control/serving.py
@@ -80,7 +80,8 @@
 def answer_update(core: CoreContext, request: HeldRequest, age: int, now: timedelta) -> None:
     """Answer a request for updates; the core table appends what is new of soft state (design 4.3)."""
     state = core.state
-    items = items_since(state.committed_items, request.version)
+    for_core = request.sender == core.name or request.sender in core.others()
+    items = items_since(state.committed_items, request.version, for_core=for_core)
     update = ("news", request.number, state.committed_version, items, age, to_milliseconds(now - request.received))
     core.post(Component.CORE_TABLE, AnswerRequested(request.sender, update, request.position))
 
--- a/silverglade/transport/message_schemas.py
+++ b/silverglade/transport/message_schemas.py
@@ -106,9 +106,21 @@
 LEASE_SHAPE = "ss"
 """A slot lease: its id, and its daemon."""
 
-OPERATION_SHAPES = {"config": "v?", "table": "ii?s", "read": "", "evac": "sb", "reopen": "s", "duty": "ssiss", "drop": "st"}
+OPERATION_SHAPES = {
+    "config": "v?",
+    "table": "ii?s",
+    "read": "",
+    "evac": "sb",
+    "reopen": "s",
+    "duty": "ssiss",
+    "drop": "st",
+    "usage": "iit",
+}
 """Kind of an operation of control -> the shape of its fields."""
 
+MAX_COUNTED_TENANTS = 4096
+"""Tenants of one usage report."""
+
 GROUPED_ROLE_CHANGES = "duties"
 """The kind of an operation that holds several changes of roles."""
 
@@ -234,6 +246,13 @@
     return operation[:1] in (("evac",), ("reopen",)) and _is_row(operation[1:], OPERATION_SHAPES[operation[0]])
 
 
+def _are_counts(counts: tuple[Any, ...]) -> bool:
+    """Whether these are (tenant, requests) each, of each tenant once."""
+    if len(counts) > MAX_COUNTED_TENANTS or not _are_rows(counts, "si"):
+        return False
+    return len({tenant for tenant, _ in counts}) == len(counts) and all(0 <= requests <= MAX_MILLISECONDS for _, requests in counts)
+
+
 def is_valid_operation(operation: Body) -> bool:
     """Whether an operation of control is of a known kind and shape."""
     if operation[:1] == (GROUPED_ROLE_CHANGES,):
@@ -242,6 +261,8 @@
         return False
     kind, fields = operation[0], operation[1:]
     shape = OPERATION_SHAPES[kind]
+    if kind == "usage":
+        return _is_row(fields, shape) and _are_counts(fields[2])
     return _is_row(fields, shape) or kind in FENCED_OPERATIONS and _is_row(fields, shape + FieldType.VERSION)
 
 
--- /dev/null
+++ b/tests/duties/test_usage_record.py
@@ -0,0 +1,105 @@
+"""A window of usage is recorded once, by the holder alone, before it is sent (design 17.2)."""
+
+import pytest
+
+from silverglade.control import decisions
+from silverglade.control.judgements import Take
+from silverglade.control.operation_results import Refused
+from silverglade.control.operations import RecordUsage, decode_operation
+from silverglade.control.replicated_state import items_since, usage_record
+from silverglade.testbed.simulator import control_cluster as council
+from silverglade.transport.message_schemas import is_valid_operation
+from tests.support.source_mutation import without
+
+COUNTS = (("t1", 3), ("t2", 5))
+
+
+def store(epoch=4, recorded=None):
+    rows = {"duty/platform/usage": ((1, 1), (epoch, "a", ""))}
+    if recorded is not None:
+        rows["usage"] = ((1, 2), (recorded, COUNTS))
+    return rows
+
+
+def judged(rows, *, epoch=4, window=7):
+    return decisions.decide(rows, RecordUsage(epoch, window, COUNTS), (1, 3))
+
+
+def test_the_holder_records_a_window():
+    assert judged(store()) == Take((("usage", (7, COUNTS)),))
+    assert judged(store(recorded=6)) == Take((("usage", (7, COUNTS)),))
+
+
+# Guards against: two reports of one window with different counts, from a daemon that is holder no more and from its successor.
+@pytest.mark.parametrize("rows", [{}, store(epoch=5), store(epoch=3)])
+def test_nobody_else_records_one(rows):
+    assert isinstance(judged(rows), Refused)
+
+
+# Guards against: two reports of one window with different counts, from the same holder after it forgot the first.
+@pytest.mark.parametrize("recorded", [7, 8])
+def test_a_window_is_recorded_once(recorded):
+    assert isinstance(judged(store(recorded=recorded)), Refused)
+
+
+def test_without_the_guards_both_are_taken(monkeypatch):
+    without(
+        monkeypatch,
+        "silverglade.control.decisions",
+        ("held is None or held.epoch != operation.base_epoch", "operation.window <= recorded.window"),
+        ("False", "False"),
+        "silverglade.control.decisions.decide_usage",
+    )
+    assert isinstance(judged(store(epoch=5)), Take) and isinstance(judged(store(recorded=7)), Take)
+
+
+def test_cores_alone_are_told_of_it():
+    rows = store(recorded=7)
+    assert [key for key, _, _ in items_since(rows, (0, 0))] == ["duty/platform/usage"]
+    assert [key for key, _, _ in items_since(rows, (0, 0), for_core=True)] == ["duty/platform/usage", "usage"]
+    assert usage_record(rows) == (7, COUNTS)
+
+
+@pytest.mark.parametrize(
+    "fields, sound",
+    [
+        ((1, 2, COUNTS), True),
+        ((1, 2, ()), True),
+        ((1, 2), False),
+        ((1, "2", COUNTS), False),
+        ((1, 2, (("t", -1),)), False),
+        ((1, 2, (("t", 1), ("t", 2))), False),
+        ((1, 2, (("t", 1, 2),)), False),
+        ((1, 2, COUNTS, (1, 1)), False),
+        ((1, 2, tuple((f"t{n}", 1) for n in range(4097))), False),
+    ],
+)
+def test_its_form_is_checked(fields, sound):
+    assert is_valid_operation(("usage", *fields)) is sound
+
+
+def test_it_travels():
+    operation = RecordUsage(4, 7, COUNTS)
+    assert decode_operation(operation.encode()) == operation
+
+
+class Client:
+    def __init__(self):
+        self.got = []
+
+    def told(self, frm, body):
+        self.got.append(body[1:])
+
+
+def test_it_is_replicated_to_the_backups():
+    cluster = council.settled(seed=4, size=3, tolerance=(1, 1, 1), operators=0)
+    cluster.clients["edge"] = client = Client()
+    primary = cluster.cores[cluster.primary()]
+    primary.feed(("msg", "edge", ("op", 1, "", ("duty", "platform", "usage", 0, "a", ""), "")))
+    primary.feed(("msg", "edge", ("op", 2, "", RecordUsage(1, 7, COUNTS).encode(), "")))
+    primary.feed(("msg", "edge", ("op", 3, "", RecordUsage(1, 7, ()).encode(), "")))
+    cluster.run(2)
+    assert [(number, outcome[0]) for number, outcome in client.got] == [(1, "ok"), (2, "ok"), (3, "refuse")]
+    members = [core for core in cluster.cores.values() if core.name in (primary.state.view.primary, *primary.state.view.backups)]
+    held = [usage_record(core.state.store) for core in members]
+    assert len(held) >= 2 and set(held) == {(7, COUNTS)}
