Duties: calls to the platform are written only while the lease may be used

Cause: a daemon that was stopped or cut off between its decision and the write must not act after its successor. Change: PlatformCaller (one connection a call, the lease looked at right before each write, a bounded whole, reset without an answer); settings and words of the platform's duties. No component asks for a call yet. Seen: tests/server (stand-in platform over real sockets; without the second look the call is sent), platform, style, architecture and golden tests pass.

--- a/silverglade/server/adapter.py
+++ b/silverglade/server/adapter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from .daemon import Daemon
+    from .platform_calls import PlatformRequest
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
@@ -48,3 +49,11 @@
 
     async def read_endpoint_list(self, get: Get) -> tuple[tuple[Any, ...], ...] | None:
         """Return the records of the platform's list of replicas, or None where it could not be had complete."""
+
+    def platform_request(self, path_kind: str, token: int, body: Mapping[str, Any]) -> PlatformRequest:
+        """Return a call to the platform in its own words (design 17.3).
+
+        :param path_kind: what is called for, a `Duty`.
+        :param token: the fencing token.
+        :param body: in the product's names.
+        """
--- a/silverglade/server/daemon.py
+++ b/silverglade/server/daemon.py
@@ -7,6 +7,7 @@
 import random
 import secrets
 import signal
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator, Mapping, Sequence
 from datetime import timedelta
@@ -15,6 +16,7 @@
 import anyio
 import anyio.lowlevel
 
+from ..duties.lease_times import LeaseTimes
 from ..http.dialect import OWN
 from ..http.listener import serve
 from ..membership.rendezvous import highest_ranked
@@ -23,14 +25,17 @@
 from ..runtime.effects import (
     AbortDispatch,
     AllowExit,
+    CallPlatform,
     Dispatch,
     LogRecord,
     ProbeReplica,
     ReadEndpointList,
     ReadReplicaReport,
+    ReadWallClock,
     Reply,
     Send,
     SetBackpressure,
+    SetLease,
     SetPeerAddress,
     TenantResult,
     TestReachability,
@@ -44,9 +49,11 @@
     DispatchProgressed,
     EndpointListRead,
     Event,
+    PlatformCallEnded,
     ReachabilityTested,
     ReplicaProbed,
     ReplicaReportRead,
+    WallClockRead,
 )
 from ..runtime.structured_logging import format_line
 from ..transport.connections import PeerConnections, split_address
@@ -56,6 +63,7 @@
 from .disk_writer import DiskWriter
 from .fault_containment import FaultLog, where_raised
 from .limits import MAX_BUFFERED_BODY_BYTES
+from .platform_calls import PlatformCaller
 from .priority_queues import PriorityQueues, Queue
 from .replica_calls import DispatchOutcome
 from .request_forwarding import RequestForwarder
@@ -147,6 +155,8 @@
             logger=logger,
         )
         self.machine = self._new_machine()
+        call_timeout = LeaseTimes.of(self.tuning["duty_lease"]).call_timeout
+        self.platform_caller = PlatformCaller(clock=clock, local=local_ip, timeout=call_timeout)
         self.replica_pool = replica_calls.new_pool(local=local_ip)
         self.tenant_requests = TenantRequests(queues=self.queues, pool=self.replica_pool, event_counts=self.event_counts)
         self.forwarder = RequestForwarder(
@@ -204,6 +214,9 @@
                 self._read_replica_report, *fields, failed=ReplicaReportRead(fields[0], None)
             ),
             ProbeReplica.TAG: lambda *fields: self._start(self._probe_replica, *fields, failed=ReplicaProbed(fields[0], fields[1], None)),
+            SetLease.TAG: self.platform_caller.set_lease,
+            CallPlatform.TAG: lambda *fields: self._start(self._call_platform, *fields, failed=PlatformCallEnded(fields[0], None, b"")),
+            ReadWallClock.TAG: self._read_wall_clock,
             Reply.TAG: self._reply,
             AllowExit.TAG: self._allow_exit,
             LogRecord.TAG: self._log,
@@ -321,6 +334,17 @@
         assert self.adapter is not None
         await self.queues.send(EndpointListRead(await self.adapter.read_endpoint_list(self._get)))
 
+    async def _call_platform(self, call_id: str, duty: str, token: int, path_kind: str, body: Mapping[str, Any]) -> None:
+        """Call the platform as the holder of a duty (design 17.3)."""
+        assert self.adapter is not None
+        request = self.adapter.platform_request(path_kind, token, body)
+        status, answer = await self.platform_caller.call(duty=duty, token=token, request=request)
+        await self.queues.send(PlatformCallEnded(call_id, status, answer))
+
+    def _read_wall_clock(self) -> None:
+        """Tell the daemon machine the time of day."""
+        self.queues.send_or_drop(WallClockRead(timedelta(seconds=time.time())))
+
     async def _test_reachability(self, replica: str, address: str, timeout: timedelta) -> None:
         """Does a replica's machine take a connection, or refuse one?"""
         reachable = await self.forwarder.pool.reaches(addr=address, timeout=timeout)
--- /dev/null
+++ b/tests/server/test_platform_calls.py
@@ -0,0 +1,175 @@
+"""Calls of a duty's holder against a stand-in platform over real sockets (design 17.3)."""
+
+import asyncio
+import json
+import pathlib
+import sys
+from datetime import timedelta
+
+import pytest
+
+from silverglade.server.platform_calls import PlatformAnswer, PlatformCaller, PlatformRequest
+from tests.support.source_mutation import without
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent.parent / "platform"))
+
+import duty_calls  # noqa: E402
+
+SECOND = timedelta(seconds=1)
+TIMEOUT = timedelta(milliseconds=300)
+
+
+class Clock:
+    """A steady clock that a test sets."""
+
+    def __init__(self):
+        self.now = SECOND
+
+    def __call__(self):
+        return self.now
+
+
+class Platform:
+    """Takes one request after the other and answers each with the same bytes.
+
+    :ivar pieces: written with a short pause between them; None: it never answers.
+    """
+
+    def __init__(self, pieces):
+        self.pieces, self.requests, self.ends = pieces, [], []
+
+    async def serve(self, reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            size = next(int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length"))
+            self.requests.append((head, await reader.readexactly(size)))
+            for piece in self.pieces or ():
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            if self.pieces is None:
+                await reader.read()
+            self.ends.append("closed")
+        except asyncio.IncompleteReadError as error:
+            self.ends.append(("nothing" if not error.partial else "part"))
+        except ConnectionResetError:
+            self.ends.append("reset")
+        finally:
+            writer.close()
+
+
+def play(pieces, *, lease=(7, 5 * SECOND), token=7, clock=None, body=b"{}", before=None):
+    """One call at a platform; returns its answer and the platform."""
+    platform = Platform(pieces)
+    caller = PlatformCaller(clock=clock or Clock(), local="127.0.0.1", timeout=TIMEOUT)
+
+    async def run():
+        server = await asyncio.start_server(platform.serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        caller.set_lease("usage", *lease)
+        if before:
+            before(caller)
+        answer = await caller.call(duty="usage", token=token, request=PlatformRequest(address, "/x", (("A", "b"),), body))
+        await asyncio.sleep(0.05)
+        server.close()
+        return answer
+
+    return asyncio.run(run()), platform
+
+
+def test_a_call_arrives_whole_and_its_status_is_told():
+    answer, platform = play([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"], body=b"x" * 100_000)
+    assert answer == PlatformAnswer(200, b"ok")
+    ((head, body),) = platform.requests
+    assert head.startswith(b"POST /x HTTP/1.1\r\nHost: 127.0.0.1:") and b"\r\nA: b\r\n" in head and body == b"x" * 100_000
+
+
+@pytest.mark.parametrize("status", [302, 400, 409, 429, 500, 503])
+def test_other_statuses_are_told(status):
+    assert play([f"HTTP/1.1 {status} Why\r\n\r\n".encode()])[0].status == status
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        None,
+        [],
+        [b"HTTP/1.1 200 OK\r\n"],
+        [b"HTTP/1.1 20"],
+        [b"HTTP/1.1 100 Continue\r\n\r\n"],
+        [b"garbage\r\n\r\n"],
+        [b"HTTP/1.1 2000 OK\r\n\r\n"],
+        [b"\0" * 1000] * 100,
+        [b"HTTP/1.1 200 OK\r\nX: "] + [b"y" * 1000] * 40,
+    ],
+)
+def test_what_is_no_answer_ends_in_time_as_none(pieces):
+    assert play(pieces)[0] == PlatformAnswer(None)
+
+
+def test_an_endless_body_is_not_read():
+    answer, _ = play([b"HTTP/1.1 200 OK\r\n\r\n", *[b"z" * 10_000] * 50])
+    assert answer.status == 200 and len(answer.body) <= 1024
+
+
+def test_nobody_listens():
+    caller = PlatformCaller(clock=Clock(), local="127.0.0.1", timeout=TIMEOUT)
+    caller.set_lease("usage", 7, 5 * SECOND)
+    request = PlatformRequest("127.0.0.1:9", "/x", (), b"")
+    assert asyncio.run(caller.call(duty="usage", token=7, request=request)) == PlatformAnswer(None)
+
+
+# Guards against: bytes of a call that was given up arrive later, when another daemon holds the duty.
+def test_a_call_that_is_given_up_is_reset():
+    _, platform = play(None)
+    assert platform.ends == ["reset"]
+
+
+@pytest.mark.parametrize("lease, token", [((7, SECOND), 7), ((7, None), 7), ((None, None), 7), ((8, 5 * SECOND), 7)])
+def test_without_the_lease_nothing_is_sent(lease, token):
+    answer, platform = play([b"HTTP/1.1 200 OK\r\n\r\n"], lease=lease, token=token)
+    assert answer == PlatformAnswer(None) and platform.requests == [] and platform.ends == []
+
+
+class LateClock(Clock):
+    """A clock that has moved on by the second look at it: the process stood still while the connection came up."""
+
+    def __call__(self):
+        seen, self.now = self.now, 6 * SECOND
+        return seen
+
+
+# Guards against: a daemon that was stopped between its decision and the write acts when it goes on, after its successor.
+def test_a_lease_that_ended_while_the_connection_came_up_sends_nothing():
+    answer, platform = play([b"HTTP/1.1 200 OK\r\n\r\n"], clock=LateClock())
+    assert answer == PlatformAnswer(None) and platform.requests == [] and "closed" not in platform.ends
+
+
+def test_without_the_second_look_it_is_sent(monkeypatch):
+    without(
+        monkeypatch,
+        "silverglade.server.platform_calls",
+        "            if not self.may_write(duty, token):\n                return False\n",
+        "",
+        "silverglade.server.platform_calls.PlatformCaller",
+    )
+    import silverglade.server.platform_calls as module
+
+    monkeypatch.setattr(sys.modules[__name__], "PlatformCaller", module.PlatformCaller)
+    _, platform = play([b"HTTP/1.1 200 OK\r\n\r\n"], clock=LateClock())
+    assert len(platform.requests) == 1
+
+
+def test_the_platforms_words():
+    request = duty_calls.platform_request(
+        address="1.2.3.4:5", holder="core-1", path_kind="usage", token=12, body={"window": 353445120, "counts": {"a": 4, "b": 2}}
+    )
+    head, _, body = request.encode().partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    assert lines[0] == "POST /usage HTTP/1.1"
+    assert {"Host: 1.2.3.4:5", "Duty-Holder: core-1", "Fence-Number: 12", "Content-Type: application/json"} <= set(lines)
+    assert json.loads(body) == {"window_no": 353445120, "counts": {"a": 4, "b": 2}}
+    request = duty_calls.platform_request(
+        address="1.2.3.4:5", holder="core-1", path_kind="scale", token=3, body={"service": "s", "zone": "z", "replicas": 6}
+    )
+    assert request.path == "/desired-scale" and json.loads(request.body) == {"target": "s", "zone": "z", "desired": 6}
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -71,6 +71,29 @@
     assert place.client_address == "10.1.0.13:8161" and place.endpoint_list_address == "10.200.0.79:8169"
 
 
+DUTIES = """
+duties = ["usage_report", "autoscale", "a_later_one"]
+duty_per_s = 2
+"""
+DUTY_BOUNDS = "cold_slack = 5\nlease_ms = 3000\nusage_window_s = 5\nusage_late_s = 10\n"
+
+
+def test_duties_become_settings_and_are_off_without_them(tmp_path):
+    s, _ = settings.checked(file(tmp_path))
+    assert s["tuning"]["duties"] == ()
+    s, place = settings.checked(file(tmp_path, FILE.replace("cold_slack = 5\n", DUTY_BOUNDS) + DUTIES))
+    tuning = s["tuning"]
+    assert tuning["duties"] == ("usage", "scale") and tuning["duty_rate"] == 2.0 and place.node_name == "e-1"
+    times = [tuning[name].total_seconds() for name in ("duty_lease", "usage_window", "usage_late")]
+    assert times == [3.0, 5.0, 10.0]
+
+
+def test_a_lease_too_short_for_a_proof_is_one_clear_line(tmp_path):
+    bounds = DUTY_BOUNDS.replace("3000", "900")
+    with pytest.raises(SilvergladeError, match="701 .*duty_lease: wants to be at least"):
+        settings.checked(file(tmp_path, FILE.replace("cold_slack = 5\n", bounds) + DUTIES))
+
+
 @pytest.mark.parametrize(
     "old, new",
     [
@@ -261,8 +284,12 @@
         words.READ,
         words.EVACUATION,
         words.LIST,
+        *words.CALL_PATHS.values(),
     }
-    fields = {t for d in (words.ROUTE, words.SERVICE, words.ENGINE, words.LIMITS) for t, o in d.items() if t != o}
+    calls = {theirs for fields in words.CALL_FIELDS.values() for ours, theirs in fields.items() if ours != theirs}
+    calls -= {"target"}  # the product's own word too, for what an attempt goes to
+    calls |= {words.HOLDER.lower(), words.FENCE.lower(), *words.DUTIES}
+    fields = calls | {t for d in (words.ROUTE, words.SERVICE, words.ENGINE, words.LIMITS) for t, o in d.items() if t != o}
     return heads | paths | fields | {words.BASE.decode(), words.SETTINGS_AT.lower(), "next_token", "phase", "bind_addrs", "seed_addrs"}
 
 
