Duties: edges count usage by windows, the holder gathers, records and sends

Cause: usage of each window of the wall clock falls due at the platform, from one daemon at a time. Change: UsageCounter on daemons that clients reach, UsageReporter on cores, messages usage-put and usage-got, wired behind the setting duties (empty: no component is made). The router's TenantRequestStarted is not sent yet. Seen: duties, framing, hostile messages, golden, style, architecture and platform tests pass; no play of the mechanism yet.

--- a/silverglade/runtime/daemon_components.py
+++ b/silverglade/runtime/daemon_components.py
@@ -10,6 +10,7 @@
 from ..autoscaling.tenant_scaler import TenantScaler
 from ..configuration.operator_api import OperatorApi
 from ..configuration.updater import Updater
+from ..duties.duty import Duty
 from ..membership.member import Membership
 from ..membership.zone_relay import ZoneRelay
 from ..replicas.registry import ReplicaRegistry
@@ -47,6 +48,7 @@
     rng: random.Random,
     disk: str,
     saved: Mapping[str, Mapping[str, Any]],
+    serves_clients: bool,
     reads_endpoint_list: bool,
     tolerance: tuple[int, int, int],
     may_form_first_view: bool,
@@ -63,9 +65,29 @@
         components.update(core_components)
     else:
         components[Component.ZONE_RELAY] = MachineComponent(ZoneRelay(zone=identity.zone, tuning=tuning))
+    if tuning["duties"]:
+        components.update(_duty_components(identity, tuning, bool(disk), serves_clients))
     return components
 
 
+def _duty_components(
+    identity: DaemonIdentity, tuning: Mapping[str, Any], is_core: bool, serves_clients: bool
+) -> dict[str, MachineComponent]:
+    """The components of duties at the platform (design 17): cores hold them, daemons that clients reach count usage."""
+    from ..duties.leases import DutyLeases
+    from ..duties.usage_counter import UsageCounter
+    from ..duties.usage_reporter import UsageReporter
+
+    machines: dict[Component, StateMachine] = {}
+    if is_core:
+        machines[Component.DUTY_LEASES] = DutyLeases(own_name=identity.name, tuning=tuning)
+    if is_core and Duty.USAGE in tuning["duties"]:
+        machines[Component.USAGE_REPORTER] = UsageReporter(tuning=tuning)
+    if serves_clients and Duty.USAGE in tuning["duties"]:
+        machines[Component.USAGE_COUNTER] = UsageCounter(process_id=identity.process_id, tuning=tuning)
+    return {component: MachineComponent(machine) for component, machine in machines.items()}
+
+
 def _common_components(
     identity: DaemonIdentity,
     seeds: tuple[str, ...],
--- a/silverglade/runtime/daemon_machine.py
+++ b/silverglade/runtime/daemon_machine.py
@@ -90,6 +90,8 @@
         "fence",
     ),
     Component.CLAIM_FOLLOWER: ("claim", "mark", "adopt", "copy"),
+    Component.USAGE_REPORTER: ("usage-put",),
+    Component.USAGE_COUNTER: ("usage-got",),
 }
 """Component -> the kinds of messages between daemons that it hears. Of components that hear one kind a daemon has one."""
 
@@ -112,7 +114,7 @@
     ForwardingRequested.TAG: (Component.ROUTER,),
     AttemptProgressed.TAG: (Component.ROUTER,),
     ReachabilityTested.TAG: (Component.ROUTER,),
-    ShutdownStarted.TAG: (Component.ROUTER,),
+    ShutdownStarted.TAG: (Component.ROUTER, Component.USAGE_COUNTER),
     EndpointListRead.TAG: (Component.ENDPOINT_LIST,),
     ReplicaReportRead.TAG: (Component.ENDPOINT_LIST,),
     ReplicaProbed.TAG: (Component.SLOT_LEASES,),
@@ -205,6 +207,7 @@
             rng=rng,
             disk=disk,
             saved=saved or {},
+            serves_clients=bool(front),
             reads_endpoint_list=lists,
             tolerance=tolerance,
             may_form_first_view=first,
--- a/silverglade/transport/message_schemas.py
+++ b/silverglade/transport/message_schemas.py
@@ -88,6 +88,8 @@
     "mark": "sisss",
     "adopt": "si",
     "copy": "siit",
+    "usage-put": "siit",
+    "usage-got": "ii",
 }
 """Kind of a message -> the shape of its fields."""
 
@@ -281,6 +283,7 @@
     "items": _rows_in_field(4, ITEM_SHAPE),
     "op": _is_valid_operation_message,
     "fence": _is_valid_fence,
+    "usage-put": lambda body: _are_counts(body[4]),
 }
 """Kind of a message -> a check of what lies within its fields. The message has its stated shape by then."""
 
