--- a/silverglade/routing/request.py
+++ b/silverglade/routing/request.py
@@ -57,6 +57,7 @@
     :ivar route: the route that it takes; set once, before anything is sent.
     :ivar service: the service that its route chose for it.
     :ivar caller: who holds its key, if that is known; else None.
+    :ivar is_counted: whether it was told to the usage counter.
     :ivar homes: the regions where it may be served, by its route and its caller; none: any.
     :ivar deadline: until when it is worked on.
     :ivar client_deadline: its own deadline, also beyond the daemon's end.
@@ -83,6 +84,7 @@
         "route",
         "service",
         "caller",
+        "is_counted",
         "homes",
         "deadline",
         "client_deadline",
@@ -110,6 +112,7 @@
         self.facts = facts
         self.received_at = now
         self.caller: Caller | None = None
+        self.is_counted = False
         self.homes: Collection[str] = ()
         self.deadline = now
         self.client_deadline = now
--- a/silverglade/runtime/daemon_machine.py
+++ b/silverglade/runtime/daemon_machine.py
@@ -33,6 +33,7 @@
     EventDecoder,
     ForwardingRequested,
     MessageReceived,
+    PlatformCallEnded,
     ReachabilityTested,
     ReplicaProbed,
     ReplicaReportRead,
@@ -40,6 +41,7 @@
     ShutdownStarted,
     TenantRequestArrived,
     TimerFired,
+    WallClockRead,
     event_to_tuple,
 )
 from .state_machine import MachineComponent
@@ -88,6 +90,8 @@
         "fence",
     ),
     Component.CLAIM_FOLLOWER: ("claim", "mark", "adopt", "copy"),
+    Component.USAGE_REPORTER: ("usage-put",),
+    Component.USAGE_COUNTER: ("usage-got",),
 }
 """Component -> the kinds of messages between daemons that it hears. Of components that hear one kind a daemon has one."""
 
@@ -110,10 +114,12 @@
     ForwardingRequested.TAG: (Component.ROUTER,),
     AttemptProgressed.TAG: (Component.ROUTER,),
     ReachabilityTested.TAG: (Component.ROUTER,),
-    ShutdownStarted.TAG: (Component.ROUTER,),
+    ShutdownStarted.TAG: (Component.ROUTER, Component.USAGE_COUNTER),
     EndpointListRead.TAG: (Component.ENDPOINT_LIST,),
     ReplicaReportRead.TAG: (Component.ENDPOINT_LIST,),
     ReplicaProbed.TAG: (Component.SLOT_LEASES,),
+    WallClockRead.TAG: (Component.USAGE_COUNTER, Component.USAGE_REPORTER),
+    PlatformCallEnded.TAG: (Component.USAGE_REPORTER, Component.REPLICA_ORDERS),
     CallerDisconnected.TAG: (Component.OPERATOR_API,),
     DaemonStateChanged.TAG: (Component.MEMBERSHIP, Component.CONTROL),
     SeedsChanged.TAG: (Component.UPDATER, Component.CORE_TABLE),
@@ -136,6 +142,7 @@
         EndpointListRead,
         ForwardingRequested,
         MessageReceived,
+        PlatformCallEnded,
         ReachabilityTested,
         ReplicaProbed,
         ReplicaReportRead,
@@ -143,6 +150,7 @@
         ShutdownStarted,
         TenantRequestArrived,
         TimerFired,
+        WallClockRead,
     )
 )
 """From the tuple form of an event from outside to its class; None for one of another form."""
@@ -199,6 +207,7 @@
             rng=rng,
             disk=disk,
             saved=saved or {},
+            serves_clients=bool(front),
             reads_endpoint_list=lists,
             tolerance=tolerance,
             may_form_first_view=first,
--- a/tests/routing/test_callers.py
+++ b/tests/routing/test_callers.py
@@ -7,6 +7,7 @@
 from silverglade.configuration.schema import key_digest
 from silverglade.routing import attempts
 from silverglade.routing.callers import Caller, effective_homes, effective_rank
+from silverglade.runtime.components import Component
 from silverglade.runtime.settings import tuning
 
 from ..support.router_bench import RouterBench, endpoint, only_effect, route
@@ -210,3 +211,22 @@
     without(monkeypatch, module.__name__, guard, instead, "silverglade.routing.router.Attempts")
     with pytest.raises((AssertionError, KeyError)):
         check()
+
+
+def usage_told(effects):
+    """The callers that the usage counter is told of."""
+    return [effect[2][1] for effect in effects if effect[0] == "post" and effect[1] == Component.USAGE_COUNTER]
+
+
+# A request that went on at another replica would be paid for twice.
+def test_a_callers_request_is_told_to_the_usage_counter_once_when_it_begins_to_run():
+    callers = {"ann": {"keys": [ANN]}}
+    counting = bench(route(tries=2, resumable=True), callers=callers, options={"duties": ["usage"], "duty_rate": 50.0})
+    request_id, _ = counting.request(key=ANN)
+    told = []
+    for attempt, outcome, *details in ((1, "began", 200), (1, "first"), (1, "cut", "3"), (2, "began", 200), (2, "first")):
+        told += usage_told(counting.all_effects("tried", request_id, attempt, outcome, *details))
+    assert told == ["ann"]
+    other = bench(route(), callers=callers)
+    request_id, _ = other.request(key=ANN)
+    assert usage_told(other.all_effects("tried", request_id, 1, "began", 200)) == []
