Simulator and its judge: keys of callers that are added and taken away

Cause: the simulator's requests carried no key, so that no rule about keys was judged. Change: a scene may have callers; configurations add and take away their keys, clients send one that holds, one of late, a strange one or none, and claim to be somebody. Judged: UNASKED (another tenant than the key's, the key shown), ROUTE (a key never held), CONFIG (a dropped key runs or one that holds gets 401 in touch; with closed revocation everywhere), HOME (the caller's homes too). Scenes without callers play as before. Seen: 4 days of cuts with closed revocation, 2 of all failures, a daemon cut off by hand: no rule broken.

--- a/silverglade/testbed/checkers/forwarding_records.py
+++ b/silverglade/testbed/checkers/forwarding_records.py
@@ -26,6 +26,7 @@
     :ivar cold_slack: requests beyond that.
     :ivar evacuate: no request reaches a drained zone after so long.
     :ivar recovery: service is back so long after everything returned.
+    :ivar revoke: a key that was taken away is of no use to what is sent so long after; None: only at daemons in touch.
     :ivar due: what a replica is told to have may be older by a connection's coming up.
     """
 
@@ -44,6 +45,7 @@
     evacuate: timedelta = 5 * SEC
     recovery: timedelta = 12 * SEC
     due: timedelta = 450 * MS
+    revoke: timedelta | None = None
 
 
 class Sent(NamedTuple):
@@ -58,6 +60,8 @@
     :ivar tokens: of its prompt, and at most of its answer.
     :ivar last: number of the event behind which it resumes a stream; 0 for a new one.
     :ivar service: for which the client means it: what retry budgets count it under.
+    :ivar key: that the client sends; None: none.
+    :ivar claims: the tenant that it says it is, which nobody may believe.
     """
 
     attempt: str
@@ -73,6 +77,8 @@
     tokens: tuple[int, int] = (100, 80)
     last: int = 0
     service: str = ""
+    key: str | None = None
+    claims: str | None = None
 
 
 @dataclass(slots=True)
--- a/silverglade/testbed/checkers/forwarding_rules.py
+++ b/silverglade/testbed/checkers/forwarding_rules.py
@@ -12,7 +12,7 @@
 
 from ...runtime.effects import ZERO
 from ..fake_servers.request_format import event_count, plain_answer
-from .configuration_history import Configuration, ConfigurationChange, ConfigurationHistory
+from .configuration_history import Configuration, ConfigurationChange, ConfigurationHistory, Handling
 from .forwarding_records import SEC, Bounds, DrainedZone, End, NumberInEffect, Outage, Received, ReplicaAnswer, Run, Sent, StreamPosition
 from .request_rates import RetryRates, SlowStartRates
 
@@ -95,9 +95,14 @@
         if status in NOT_RUN_STATUSES and not sent.again and self.runs_of[attempt]:
             self.bad(now, "REFUSED", attempt, status, *self.runs_of[attempt])
         if status == 404:
-            self._handled(now, sent, None, touch=touch)
+            self._handled(now, sent, None, self._handling(sent, None), touch=touch)
+        if status == 401:
+            self._handled(now, sent, None, self.configurations.denying_key(sent.host, sent.path, sent.key), touch=touch)
         return None
 
+    def _handling(self, sent: Sent, service: str | None) -> Handling:
+        return self.configurations.handling(sent.host, sent.path, service, sent.key)
+
     def _runs(self, attempt: str) -> list[Run]:
         return [self.runs[run] for run in self.runs_of[attempt]]
 
@@ -168,7 +173,8 @@
             self.bad(now, "MIXED", sent.attempt, "no failure of its replicas", got.status, got.body[:SHOWN_BODY])
 
     def _always_has_route(self, sent: Sent) -> bool:
-        return all(change.services(sent.host, sent.path) for change in self.configurations.possible())
+        """Return whether every configuration that may be in force has a route for it, and wants no other key."""
+        return all(change.admits(sent.host, sent.path, sent.key) for change in self.configurations.possible())
 
     def _stream_completed(self, now: timedelta, sent: Sent, got: Received) -> None:
         stride = max((run.stride for run in self._runs(sent.attempt)), default=1)
@@ -209,8 +215,8 @@
         if left is not None and touch and left > remaining + self.bounds.due:
             self.bad(now, "DUE", attempt, left / SEC, remaining / SEC)
         least = self.configurations.newest(request.at - self.bounds.apply) if touch else None
-        homes = self.configurations.homes(request.host, request.path, least)
-        if homes and region not in homes:
+        homes = self.configurations.homes(request.host, request.path, request.key, least)
+        if homes is not None and region not in homes:
             self.bad(now, "HOME", attempt, rep, region)
         if status == OTHER_PROCESS:
             return None
@@ -260,6 +266,8 @@
         touch: bool = True,
         status: int = 200,
         plain: bool = False,
+        tenant: str | None = None,
+        shown_key: str | None = None,
     ) -> None:
         """Handle that a replica began to work on an attempt.
 
@@ -271,6 +279,8 @@
         :param method: that the replica was given; with `path` and `body` it is compared with what the client sent.
         :param touch: whether the daemon was in touch.
         :param plain: whether its answer is no stream.
+        :param tenant: that the replica was told of; None: of none.
+        :param shown_key: the client's key, where the replica was shown it.
         """
         sent = self.sent.get(attempt)
         if sent is None:
@@ -284,9 +294,22 @@
             self.bad(now, "TWICE", attempt, *self.runs_of[attempt])
         if not sent.again and self.got[attempt].status in NOT_RUN_STATUSES:
             self.bad(now, "REFUSED", attempt, self.got[attempt].status, run)
-        self._handled(now, sent, service, touch=touch)
+        self._check_key(now, sent, rep, tenant, shown_key)
+        self._handled(now, sent, service, self._handling(sent, service), touch=touch)
         return None
 
+    def _check_key(self, now: timedelta, sent: Sent, replica: str, tenant: str | None, shown_key: str | None) -> None:
+        """Check what the replica was told of the client's key, and whether the key may still be of use."""
+        configurations = self.configurations
+        if shown_key is not None and not configurations.may_show_key():
+            self.bad(now, "UNASKED", sent.attempt, replica, "was shown the key")
+        tenants = configurations.tenants(sent.key)
+        if tenants is not None and tenant not in tenants:
+            self.bad(now, "UNASKED", sent.attempt, replica, "not the key's tenant", tenant)
+        revoke = self.bounds.revoke
+        if revoke is not None and configurations.key_taken_away(sent.host, sent.path, sent.key, sent.at - revoke):
+            self.bad(now, "CONFIG", "its key was taken away", sent.attempt, replica, sent.life)
+
     def failed(self, attempt: str, run: str, status: int, body: bytes) -> None:
         """Handle that a run ended as a failure of the replica's own."""
         self.runs[run].status = status
@@ -348,9 +371,9 @@
         """Return how long the endpoint list did not answer in between."""
         return sum((outage.overlap(begin, end) for outage in self._list_outages), ZERO)
 
-    def _handled(self, now: timedelta, sent: Sent, service: str | None, *, touch: bool) -> None:
-        """Check under which configurations a request may have been handled so; service None: refused for want of a route."""
-        numbers, ever = self.configurations.handling(sent.host, sent.path, service)
+    def _handled(self, now: timedelta, sent: Sent, service: str | None, handling: Handling, *, touch: bool) -> None:
+        """Check under which configurations a request may have been handled so; service None: refused for want of a route or a key."""
+        numbers, ever = handling
         if not numbers:
             return self._handled_under_none(now, sent, service, ever)
         newest = self.configurations.newest(sent.at - self.bounds.apply)
--- a/silverglade/testbed/faults/forwarding_faults.py
+++ b/silverglade/testbed/faults/forwarding_faults.py
@@ -266,6 +266,10 @@
     def change(self):
         self.s.change()
 
+    def keys(self):
+        """Keys of callers are added or taken away, in a scene that has any."""
+        self.s.change("keys")
+
     def race(self):
         self.s.change()
         self.s.change()
--- a/silverglade/testbed/simulator/forwarding_io.py
+++ b/silverglade/testbed/simulator/forwarding_io.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from ...configuration.schema import key_digest
 from ...runtime.effects import ZERO, milliseconds
 from ..fake_servers.replica_answers import Body, Crashed, Cut, Ended, Garbage, Head, Refused, StreamEvent, Surplus
 from ..fake_servers.request_format import MS, SEC
@@ -144,6 +145,7 @@
                     model="m",
                     last_event=str(s.last) if s.last else None,
                     size=len(s.body),
+                    **({"key": key_digest(s.key)} if s.key else {}),
                 ),
             )
         )
--- a/silverglade/testbed/simulator/forwarding_path.py
+++ b/silverglade/testbed/simulator/forwarding_path.py
@@ -122,6 +122,8 @@
                         stride=self.spec.stride,
                         last=int(trip.t["last_event"] or 0),
                         touch=f.touch(trip.conn.c.n),
+                        tenant=trip.t.get("tenant", trip.way.sent.claims) or None,
+                        shown_key=None if "tenant" in trip.t else trip.way.sent.key,
                     )
                     continue
                 case Refused(_, status):
--- a/silverglade/testbed/simulator/forwarding_scenario.py
+++ b/silverglade/testbed/simulator/forwarding_scenario.py
@@ -9,6 +9,7 @@
 from ..checkers.forwarding_records import Bounds, Sent
 from ..fake_servers.request_format import MS, SEC
 from ..sites import SITES
+from .caller_keys import CLAIMED, CallerKeys
 from .daemons import World
 from .forwarding_path import Field, Way
 
@@ -20,8 +21,13 @@
 class Scene:
     """Also the scene of the faults: it has `w`, `rng`, `live`, `put`, `empty` as the other one does."""
 
-    def __init__(self, *, town="navrang", seed=1, pace=1.0, opt=None, bounds=BOUNDS, loss=0.0):
+    def __init__(self, *, town="navrang", seed=1, pace=1.0, opt=None, bounds=BOUNDS, loss=0.0, keys=False):
         self.t = SITES[town](seed)
+        self.keys = CallerKeys(seed=seed) if keys else None  # of callers, in every configuration
+        if self.keys:
+            regions = sorted({zone["region"] for zone in self.t["config"]["zones"].values()})
+            routes = [dict(r, public=True) if n == 0 else r for n, r in enumerate(self.t["config"]["routes"])]
+            self.t["config"].update(callers=self.keys.first(regions), routes=routes)
         self.w = World(
             seed=seed,
             daemons=self.t["daemons"],
@@ -90,6 +96,8 @@
     def change(self, how=""):
         """Moves, splits, times; routes added and taken out; many at once."""
         raw, rng = self.raw(), self.rng
+        if self.keys and how in ("", "keys") and (how or rng.random() < 0.5):
+            return self.put(dict(raw, callers=self.keys.changed(raw["callers"])))
         how = how or rng.choice(["move", "split", "times", "add", "add", "drop", "homes"])
         rs = [dict(r) for r in raw["routes"]]
         r = rng.choice(rs)
@@ -156,6 +164,7 @@
             due=3 * SEC,
             tries=1,
             last=0,
+            key=self.key(),
         )
 
     def empty(self, zone, on=True):
@@ -220,9 +229,14 @@
             due=deadline or timedelta(milliseconds=r["due_ms"]),
             tries=1 + (rng.random() < 0.9),
             last=0,
+            key=self.key(),
         )
 
-    def go(self, *, row, z, r, path, body, parts, tokens, due, tries, last):
+    def key(self):
+        """The key of a client; None: it has none."""
+        return self.keys.choose(self.raw()["callers"]) if self.keys else None
+
+    def go(self, *, row, z, r, path, body, parts, tokens, due, tries, last, key):
         ns = self.f.fronts(z, held=self.n % HOLDERS == 0)
         if not ns or due < 20 * MS:
             return
@@ -241,6 +255,8 @@
             tokens=tokens,
             last=last,
             service=r["shares"][0]["service"],
+            key=key,
+            claims=CLAIMED if self.keys else None,
         )
         n = self.rng.choice(ns)
         s = s._replace(life=n.life, service=self.meant(s, r))
@@ -267,6 +283,7 @@
                     due=due - (self.w.now - born),
                     tries=tries - 1,
                     last=int(way.last or 0) if s.stream else 0,
+                    key=key,
                 ),
             )
 
--- /dev/null
+++ b/tests/routing/test_caller_seeds.py
@@ -0,0 +1,133 @@
+"""Seeded days of the forwarding path with keys that are added and taken away (design 17); planted faults are caught in the same days."""
+
+import pytest
+
+from silverglade.configuration.schema import key_digest
+from silverglade.routing import attempts, router
+from silverglade.routing.context import RouterContext
+from silverglade.runtime.settings import tuning
+from silverglade.testbed.checkers.forwarding_records import Bounds
+from silverglade.testbed.fake_servers.request_format import SEC
+from silverglade.testbed.faults import forwarding_faults as forward_faults
+from silverglade.testbed.simulator.forwarding_scenario import Scene
+
+from ..support.source_mutation import without
+from .test_router_seeds import effects
+
+REVOKE = 5 * SEC
+CLOSED = dict(opt=tuning(keys_alone=4.5), bounds=Bounds(revoke=REVOKE))
+CUTS = ("keys", "keys", "change", "cut_region", "cut_machine", "kill", "freeze", "sleep", "term")
+
+
+def day(**kw):
+    """What a day breaks: keys come and go, daemons are cut off."""
+    return forward_faults.run(**{**dict(town="hamlet", secs_=14, gap=0.7, keys=True, kinds=CUTS), **kw})
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_a_day_of_closed_revocation_breaks_no_rule(seed):
+    scene, broken = day(seed=seed, **CLOSED)
+    assert broken == []
+    answers = scene.told()
+    assert answers["200"] > 200 and answers["401"] > 20
+    assert len({repr(raw["callers"]) for raw in scene.raws.values()}) > 2  # keys did come and go
+
+
+@pytest.mark.parametrize("town, seed", [("navrang", 5), ("banyan", 6)])
+def test_a_day_of_all_failures_with_keys_breaks_no_rule(town, seed):
+    scene, broken = day(town=town, seed=seed, kinds=forward_faults.ALL, gap=2.0)
+    assert broken == [] and scene.told()["200"] > 200
+
+
+def scene_of_a_cut_daemon(closed=True):
+    """A daemon is cut off, and with it nobody; a key is taken away -> the scene, the daemon's name, the key."""
+    s = Scene(town="hamlet", seed=1, keys=True, **(CLOSED if closed else {}))
+    s.settle()
+    cut = "edge-north-0"
+    key = next(key for key, holder in s.keys.holders.items() if holder == "cid")
+    others = [name for name in s.w.nodes if name != cut]
+    s.w.cut([cut], others, True)
+    s.f.busy.append(cut)
+    callers = {name: dict(fields) for name, fields in s.raw()["callers"].items()}
+    callers["cid"]["keys"] = [digest for digest in callers["cid"]["keys"] if digest != key_digest(key)]
+    before = len(s.taken)
+    while len(s.taken) == before:
+        s.put(dict(s.raw(), callers=callers))
+        s.w.run(2)
+    return s, s.w.nodes[cut], key
+
+
+def ask_cut_daemon(s, node, key):
+    """A client of the cut daemon sends one request -> the status it got."""
+    s.f.fronts = lambda zone, held=False: [node]
+    row, r = next(row for row in s.t["mix"] if row[0] == "fetch"), next(r for r in s.t["config"]["routes"] if r["name"] == "fetch")
+    before = dict(s.why)
+    s.go(row=row, z=node.zone, r=r, path="/fetch/1", body=b"b", parts=(), tokens=(0, 20), due=3 * SEC, tries=1, last=0, key=key)
+    s.w.run(4)
+    return next(status for status, count in s.why.items() if count != before.get(status, 0))
+
+
+def test_a_daemon_that_is_cut_off_refuses_a_key_that_was_taken_away():
+    """Guards against a key that works on behind a cut: with closed revocation nothing that wants a key runs there."""
+    s, node, key = scene_of_a_cut_daemon()
+    s.w.run(5)
+    assert ask_cut_daemon(s, node, key) == 503
+    assert s.r.faults == []
+
+
+def test_a_daemon_that_is_cut_off_goes_by_what_it_knows_where_revocation_is_not_closed():
+    s, node, key = scene_of_a_cut_daemon(closed=False)
+    s.w.run(5)
+    assert ask_cut_daemon(s, node, key) == 200
+    assert s.r.faults == []
+
+
+def test_the_judge_sees_a_cut_daemon_that_goes_on_by_old_keys(monkeypatch):
+    monkeypatch.setattr(RouterContext, "are_keys_certain", lambda self, now: True)
+    s, node, key = scene_of_a_cut_daemon()
+    s.w.run(5)
+    assert ask_cut_daemon(s, node, key) == 200
+    assert [fault[1:3] for fault in s.r.faults] == [("CONFIG", "its key was taken away")]
+
+
+def first_table_stays(mp):
+    """The callers of the first configuration hold on."""
+    real, kept = router.build_caller_table, []
+
+    def build(configuration):
+        kept[:] = kept or [real(configuration)]
+        return kept[0]
+
+    mp.setattr(router, "build_caller_table", build)
+
+
+def unguarded(guard, instead):
+    return lambda mp: without(mp, attempts.__name__, guard, instead, "silverglade.routing.router.Attempts")
+
+
+def retold(**changed):
+    """Attempts name another tenant, or none at all."""
+
+    def turn(now, e):
+        if e[0] != "try":
+            return (e,)
+        target = {name: value for name, value in {**e[3], **changed}.items() if name != "tenant" or value is not None}
+        return ((*e[:3], target),)
+
+    return effects(turn)
+
+
+PLANTED = [
+    ("UNASKED", retold(tenant="mallory")),
+    ("UNASKED", retold(tenant=None)),
+    ("ROUTE", unguarded('if not route.get("public"):', "if False:")),
+    ("CONFIG", first_table_stays),
+    ("CONFIG", unguarded("if caller is None:", "if caller is None or now.total_seconds() > 14:")),
+    ("HOME", unguarded('request.homes = effective_homes(route["homes"], caller)', "pass")),
+]
+
+
+@pytest.mark.parametrize("rule, plant", PLANTED, ids=[f"{rule}-{number}" for number, (rule, _) in enumerate(PLANTED)])
+def test_a_router_with_a_planted_fault_about_keys_is_caught(monkeypatch, rule, plant):
+    plant(monkeypatch)
+    assert rule in {broken[1] for broken in day(seed=1, stop=True, kinds=("keys",), **CLOSED)[1]}
