Router: a key stays hidden from further attempts, whatever configuration comes meanwhile

Cause: whether a replica may be shown the headers as they came was decided anew for each attempt; a request that was let in by its key would have shown it if the callers were taken out before its second attempt. Change: the request remembers that a configuration under which it was sent has callers.

--- a/silverglade/routing/attempts.py
+++ b/silverglade/routing/attempts.py
@@ -265,6 +265,7 @@
         request.tried_replicas.add(replica.id)
         request.open_attempts[request.attempt_number] = replica.id
         request.sent_at = now
+        request.hides_key = request.hides_key or context.callers is not None
         replica.attempts[request.id, request.attempt_number] = now
         replica.last_sent_at = now
         replica.work += request.work
@@ -278,7 +279,6 @@
             remaining=request.deadline - now - RESPONSE_MARGIN,
             connect_timeout=context.connect_timeout(replica),
             daemons=context.daemons,
-            wants_keys=context.callers is not None,
             tuning=context.tuning,
         )
         context.effects.append(StartAttempt(request.id, request.attempt_number, target))
--- a/silverglade/routing/request.py
+++ b/silverglade/routing/request.py
@@ -57,6 +57,7 @@
     :ivar route: the route that it takes; set once, before anything is sent.
     :ivar service: the service that its route chose for it.
     :ivar caller: who holds its key, if that is known; else None.
+    :ivar hides_key: no replica may be shown the key, since a configuration under which it was sent has callers.
     :ivar homes: the regions where it may be served, by its route and its caller; none: any.
     :ivar deadline: until when it is worked on.
     :ivar client_deadline: its own deadline, also beyond the daemon's end.
@@ -83,6 +84,7 @@
         "route",
         "service",
         "caller",
+        "hides_key",
         "homes",
         "deadline",
         "client_deadline",
@@ -110,6 +112,7 @@
         self.facts = facts
         self.received_at = now
         self.caller: Caller | None = None
+        self.hides_key = False
         self.homes: Collection[str] = ()
         self.deadline = now
         self.client_deadline = now
@@ -202,14 +205,12 @@
     remaining: timedelta,
     connect_timeout: timedelta,
     daemons: int,
-    wants_keys: bool,
     tuning: Mapping[str, Any],
 ) -> AttemptTarget:
     """Describe one attempt to the request forwarder.
 
     :param remaining: what is left of the deadline.
     :param daemons: how many share the replica's connections.
-    :param wants_keys: whether the configuration has callers.
     """
     switched_off = tuning["without"]
     watches_silence = "silence" not in switched_off
@@ -231,6 +232,6 @@
         "cap": max(1, service["conns"] // max(1, daemons)),
         "stream": request.is_streaming,
     }
-    if wants_keys:
+    if request.hides_key:
         target["tenant"] = request.caller.name if request.caller else ""
     return target
--- a/tests/routing/test_callers.py
+++ b/tests/routing/test_callers.py
@@ -98,6 +98,23 @@
     assert (rest["tenant"], rest["resume"], rest["last_event"]) == ("ann", True, "4")
 
 
+def test_a_key_stays_hidden_from_further_attempts_where_a_new_configuration_wants_none():
+    """Guards against a second attempt that shows the key, since the callers were taken out of the configuration meanwhile."""
+    b = bench(route(kind="pure", tries=3))
+    request_id, _ = b.request(key=ANN)
+    b.configure(route(kind="pure", tries=3), callers=None, number=2)
+    assert attempted(b.report(request_id, 1, "lost", "reset"))["tenant"] == "ann"
+
+
+def test_a_key_is_hidden_from_further_attempts_once_a_new_configuration_wants_keys():
+    """Guards against a second attempt that passes the headers on as they came, though callers are in force by now."""
+    b = bench(route(kind="pure", tries=3), callers=None)
+    request_id, effects = b.request(key=ANN)
+    assert "tenant" not in attempted(effects)
+    b.configure(route(kind="pure", tries=3), callers=CALLERS, number=2)
+    assert attempted(b.report(request_id, 1, "lost", "reset"))["tenant"] == ""
+
+
 @pytest.mark.parametrize(
     "route_homes, caller_homes, regions",
     [
@@ -190,9 +207,15 @@
     (attempts, 'request.homes = effective_homes(route["homes"], caller)', "pass", test_the_homes_of_a_caller_bind_on_public_routes_too),
     (
         attempts,
-        "wants_keys=context.callers is not None",
-        "wants_keys=False",
-        test_a_request_with_a_known_key_goes_on_in_the_name_of_its_caller,
+        "request.hides_key = request.hides_key or context.callers is not None",
+        "request.hides_key = context.callers is not None",
+        test_a_key_stays_hidden_from_further_attempts_where_a_new_configuration_wants_none,
+    ),
+    (
+        attempts,
+        "request.hides_key = request.hides_key or context.callers is not None",
+        "pass",
+        test_a_key_is_hidden_from_further_attempts_once_a_new_configuration_wants_keys,
     ),
 ]
 
