--- a/silverglade/routing/request.py
+++ b/silverglade/routing/request.py
@@ -58,6 +58,7 @@
     :ivar service: the service that its route chose for it.
     :ivar caller: who holds its key, if that is known; else None.
     :ivar is_counted: whether it was told to the usage counter.
+    :ivar hides_key: no replica may be shown the key, since a configuration under which it was sent has callers.
     :ivar homes: the regions where it may be served, by its route and its caller; none: any.
     :ivar deadline: until when it is worked on.
     :ivar client_deadline: its own deadline, also beyond the daemon's end.
@@ -85,6 +86,7 @@
         "service",
         "caller",
         "is_counted",
+        "hides_key",
         "homes",
         "deadline",
         "client_deadline",
@@ -113,6 +115,7 @@
         self.received_at = now
         self.caller: Caller | None = None
         self.is_counted = False
+        self.hides_key = False
         self.homes: Collection[str] = ()
         self.deadline = now
         self.client_deadline = now
@@ -205,14 +208,12 @@
     remaining: timedelta,
     connect_timeout: timedelta,
     daemons: int,
-    wants_keys: bool,
     tuning: Mapping[str, Any],
 ) -> AttemptTarget:
     """Describe one attempt to the request forwarder.
 
     :param remaining: what is left of the deadline.
     :param daemons: how many share the replica's connections.
-    :param wants_keys: whether the configuration has callers.
     """
     switched_off = tuning["without"]
     watches_silence = "silence" not in switched_off
@@ -234,6 +235,6 @@
         "cap": max(1, service["conns"] // max(1, daemons)),
         "stream": request.is_streaming,
     }
-    if wants_keys:
+    if request.hides_key:
         target["tenant"] = request.caller.name if request.caller else ""
     return target
