An attempt that waits for its turn ends with its request, as one that runs does

Callers saw: a request given up, or left by its client, in the turn of the loop in which the router sent it on reached a replica all the same and ran there to its end; the answer of a daemon that stops (503 or 502) waited behind it and came late or, at the end of the process, not at all. Cause: ClientRequest.put cancels the attempt that runs; one that is queued and has not begun was left in the queue, before the end. Why it works: every instruction but the handing on of a response now takes attempts that have not begun out of the queue; the router has forgotten them, as it has those that are cancelled.

--- a/silverglade/server/client_request.py
+++ b/silverglade/server/client_request.py
@@ -183,12 +183,14 @@
     # instructions
 
     def put(self, instruction: Instruction | CancelAttempt) -> None:
-        """Queue an instruction; all but the handing on of a response end the attempt that runs."""
+        """Queue an instruction; all but the handing on of a response end the attempt that runs, or waits for its turn."""
         if isinstance(instruction, CancelAttempt):
             self._cancel_attempt(instruction.attempt)
             return
-        if self.attempt_scope and not isinstance(instruction, PassResponse):
-            self.attempt_scope.cancel()
+        if not isinstance(instruction, PassResponse):
+            self._instructions = deque(queued for queued in self._instructions if not isinstance(queued, StartAttempt))
+            if self.attempt_scope:
+                self.attempt_scope.cancel()
         self._instructions.append(instruction)
         if self._waiter and not self._waiter.done():
             self._waiter.set_result(None)
--- a/tests/server/test_shutdown_answers.py
+++ b/tests/server/test_shutdown_answers.py
@@ -2,8 +2,13 @@
 
 import asyncio
 
+import pytest
+
+from silverglade.runtime.effects import AnswerClient, StartAttempt
+from silverglade.server.client_request import RequestEnd
+
 from ..http.test_forwarding import says
-from ..support.scripted_replicas import answer, event, scene, stream
+from ..support.scripted_replicas import answer, event, one, scene, stream
 
 
 async def conclude_after(c, d, word):
@@ -63,3 +68,48 @@
 
     got, d, _ = scene(script, talk)
     assert got[2] == (event(1) + event(2)).encode() and got[3]
+
+
+@pytest.mark.parametrize("end, status", [(RequestEnd.SHUTDOWN, 503), (AnswerClient("r1", 503, 0.1, 811), 503)])
+def test_an_attempt_that_has_not_begun_does_not_run_once_its_request_is_over(end, status):
+    """Guards against a request that runs although it was given up in the turn of the loop in which it was sent on."""
+
+    async def script(c):
+        await c.request()
+        await c.closed()
+
+    def part(addr):
+        return lambda event: ()
+
+    async def talk(c, d, rep, client):
+        d.draining = True
+        await c.ask()
+        while not d.forwarder.requests:
+            await d.news.wait()
+        [request] = d.forwarder.requests.values()
+        request.put(StartAttempt(request.request_id, 1, one(rep.addr)))
+        request.put(end)
+        return await c.answer()
+
+    got, d, rep = scene(script, talk, part=part)
+    assert (got[0], got[3]) == (status, True) and rep.seen == []
+
+
+def test_an_attempt_does_not_begin_for_a_client_that_left_in_the_same_turn_of_the_loop():
+    """Guards against a request that reaches a replica after its client has gone (GONE), and runs there to its end."""
+
+    async def script(c):
+        await c.request()
+        await c.closed()
+
+    async def talk(c, d, rep, client):
+        await c.ask()
+        while not d.forwarder.requests:
+            await d.news.wait()
+        [request] = d.forwarder.requests.values()
+        request.put(StartAttempt(request.request_id, 1, one(rep.addr)))
+        request.put(RequestEnd.CLIENT_GONE)
+        await d.heard("gone")
+
+    _, d, rep = scene(script, talk, part=lambda addr: lambda event: ())
+    assert rep.seen == [] and d.words() == [(0, "gone")] and d.forwarder.requests == {}
