A connection that comes up as the listeners close is served or closed, not left open

Cause: asyncio accepts a connection in one turn of its loop and sets it up in the next; if the listener closes between, the set-up fails (Server._attach asserts that it listens), and the socket is kept by the error until it is collected: nobody reads or closes it. Why it works: the listeners are first taken out of the loop, so that nothing more is accepted; what was accepted is set up in the next turn; only then do they close. What still waits in the kernel's queue is reset by the close and was never read.

--- a/silverglade/http/listener.py
+++ b/silverglade/http/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from collections.abc import Iterator, Mapping
@@ -25,6 +26,9 @@
 
 KEEP_ALIVE_S = 30
 
+SETUP_S = 0.05
+"""For connections that were accepted last to be set up: some turns of the event loop."""
+
 
 class ResponseBrokenOffError(Exception):
     """A response broke off after its beginning; the server closes the connection, so that it does not look complete."""
@@ -49,6 +53,17 @@
         """Wait without uvicorn's ticking: nothing of it is used here, and an idle daemon is to stay idle."""
         await self.closing.wait()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Close: first nothing more is accepted, then what was accepted comes up, then listeners and idle connections close.
+
+        A connection that asyncio has accepted but not set up when its listener closes would be neither read nor closed.
+        """
+        loop = asyncio.get_running_loop()
+        for listening in sockets or []:
+            loop.remove_reader(listening)
+        await anyio.sleep(SETUP_S)
+        await super().shutdown(sockets)
+
 
 def port_of(address: str) -> int:
     """Return the port of "IP:PORT"."""
