A request that names no deadline ends at its route's, not a minute later

Callers saw: where a replica says nothing and the request may not repeat, a request without Deadline-Ms, or with one beyond its route's deadline, was held for up to 60 s (its own deadline) instead of its route's; a daemon that stops held it to its end. Cause: the timer of the forwarder was only ever put off: the router's deadline, named with each attempt, counted only where it was later than the one set at arrival. Why it works: the deadline named last counts. The router reckons each from the same end, so that a later attempt moves it no further.

--- a/silverglade/server/client_request.py
+++ b/silverglade/server/client_request.py
@@ -117,7 +117,7 @@
     :ivar last_event_id: of the last event that was passed on.
     :ivar was_started: the client was sent a head.
     :ivar was_sent: a byte of it was sent to some replica.
-    :ivar forget_at: when the request ends even without the router, in seconds of the monotonic clock; `forget_timer` does it.
+    :ivar forget_timer: ends the request even without the router.
     """
 
     __slots__ = (
@@ -136,7 +136,6 @@
         "last_event_id",
         "was_started",
         "was_sent",
-        "forget_at",
         "forget_timer",
         "_send",
         "_is_draining",
@@ -173,7 +172,6 @@
         self.last_event_id: str | None = None
         self.was_started = False
         self.was_sent = False
-        self.forget_at = 0.0
         self.forget_timer: asyncio.TimerHandle | None = None
         self._send = send
         self._is_draining = is_draining
--- a/silverglade/server/request_forwarding.py
+++ b/silverglade/server/request_forwarding.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any, ClassVar, Protocol
@@ -169,15 +168,11 @@
                     await self.report(request, request.attempt_number, Outcome.GONE)
 
     def set_forget_timer(self, request: ClientRequest, remaining: timedelta) -> None:
-        """End a request a little after its deadline even if the router does not know it any more."""
-        delay_s = (remaining + FORGET_MARGIN) / SECOND
-        forget_at = time.monotonic() + delay_s
-        if forget_at > request.forget_at:
-            if request.forget_timer:
-                request.forget_timer.cancel()
-            loop = asyncio.get_running_loop()
-            request.forget_at = forget_at
-            request.forget_timer = loop.call_at(loop.time() + delay_s, request.put, RequestEnd.FORGOTTEN)
+        """End a request a little after its deadline even if the router does not know it any more; the deadline named last counts."""
+        if request.forget_timer:
+            request.forget_timer.cancel()
+        loop = asyncio.get_running_loop()
+        request.forget_timer = loop.call_later((remaining + FORGET_MARGIN) / SECOND, request.put, RequestEnd.FORGOTTEN)
 
     async def _follow_instructions(self, request: ClientRequest) -> bool:
         """Follow the router's instructions until the request is over; returns whether the router knows that it is."""
--- a/tests/http/test_forwarding_ends.py
+++ b/tests/http/test_forwarding_ends.py
@@ -284,3 +284,14 @@
         assert [e[3] for e in d.told] == ["silent", "silent"]
 
     asyncio.run(go())
+
+
+def test_a_request_that_names_no_deadline_ends_at_its_routes():
+    """Guards against a request without a deadline of its own that a silent replica holds for a minute beyond its route's."""
+
+    async def talk(c, d, rep, client):
+        await c.ask()
+        return await c.answer()
+
+    got, d, _ = scene(says(close=False), talk, deadline_ms=100)
+    assert got[0] == 502 and d.words() == [(1, "gone")]
