Configuration: a service's scaling, left out where it is not given

Cause: the platform's configuration says between which numbers replicas of a service may be ordered in each zone; it was dropped.

--- a/silverglade/configuration/schema.py
+++ b/silverglade/configuration/schema.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from .validation import (
+    LEFT_OUT,
     ValidationError,
     boolean,
     integer,
@@ -47,6 +48,16 @@
 )
 """A class of a tenant's requests."""
 
+SCALING = record(
+    {
+        "least": integer(least=0, most=10000),
+        "most": integer(least=1, most=10000),
+        "boot_ms": integer(least=0, most=HOUR_MS),  # from an order until the replica that it adds serves
+    },
+    default=LEFT_OUT,
+)
+"""Between which numbers of replicas a service may be ordered in each zone (design 16.5)."""
+
 SERVICE = record(
     {
         "health": text(default="", least=0),
@@ -56,6 +67,7 @@
         "slots": integer(default=0, most=100000),  # requests at once; 0: as each replica declares
         "keeps": integer(default=0),  # tokens of prompts and answers that a replica's prefix cache holds
         "stride": integer(default=1, least=1, most=100000),  # tokens in one event of a stream
+        "scaling": SCALING,  # left out: its replicas are not ordered
     }
 )
 """A service that routes lead to (design 15.2)."""
@@ -128,7 +140,7 @@
     """
     configuration, errors = validate(CONFIGURATION, raw)
     if not errors:
-        errors = (*_route_errors(configuration), *_tenant_errors(configuration))
+        errors = (*_route_errors(configuration), *_service_errors(configuration), *_tenant_errors(configuration))
     return (None, errors) if errors else (configuration, ())
 
 
@@ -163,6 +175,14 @@
                 yield ValidationError(f"{path}.homes[{home_index}]", f"unknown region {home}")
 
 
+def _service_errors(configuration: Configuration) -> Iterator[ValidationError]:
+    """Errors within services (design 16.5)."""
+    for name, service in (configuration["services"] or {}).items():
+        scaling = service.get("scaling")
+        if scaling and scaling["least"] > scaling["most"]:
+            yield ValidationError(f"services.{name}.scaling.least", "is above most")
+
+
 def _share_errors(shares: tuple[Mapping[str, Any], ...], path: str, services: Mapping[str, Any]) -> Iterator[ValidationError]:
     """Errors in how a route is divided between services."""
     for index, share in enumerate(shares):
--- a/silverglade/configuration/validation.py
+++ b/silverglade/configuration/validation.py
@@ -15,6 +15,9 @@
 MISSING = object()
 """The default of a field that must be given."""
 
+LEFT_OUT = object()
+"""The default of a field that stays left out where it is not given, so that what is stored is the same as before the field existed."""
+
 MAX_NAME_LENGTH = 100
 """Characters of a name in a `mapping_of`."""
 
@@ -38,7 +41,7 @@
     """What the value of a field must be.
 
     :ivar check: the function that checks a value.
-    :ivar default: the value of a field that is left out, or `MISSING`.
+    :ivar default: the value of a field that is left out, `MISSING` or `LEFT_OUT`.
     """
 
     __slots__ = ("check", "default")
@@ -196,7 +199,7 @@
                 kept[name] = rule.check(value[name], _field_path(path, name), errors)
             elif rule.default is MISSING:
                 errors.append(ValidationError(_field_path(path, name), "missing"))
-            else:
+            elif rule.default is not LEFT_OUT:
                 kept[name] = rule.default
         return kept
 
--- a/tests/configuration/test_validation.py
+++ b/tests/configuration/test_validation.py
@@ -63,3 +63,10 @@
 )
 def test_a_value_that_breaks_its_rule_is_refused_with_its_path(rule, value, path, message):
     assert validate(rule, value)[1] == (ValidationError(path, message),)
+
+
+def test_a_field_may_stay_left_out():
+    rule = rules.record({"a": rules.record({"b": rules.integer()}, default=rules.LEFT_OUT)})
+    assert validate(rule, {}) == ({}, ())
+    assert validate(rule, {"a": {"b": 1}}) == ({"a": {"b": 1}}, ())
+    assert validate(rule, {"a": {}})[1] == (ValidationError("a.b", "missing"),)
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -154,6 +154,36 @@
     assert got["services"]["s"]["slots"] == 64 and got["services"]["s"]["cold_ms"] == 3000 and got["limits"]["header_ms"] == 3000
 
 
+SCALING = {"min_count": 2, "max_count": 17, "boot_s": 8.0}
+
+
+def scalable(scaling):
+    return dict(CONFIG, services=[dict(CONFIG["services"][0], scaling=scaling), CONFIG["services"][1]])
+
+
+def test_a_services_scaling_becomes_the_products_own():
+    got = translated(scalable(SCALING))["services"]
+    assert got["s"]["scaling"] == {"least": 2, "most": 17, "boot_ms": 8000} and "scaling" not in got["t"]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"min_count": 18}, {"max_count": 0}, {"min_count": -1}, {"min_count": 1.5}, {"boot_s": -1}, {"boot_s": "soon"}, {"boot_s": None}],
+)
+def test_an_invalid_scaling_is_not_taken(change):
+    assert translated(scalable(SCALING))
+    assert translated(scalable({**SCALING, **change})) is None
+    assert translated(scalable({name: value for name, value in SCALING.items() if name not in change})) is None
+
+
+def test_a_configuration_without_scaling_is_stored_as_before_the_field_existed():
+    """What earlier versions stored passes again as it is: its services are not scaled."""
+    for raw in (CONFIG, scalable(None)):
+        stored = translated(raw)
+        assert all("scaling" not in service for service in stored["services"].values())
+        assert config.parse_configuration(stored) == (stored, ())
+
+
 def test_what_was_checked_passes_again():
     for raw in (api.configuration(CONFIG, ZONES), dict(zones={"z": {"region": "g"}}, tenants={})):
         got, bad = config.parse_configuration(raw)
@@ -262,7 +292,7 @@
         words.EVACUATION,
         words.LIST,
     }
-    fields = {t for d in (words.ROUTE, words.SERVICE, words.ENGINE, words.LIMITS) for t, o in d.items() if t != o}
+    fields = {t for d in (words.ROUTE, words.SERVICE, words.ENGINE, words.SCALING, words.LIMITS) for t, o in d.items() if t != o}
     return heads | paths | fields | {words.BASE.decode(), words.SETTINGS_AT.lower(), "next_token", "phase", "bind_addrs", "seed_addrs"}
 
 
