What a region requires of a scalable service is told as soft state by one of its daemons

Cause: every daemon works out what its own region requires; who orders replicas needs that of all regions. Change: the first of the region's daemons in rendezvous order publishes rows 'required' (required, ready, short, publisher), only when they change, at most every scale_every, and not in its first scale_trend; a successor outranks its predecessor. Cores collect these rows before they answer the fleet. Nothing is published without a service that has scaling.

--- a/silverglade/autoscaling/service_scaler.py
+++ b/silverglade/autoscaling/service_scaler.py
@@ -1,6 +1,7 @@
-"""The scaler for services whose replicas nobody here can order (design 16.3), the component "service_scaler".
+"""The scaler for services (design 16.3), the component "service_scaler".
 
-The number that it works out orders nothing: set against the ready replicas it says what the region cannot take.
+The number that it works out, set against the ready replicas, says what the region cannot take. Of services whose replicas are
+ordered (16.5) it is told to whoever orders them.
 """
 
 from __future__ import annotations
@@ -11,8 +12,9 @@
 from typing import Any, ClassVar, NamedTuple
 
 from ..control.replicated_state import value_of
-from ..membership.records import MemberRecord, members_of
-from ..runtime.effects import IDLE, ZERO, Broadcast, Effect, WakeAt, log_record
+from ..membership.records import REQUIREMENT_ROW, MemberRecord, members_of
+from ..runtime.components import Component
+from ..runtime.effects import IDLE, ZERO, Broadcast, Effect, Post, WakeAt, log_record
 from ..runtime.events import (
     Event,
     LoadsReported,
@@ -20,11 +22,13 @@
     ServiceRequestObserved,
     ServiceRequestServed,
     ServicesShort,
+    SoftStateChanged,
     StoreUpdated,
     TimerFired,
 )
 from .load_measurement import SECOND, LoadMeasurement
 from .markov_chain import room_of_replica
+from .requirement_rows import RequirementPublisher, scalable_services
 
 MS_PER_SECOND = 1000
 
@@ -121,13 +125,15 @@
         MembershipChanged,
         StoreUpdated,
         LoadsReported,
+        SoftStateChanged,
         ServiceRequestObserved,
         ServiceRequestServed,
     )
 
-    def __init__(self, *, region: str, tuning: Mapping[str, Any]) -> None:
+    def __init__(self, *, region: str, tuning: Mapping[str, Any], own_name: str = "") -> None:
         self._region = region
         self._tuning = tuning
+        self._publisher = RequirementPublisher(own_name=own_name, region=region, tuning=tuning)
         self.measurements: dict[str, ServiceMeasurement] = {}
         self._members: tuple[MemberRecord, ...] = ()
         self._configuration: Mapping[str, Any] | None = None
@@ -140,6 +146,7 @@
             MembershipChanged: self._on_membership_changed,
             StoreUpdated: self._on_store_updated,
             LoadsReported: self._on_loads_reported,
+            SoftStateChanged: self._on_soft_state_changed,
             ServiceRequestObserved: self._on_request_observed,
             ServiceRequestServed: self._on_request_served,
         }
@@ -162,6 +169,10 @@
     def _on_loads_reported(self, now: timedelta, event: LoadsReported) -> None:
         self._loads = event.loads
 
+    def _on_soft_state_changed(self, now: timedelta, event: SoftStateChanged) -> None:
+        if event.kind == REQUIREMENT_ROW:
+            self._publisher.note_rows(event.rows)
+
     def _on_request_observed(self, now: timedelta, event: ServiceRequestObserved) -> None:
         measurement = self._measurement(event.service, now)
         arrivals = measurement.retries if event.is_retry else measurement.load.arrivals
@@ -199,6 +210,17 @@
         if requirements != self._last_requirements:
             self._last_requirements = requirements
             self._effects.append(Broadcast(ServicesShort(requirements)))
+        self._publish(now, requirements, scalable_services(configuration))
+
+    def _publish(
+        self, now: timedelta, requirements: Mapping[tuple[str, str], ServiceRequirement], scalable: Mapping[str, Mapping[str, Any]]
+    ) -> None:
+        """Publish what the region requires of services whose replicas are ordered, where that falls to this daemon."""
+        if not scalable:
+            return
+        required = {service: requirement for (_, service), requirement in requirements.items()}
+        rows = self._publisher.rows_due(now, services=scalable, required=required, members=self._members)
+        self._effects += [Post(Component.MEMBERSHIP, row) for row in rows]
 
     def _requirement(
         self, now: timedelta, *, service: str, latency_target: float, loads: list[ReplicaLoad], daemons: int
--- a/silverglade/membership/core_rows.py
+++ b/silverglade/membership/core_rows.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from .records import ATTRIBUTE_ROW, REPLICA_STATUS_ROW, Rank, SoftStateRow
+from .records import ATTRIBUTE_ROW, REPLICA_STATUS_ROW, REQUIREMENT_ROW, Rank, SoftStateRow
 from .replicated_table import MAX_RANK_LENGTH, ReplicatedTable
 
-CAN_WAIT = frozenset((ATTRIBUTE_ROW, REPLICA_STATUS_ROW))
+CAN_WAIT = frozenset((ATTRIBUTE_ROW, REPLICA_STATUS_ROW, REQUIREMENT_ROW))
 """Kinds of rows that change often: those of a large fleet are collected before daemons are answered."""
 
 VIEW_SUFFIX = " view"
--- a/silverglade/membership/records.py
+++ b/silverglade/membership/records.py
@@ -38,6 +38,9 @@
 REPLICA_SUSPICION_ROW: Final = "suspect"
 """Key: a replica and the daemon that suspects it, its last word."""
 
+REQUIREMENT_ROW: Final = "required"
+"""Key: a service and a region (`autoscaling.requirement_rows`); value: how many replicas the region requires."""
+
 RowKey = tuple[str, str]
 """Kind and key of a row of soft state."""
 
--- a/silverglade/runtime/daemon_components.py
+++ b/silverglade/runtime/daemon_components.py
@@ -105,7 +105,7 @@
         Component.TENANT_INGRESS: TenantIngress(own_name=name, process_id=identity.process_id, zone=zone, tuning=tuning),
         Component.ROUTER: Router(own_name=name, region=region, tuning=tuning),
         Component.ENDPOINT_LIST: EndpointList(own_name=name, region=region, has_source=reads_endpoint_list, tuning=tuning),
-        Component.SERVICE_SCALER: ServiceScaler(region=region, tuning=tuning),
+        Component.SERVICE_SCALER: ServiceScaler(own_name=name, region=region, tuning=tuning),
         Component.TENANT_SCALER: TenantScaler(region=region, tuning=tuning),
         Component.OPERATOR_API: OperatorApi(own_name=name, tuning=tuning, rng=rng),
     }
