Replica orders: the component that sends them under the duty's lease

Cause: the policy needs the regions' rows, the endpoint list, drained zones and the lease, and its orders must reach the platform. Change: autoscaling/replica_orderer.py, component replica_orders, on cores and only with DaemonMachine(scales=True); no caller sets that yet. Guards that other rules made needless were cut.

--- a/silverglade/autoscaling/replica_orders.py
+++ b/silverglade/autoscaling/replica_orders.py
@@ -83,8 +83,8 @@
     :ivar listed: replicas listed that are not leaving.
     :ivar is_own: this daemon has ordered, under the lease that it holds.
     :ivar is_pending: the platform has not confirmed the order yet.
-    :ivar raised_at: when the order was last raised, or that was confirmed.
-    :ivar missing_since: since when fewer are listed than ordered.
+    :ivar raised_at: when the order was last raised.
+    :ivar missing_since: since when fewer are listed than ordered, counted anew from a confirmed order.
     """
 
     __slots__ = ("_listed_at_raise", "is_own", "is_pending", "listed", "missing_since", "ordered", "raised_at", "region", "zone")
@@ -126,13 +126,12 @@
         self.ordered = count
         self.is_own = True
         self.is_pending = True
-        self.missing_since = now if self.listed < count else None
 
     def confirm(self, now: timedelta) -> None:
         """The platform has taken the order: the boot begins no later than now."""
         self.is_pending = False
         if self.listed < self.ordered:
-            self.raised_at = self.missing_since = now
+            self.missing_since = now
 
     def release(self) -> None:
         """Another daemon may order from here on."""
@@ -148,8 +147,8 @@
         return self.listed if self.has_lost(now, arrival_time) else self.ordered
 
     def may_take_more(self, now: timedelta, situation: Situation) -> bool:
-        """Whether another order may help: not above the most, not in a drained zone, and not where the last raise brought nothing."""
-        if self.ordered >= situation.scaling.most or self.zone in situation.drained_zones:
+        """Whether another order may help: not in a drained zone, and not where the last raise brought nothing."""
+        if self.zone in situation.drained_zones:
             return False
         brought_nothing = self._listed_at_raise is not None and self.listed <= self._listed_at_raise
         return not (brought_nothing and self.has_lost(now, situation.arrival_time))
--- a/silverglade/runtime/daemon_components.py
+++ b/silverglade/runtime/daemon_components.py
@@ -50,9 +50,12 @@
     reads_endpoint_list: bool,
     tolerance: tuple[int, int, int],
     may_form_first_view: bool,
+    orders_replicas: bool = False,
 ) -> dict[str, MachineComponent]:
     """Make the components of a daemon, ready to be sent events, by their names (`Component`).
 
+    :param orders_replicas: whether the platform lets its replicas be ordered (design 16.5); the cores do that.
+
     A timer event reaches them in this order. The control core is made first, since it draws from `rng` before the others do.
     """
     core_components = (
@@ -61,6 +64,8 @@
     components = _common_components(identity, seeds, tuning, rng, bool(disk), reads_endpoint_list)
     if disk:
         components.update(core_components)
+        if orders_replicas:
+            components[Component.REPLICA_ORDERS] = _replica_orders(tuning)
     else:
         components[Component.ZONE_RELAY] = MachineComponent(ZoneRelay(zone=identity.zone, tuning=tuning))
     return components
@@ -152,3 +157,10 @@
         Component.ROLE_ASSIGNER: MachineComponent(RoleAssigner(tuning=tuning)),
         Component.CLAIM_FOLLOWER: MachineComponent(ClaimFollower(own_name=identity.name, saved=saved, tuning=tuning)),
     }
+
+
+def _replica_orders(tuning: Mapping[str, Any]) -> MachineComponent:
+    """The component that orders replicas; its module is loaded only where it is wanted."""
+    from ..autoscaling.replica_orderer import ReplicaOrderer
+
+    return MachineComponent(ReplicaOrderer(tuning=tuning))
--- a/silverglade/runtime/daemon_machine.py
+++ b/silverglade/runtime/daemon_machine.py
@@ -169,6 +169,7 @@
     :param front: where clients' forwarded requests come in, or empty.
     :param lists: whether it reads the platform's endpoint list.
     :param tolerance: machines, zones, regions that may be lost at once (design 5.9).
+    :param scales: whether the platform lets its replicas be ordered (design 16.5).
     :param first: whether a core with an empty disk may help to form the first view (design 5.5).
     :ivar name: the daemon's.
     :ivar components: by their names.
@@ -194,6 +195,7 @@
         lists: bool = False,
         tolerance: tuple[int, int, int] = (1, 1, 1),
         first: bool = True,
+        scales: bool = False,
     ) -> None:
         self.name = me
         identity = DaemonIdentity(name=me, process_id=life, zone=zone, region=region, peer_address=addr, http_address=http)
@@ -208,6 +210,7 @@
             reads_endpoint_list=lists,
             tolerance=tolerance,
             may_form_first_view=first,
+            orders_replicas=scales,
         )
         self._message_receivers: dict[str, Component] = {
             kind: component for component, kinds in MESSAGE_RECEIVERS.items() if component in self.components for kind in kinds
--- a/tests/autoscaling/test_replica_orders.py
+++ b/tests/autoscaling/test_replica_orders.py
@@ -111,11 +111,13 @@
 def test_an_order_that_the_platform_has_not_taken_yet_counts_as_on_its_way_however_long_that_takes():
     p = Platform()
     p.is_down = True
+    p.run(120, a=6, b=5)
+    assert len(p.changes) == 1 and p.held["a1"] == 3  # nor is the other zone raised for it
     p.run(120, a=8, b=5)
-    assert len(p.changes) == 2 and p.held["a1"] == 3
+    assert p.ordered() == {"a1": 5, "a2": 4, "b1": 3, "b2": 3}
     p.is_down = False
     p.run(60, a=8, b=5)
-    assert len(p.changes) == 2 and p.held["a1"] == 5
+    assert p.held["a1"] == 5 and len(p.changes) == 3
 
 
 def test_a_zone_gets_no_more_than_the_most():
@@ -147,6 +149,10 @@
     for i in range(40):
         p.tick(a=4 if i % 5 == 0 else 1, b=5)
     assert p.total("a") == 4 + SPARE_REPLICAS
+    p = Platform({"a1": 20, "a2": 20}, scaling=Scaling(1, 30, BOOT_S * SECOND))
+    for i in range(40):
+        p.tick(a=37 if i % 5 == 0 else 1)
+    assert p.total("a") == 37 + SPARE_REPLICAS and p.directions("a") == [False]  # no whole step, which would be four
 
 
 def test_no_zone_gets_fewer_than_the_least():
@@ -266,7 +272,24 @@
     assert p.ordered()["a1"] == 5
     p.crashed["a1"] = 4  # whatever comes crashes at once
     p.run(300, a=2, b=2)
-    assert p.ordered()["a1"] <= 7
+    assert p.ordered()["a1"] == 5
+    p.crashed["a1"] = 0
+    p.run(10, a=6, b=2)
+    assert p.ordered()["a1"] == 7  # they came after all
+
+
+def test_what_was_ordered_for_lost_replicas_is_on_its_way_again():
+    p = Platform({"a1": 3, "b1": 3})
+    p.run(10, a=2, b=2)
+    p.crashed["a1"] = 2
+    while p.ordered()["a1"] == 3:
+        p.tick(a=2, b=2)
+    p.tick(a=2, b=2)
+    assert p.ordered()["a1"] == 5
+    p.tick(a=4, b=2)
+    assert p.ordered()["a1"] == 5  # five ordered, five wanted
+    p.tick(a=5, b=2)
+    assert p.ordered()["a1"] == 6
 
 
 def test_a_new_holder_takes_what_is_listed_and_remembers_what_was_there_before_a_crash():
