Replica orders: tests of guards that no test missed, two needless checks cut

Cause: guards were cut out of both modules one by one, and the tests still passed without some of them: the step that the platform has not taken, the least in a raise, the calls that add first, a number that changed during a call, calls of another lease. Change: a test for each; the second check for a settled number and a second confirmation, which nothing needed, are gone.

--- a/silverglade/autoscaling/replica_orderer.py
+++ b/silverglade/autoscaling/replica_orderer.py
@@ -72,9 +72,9 @@
         self.failures = 0
         self.not_before = ZERO
 
-    def is_due(self, now: timedelta, count: int) -> bool:
-        """Whether this number is to be told to the platform now."""
-        return self.under_way is None and now >= self.not_before and not self.is_settled(count)
+    def may_call(self, now: timedelta) -> bool:
+        """Whether the platform may be called now."""
+        return self.under_way is None and now >= self.not_before
 
     def is_settled(self, count: int) -> bool:
         """Whether the platform has answered for good for this number."""
@@ -251,7 +251,7 @@
             calls = self.calls.setdefault((service, zone), OrderCalls())
             if calls.is_settled(count):
                 self._confirm(now, (service, zone), count)
-            elif calls.is_due(now, count) and self._calls_under_way() < MOST_CALLS:
+            elif calls.may_call(now) and self._calls_under_way() < MOST_CALLS:
                 self._calls_made += 1
                 calls.under_way = CallUnderWay(f"{Duty.SCALE}-{self._token}-{self._calls_made}", count)
                 body = {"service": service, "zone": zone, "count": count}
@@ -281,7 +281,6 @@
             self._is_fenced = True
         elif status is not None and STATUS_REFUSED <= status < 500 and status != STATUS_TOO_MANY:
             calls.refuse(count)
-            self._confirm(now, subject, count)
         else:
             calls.fail(now, may_have_been_taken=status != STATUS_TOO_MANY)
 
--- a/tests/autoscaling/test_replica_orderer.py
+++ b/tests/autoscaling/test_replica_orderer.py
@@ -183,6 +183,27 @@
     assert h.run(40) == [("a1", 5)]
 
 
+def test_a_number_that_has_changed_while_a_call_was_under_way_is_told_next():
+    h = Holder()
+    h.require("a", 6)
+    assert h.run(4) == [("a1", 4)]
+    h.require("a", 9)
+    assert h.run(4) == [("a2", 5)]
+    h.end(200, call=0)
+    assert h.run(1) == [("a1", 5)]
+
+
+def test_those_that_add_are_told_before_those_that_give_back():
+    h = Holder()
+    h.require("a", 1)
+    while not h.calls:
+        h.run(0.1)
+    assert h.calls[-1][5] == {"service": "s", "zone": "a2", "count": 2}
+    h.end(503)
+    h.require("b", 6)
+    assert h.run(1.5) == [("b1", 4), ("a2", 2)]
+
+
 def test_a_number_that_is_refused_is_logged_and_not_repeated():
     h = Holder()
     h.require("a", 6)
--- a/tests/autoscaling/test_replica_orders.py
+++ b/tests/autoscaling/test_replica_orders.py
@@ -158,6 +158,9 @@
 def test_no_zone_gets_fewer_than_the_least():
     p = Platform(scaling=Scaling(2, 9, BOOT_S * SECOND))
     assert p.run(900, a=0, b=0) == dict.fromkeys(REGION_OF, 2)
+    p = Platform({"a1": 1, "b1": 3}, scaling=Scaling(3, 9, BOOT_S * SECOND))
+    p.tick(a=1)
+    assert p.ordered() == {"a1": 3, "b1": 3}
 
 
 def lowers_after(p, **required):
@@ -196,6 +199,17 @@
     assert lowers_after(p, a=2, b=5)
 
 
+def test_a_region_gives_nothing_more_back_until_the_platform_has_taken_the_step():
+    p = Platform()
+    p.tick(a=5, b=5)
+    p.is_down = True
+    p.run(20 * WAIT_S, a=1, b=5)
+    assert len(p.changes) == 1
+    p.is_down = False
+    p.run(20 * WAIT_S, a=1, b=5)
+    assert p.total("a") == 2
+
+
 def test_a_region_gives_nothing_back_within_a_boot_of_an_increase():
     for raised_at, gives in ((0, True), (WAIT_S, False)):
         p = Platform()
@@ -231,7 +245,7 @@
     p.run(8, a=5, b=5)
     assert p.total("b") == 12
     p.run(300, a=5, b=5)  # nor given back while it stands in for the others
-    assert p.total("b") == 12
+    assert p.total("b") == 12 and len(p.changes) == 2
 
 
 def test_a_short_crash_changes_nothing_and_a_long_one_is_made_up_in_another_zone():
