What a region is said to require stays within what its replicas report

Cause: one daemon's arrivals are a small sample of a large region's. Change: autoscaling/load_bounds.py: what is published lies between the numbers that bear the replicas' reported work at 0.8 and at 0.65, its rise carried ahead; where requests wait at replicas up to half as many again as are ready. LoadsReported to the scaler carries what waits; test_endpoint_list asserts that field as well.

--- a/silverglade/autoscaling/service_scaler.py
+++ b/silverglade/autoscaling/service_scaler.py
@@ -26,6 +26,7 @@
     StoreUpdated,
     TimerFired,
 )
+from .load_bounds import LoadBounds
 from .load_measurement import SECOND, LoadMeasurement
 from .markov_chain import room_of_replica
 from .requirement_rows import RequirementPublisher, scalable_services
@@ -42,6 +43,7 @@
     :ivar active: requests that run.
     :ivar slots: requests that it runs at once.
     :ivar is_ready: it answers and takes new requests.
+    :ivar queued: requests that wait there.
     """
 
     service: str
@@ -49,6 +51,7 @@
     active: int
     slots: int
     is_ready: bool
+    queued: int = 0
 
 
 class ServiceRequirement(NamedTuple):
@@ -138,6 +141,7 @@
         self._members: tuple[MemberRecord, ...] = ()
         self._configuration: Mapping[str, Any] | None = None
         self._loads: Mapping[str, tuple[Any, ...]] = {}
+        self._bounds: dict[str, LoadBounds] = {}  # of each service whose replicas are ordered
         self._next_run = ZERO
         self._last_requirements: dict[tuple[str, str], ServiceRequirement] = {}  # by (region, service), as they were last broadcast
         self._effects: list[Effect] = []
@@ -210,16 +214,28 @@
         if requirements != self._last_requirements:
             self._last_requirements = requirements
             self._effects.append(Broadcast(ServicesShort(requirements)))
-        self._publish(now, requirements, scalable_services(configuration))
+        self._publish(now, requirements, scalable_services(configuration), loads)
 
     def _publish(
-        self, now: timedelta, requirements: Mapping[tuple[str, str], ServiceRequirement], scalable: Mapping[str, Mapping[str, Any]]
+        self,
+        now: timedelta,
+        requirements: Mapping[tuple[str, str], ServiceRequirement],
+        scalable: Mapping[str, Mapping[str, Any]],
+        loads: list[ReplicaLoad],
     ) -> None:
         """Publish what the region requires of services whose replicas are ordered, where that falls to this daemon."""
         if not scalable:
             return
-        required = {service: requirement for (_, service), requirement in requirements.items()}
-        rows = self._publisher.rows_due(now, services=scalable, required=required, members=self._members)
+        bounded = {}
+        for service in [service for service in scalable if (self._region, service) in requirements]:
+            ready = [load for load in loads if load.service == service and load.region == self._region and load.is_ready]
+            bounds = self._bounds.setdefault(service, LoadBounds(tuning=self._tuning))
+            bounds.look(now, ready)
+            requirement = requirements[self._region, service]
+            required = bounds.bounded(now, requirement.required)
+            is_short = required > requirement.ready if ready else requirement.is_short
+            bounded[service] = ServiceRequirement(required, requirement.ready, is_short)
+        rows = self._publisher.rows_due(now, services=scalable, required=bounded, members=self._members)
         self._effects += [Post(Component.MEMBERSHIP, row) for row in rows]
 
     def _requirement(
--- a/silverglade/routing/endpoint_list.py
+++ b/silverglade/routing/endpoint_list.py
@@ -324,7 +324,8 @@
             load = self.loads.get(record.name)
             if load is not None:
                 is_usable = not record.is_leaving and load.is_answered
-                by_replica[record.name] = (record.service, record.region, max(0, load.active), load.slots, is_usable)
+                active, queued = max(0, load.active), max(0, load.queued)
+                by_replica[record.name] = (record.service, record.region, active, load.slots, is_usable, queued)
         self.effects.append(Post(Component.SERVICE_SCALER, LoadsReported(by_replica)))
 
     # time
--- a/tests/routing/test_endpoint_list.py
+++ b/tests/routing/test_endpoint_list.py
@@ -178,7 +178,7 @@
     b.feed("asked", "1", None)
     assert b.published("load")[-1][2][0] == -1
     need = [e[2][1] for e in b.sent if e[0] == "post" and e[1] == "service_scaler"]
-    assert need[-1] == {"1": ("s", "a", 0, 8, False)}
+    assert {"1": ("s", "a", 3, 8, True, 1)} in need and need[-1] == {"1": ("s", "a", 0, 8, False, 0)}
     b.feed("asked", "9", (1, 1, 1))  # not one that is there
 
 
