--- a/silverglade/configuration/schema.py
+++ b/silverglade/configuration/schema.py
@@ -12,6 +12,7 @@
 
 from ..runtime.outside_input import is_header_value
 from .validation import (
+    LEFT_OUT,
     MAX_NAME_LENGTH,
     ValidationError,
     boolean,
@@ -50,6 +51,16 @@
 )
 """A class of a tenant's requests."""
 
+SCALING = record(
+    {
+        "least": integer(least=0, most=10000),
+        "most": integer(least=1, most=10000),
+        "boot_ms": integer(least=0, most=HOUR_MS),  # from an order until the replica that it adds serves
+    },
+    default=LEFT_OUT,
+)
+"""Between which numbers of replicas a service may be ordered in each zone (design 16.5)."""
+
 SERVICE = record(
     {
         "health": text(default="", least=0),
@@ -59,6 +70,7 @@
         "slots": integer(default=0, most=100000),  # requests at once; 0: as each replica declares
         "keeps": integer(default=0),  # tokens of prompts and answers that a replica's prefix cache holds
         "stride": integer(default=1, least=1, most=100000),  # tokens in one event of a stream
+        "scaling": SCALING,  # left out: its replicas are not ordered
     }
 )
 """A service that routes lead to (design 15.2)."""
@@ -142,7 +154,12 @@
     """
     configuration, errors = validate(CONFIGURATION, raw)
     if not errors:
-        errors = (*_route_errors(configuration), *_tenant_errors(configuration), *_caller_errors(configuration))
+        errors = (
+            *_route_errors(configuration),
+            *_service_errors(configuration),
+            *_tenant_errors(configuration),
+            *_caller_errors(configuration),
+        )
     return (None, errors) if errors else (configuration, ())
 
 
@@ -192,6 +209,14 @@
                 yield ValidationError(f"{path}.homes[{home_index}]", f"unknown region {home}")
 
 
+def _service_errors(configuration: Configuration) -> Iterator[ValidationError]:
+    """Errors within services (design 16.5)."""
+    for name, service in (configuration["services"] or {}).items():
+        scaling = service.get("scaling")
+        if scaling and scaling["least"] > scaling["most"]:
+            yield ValidationError(f"services.{name}.scaling.least", "is above most")
+
+
 def _share_errors(shares: tuple[Mapping[str, Any], ...], path: str, services: Mapping[str, Any]) -> Iterator[ValidationError]:
     """Errors in how a route is divided between services."""
     for index, share in enumerate(shares):
--- a/silverglade/runtime/daemon_components.py
+++ b/silverglade/runtime/daemon_components.py
@@ -74,6 +74,7 @@
     identity: DaemonIdentity, tuning: Mapping[str, Any], is_core: bool, serves_clients: bool
 ) -> dict[str, MachineComponent]:
     """The components of duties at the platform (design 18): cores hold them, daemons that clients reach count usage."""
+    from ..autoscaling.replica_orderer import ReplicaOrderer
     from ..duties.leases import DutyLeases
     from ..duties.usage_counter import UsageCounter
     from ..duties.usage_reporter import UsageReporter
@@ -83,6 +84,8 @@
         machines[Component.DUTY_LEASES] = DutyLeases(own_name=identity.name, tuning=tuning)
     if is_core and Duty.USAGE in tuning["duties"]:
         machines[Component.USAGE_REPORTER] = UsageReporter(tuning=tuning)
+    if is_core and Duty.SCALE in tuning["duties"]:
+        machines[Component.REPLICA_ORDERS] = ReplicaOrderer(tuning=tuning)
     if serves_clients and Duty.USAGE in tuning["duties"]:
         machines[Component.USAGE_COUNTER] = UsageCounter(process_id=identity.process_id, tuning=tuning)
     return {component: MachineComponent(machine) for component, machine in machines.items()}
@@ -127,7 +130,7 @@
         Component.TENANT_INGRESS: TenantIngress(own_name=name, process_id=identity.process_id, zone=zone, tuning=tuning),
         Component.ROUTER: Router(own_name=name, region=region, tuning=tuning),
         Component.ENDPOINT_LIST: EndpointList(own_name=name, region=region, has_source=reads_endpoint_list, tuning=tuning),
-        Component.SERVICE_SCALER: ServiceScaler(region=region, tuning=tuning),
+        Component.SERVICE_SCALER: ServiceScaler(own_name=name, region=region, tuning=tuning),
         Component.TENANT_SCALER: TenantScaler(region=region, tuning=tuning),
         Component.OPERATOR_API: OperatorApi(own_name=name, tuning=tuning, rng=rng),
     }
