--- a/silverglade/autoscaling/replica_orderer.py
+++ b/silverglade/autoscaling/replica_orderer.py
@@ -188,7 +188,6 @@
             for orders in self.services.values():
                 orders.release()
         self._usable_until = event.usable_until
-        self._next_run = min(self._next_run, now)
 
     def _may_act(self, now: timedelta) -> bool:
         if self._token is None or self._usable_until is None or self._is_fenced:
@@ -226,7 +225,8 @@
         before = {zone: order.ordered for zone, order in orders.zones.items()}
         requirements = self._known_requirements(service)
         homes = homes_of_service(self._configuration, service)
-        orders.decide(now, Situation(scaling, requirements, self._drained_zones, homes, self._tuning["scale_hold"]))
+        hold, step_share = self._tuning["scale_hold"], self._tuning["scale_step"]
+        orders.decide(now, Situation(scaling, requirements, self._drained_zones, homes, hold, step_share))
         for zone, order in sorted(orders.zones.items()):
             if order.ordered != before[zone]:
                 requirement = requirements.get(order.region)
@@ -250,7 +250,7 @@
         for _, service, zone, count in sorted(pending):
             calls = self.calls.setdefault((service, zone), OrderCalls())
             if calls.is_settled(count):
-                self._confirm(now, (service, zone), count)
+                self.services[service].zones[zone].confirm(now)
             elif calls.may_call(now) and self._calls_under_way() < MOST_CALLS:
                 self._calls_made += 1
                 calls.under_way = CallUnderWay(f"{Duty.SCALE}-{self._token}-{self._calls_made}", count)
@@ -274,7 +274,6 @@
         service, zone = subject
         if status == STATUS_OK:
             calls.succeed(count)
-            self._confirm(now, subject, count)
             return
         self._effects.append(log_record("replica-order-failed", service=service, zone=zone, count=count, status=status))
         if status == STATUS_FENCED:
@@ -283,11 +282,3 @@
             calls.refuse(count)
         else:
             calls.fail(now, may_have_been_taken=status != STATUS_TOO_MANY)
-
-    def _confirm(self, now: timedelta, subject: Subject, count: int) -> None:
-        """The platform has answered for good for this number; a newer one is still to be told."""
-        service, zone = subject
-        orders = self.services.get(service)
-        order = orders.zones.get(zone) if orders else None
-        if order is not None and order.ordered == count:
-            order.confirm(now)
--- a/silverglade/autoscaling/replica_orders.py
+++ b/silverglade/autoscaling/replica_orders.py
@@ -16,9 +16,6 @@
 SPARE_REPLICAS = 1
 """Replicas of a region beyond what it requires: it bears the loss of one."""
 
-STEP_SHARE = 0.1
-"""Share of a region's replicas that is given back in one step; at least one replica is."""
-
 LIST_DELAY = timedelta(seconds=4)
 """How much later than it serves a replica may be listed."""
 
@@ -57,6 +54,7 @@
     :ivar drained_zones: zones where nothing new is started.
     :ivar homes: the regions where the service may run; empty: all.
     :ivar hold: how long a smaller number must have been enough, beside the time of a boot.
+    :ivar step_share: share of a region's replicas that is given back in one step, at least one; 0: none ever.
     """
 
     scaling: Scaling
@@ -64,6 +62,7 @@
     drained_zones: Collection[str]
     homes: Collection[str]
     hold: timedelta
+    step_share: float
 
     def wanted(self, region: str) -> int:
         """How many replicas a region is to have, the spare ones included."""
@@ -293,7 +292,7 @@
     def _may_lower(self, now: timedelta, region: str, situation: Situation) -> bool:
         """Whether the region is calm: known, not short, no zone drained, all there that was ordered, nothing raised within a boot."""
         requirement = situation.requirements.get(region)
-        if requirement is None or requirement.is_short:
+        if requirement is None or requirement.is_short or not situation.step_share:
             return False
         return not any(
             order.zone in situation.drained_zones
@@ -313,7 +312,7 @@
         enough = state.lower_number(now, wanted, situation)
         if enough is None:
             return
-        step = min(ordered - enough, max(1, int(ordered * STEP_SHARE)))
+        step = min(ordered - enough, max(1, int(ordered * situation.step_share)))
         lowered = {order.zone: order.ordered for order in zones}
         for _ in range(step):
             most = max(zones, key=lambda order: (lowered[order.zone], order.zone))
--- a/silverglade/autoscaling/requirement_rows.py
+++ b/silverglade/autoscaling/requirement_rows.py
@@ -93,9 +93,8 @@
     def note_rows(self, rows: Mapping[str, tuple[Any, Any]]) -> None:
         """Note rows of any daemon: what this one publishes must outrank them."""
         for key, (rank, value) in rows.items():
-            _, region = split_requirement_key(key)
             known = self._known.get(key)
-            if region == self._region and (known is None or rank[0] >= known.number):
+            if known is None or rank[0] >= known.number:
                 self._known[key] = KnownRow(rank[0], value)
 
     def rows_due(
--- a/silverglade/runtime/settings.py
+++ b/silverglade/runtime/settings.py
@@ -75,6 +75,7 @@
     "scale_fan": integer(default=50, least=1),  # dispatcher's speed and cap, times the region's replicas
     "scale_flow": one_of("printed", "served", default="printed"),  # how throughput is reckoned (docs/paper.md)
     "scale_idle": number(default=0.5, most=1.0),  # below this use the mean latency stands in for 1/mu
+    "scale_step": number(default=0.1, most=1.0),  # share of a region's replicas that is given back in one step; 0: none ever (16.5)
     # the forwarding path (15)
     "connect_wait": duration(default=timedelta(milliseconds=400)),  # for a connection to a replica of another region
     "connect_near": duration(default=timedelta(milliseconds=200)),  # the same in the own region
--- a/tests/autoscaling/test_requirement_rows.py
+++ b/tests/autoscaling/test_requirement_rows.py
@@ -50,6 +50,13 @@
     assert (row.kind, row.key, row.value, row.scope) == (REQUIREMENT_ROW, "s/m", (3, 2, True, chosen), "")
 
 
+def test_no_core_no_daemon_of_another_region_and_none_that_is_leaving_publishes():
+    for others in ({"core": True}, {"region": "n"}, {"state": "leaving"}, {"state": "joining"}):
+        rows = tuple(member(f"other{i}", **others) for i in range(20))
+        assert publisher_of("m", members_of((member("a"), *rows))) == "a"
+        assert publisher_of("m", members_of(rows)) is None
+
+
 def test_a_daemon_that_has_just_started_publishes_nothing_for_the_time_of_the_trend():
     made = publisher(publisher_of("m", MEMBERS))
     trend = tuning()["scale_trend"]
