Calls of a duty's holder: the kernel gives up too what a cut holds up

The platform could see a lower token after a higher one: a holder that is stopped while its link is cut can't reset its connection, and the kernel sends the bytes again once the link is back, up to a retransmission's wait later, when a successor may have acted. TCP_USER_TIMEOUT of the call's own time bounds that. Found in review, by reading; the test of the socket failed before. The test of the platform's words names the field as it is sent.

--- a/silverglade/server/platform_calls.py
+++ b/silverglade/server/platform_calls.py
@@ -17,6 +17,7 @@
 
 import anyio
 
+from ..runtime.effects import to_milliseconds
 from ..transport.connections import split_address
 
 MAX_HEAD_BYTES = 16 * 1024
@@ -104,6 +105,8 @@
             connection.setblocking(False)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # the kernel gives up too: a process that is stopped can't reset what a cut holds up
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, to_milliseconds(self._timeout))
             if self._local:
                 connection.bind((self._local, 0))
             with anyio.move_on_after(self._timeout.total_seconds()):
--- a/tests/server/test_platform_calls.py
+++ b/tests/server/test_platform_calls.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 import pathlib
+import socket
 import sys
 from datetime import timedelta
 
 import pytest
 
+from silverglade.server import platform_calls
 from silverglade.server.platform_calls import PlatformAnswer, PlatformCaller, PlatformRequest
 from tests.support.source_mutation import without
 
@@ -170,6 +172,24 @@
     assert {"Host: 1.2.3.4:5", "Duty-Holder: core-1", "Fence-Number: 12", "Content-Type: application/json"} <= set(lines)
     assert json.loads(body) == {"window_no": 353445120, "counts": {"a": 4, "b": 2}}
     request = duty_calls.platform_request(
-        address="1.2.3.4:5", holder="core-1", path_kind="scale", token=3, body={"service": "s", "zone": "z", "replicas": 6}
+        address="1.2.3.4:5", holder="core-1", path_kind="scale", token=3, body={"service": "s", "zone": "z", "count": 6}
     )
     assert request.path == "/desired-scale" and json.loads(request.body) == {"target": "s", "zone": "z", "desired": 6}
+
+
+# A holder was stopped while its link was cut: the kernel sent its bytes once the link was back, after those of its successor.
+def test_the_kernel_too_gives_up_a_call_that_is_not_acknowledged_in_time(monkeypatch):
+    timeouts = []
+
+    class Watched(socket.socket):
+        def close(self):
+            timeouts.append(self.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+            super().close()
+
+    class Sockets:
+        def __getattr__(self, name):
+            return Watched if name == "socket" else getattr(socket, name)
+
+    monkeypatch.setattr(platform_calls, "socket", Sockets())
+    answer, _ = play([b"HTTP/1.1 200 OK\r\n\r\n"])
+    assert answer.status == 200 and timeouts == [TIMEOUT / timedelta(milliseconds=1)]
