Usage: a new holder records nothing before it may act, and waits for who was there

A holder that was killed and back under its name at once recorded the window before as empty, and control keeps what is recorded: the requests that daemons told it of a moment later were lost. What it knows of members and reports is then younger than the window.

--- a/silverglade/duties/usage_reporter.py
+++ b/silverglade/duties/usage_reporter.py
@@ -130,7 +130,8 @@
     def _on_membership_changed(self, event: MembershipChanged, now: timedelta) -> None:
         """Take which processes count usage."""
         processes = [Process(member.name, member.process_id) for member in members_of(event.members) if member.attribute("front")]
-        self._counting = {process: self._counting.get(process, now) for process in processes}
+        known_since = now if self._counting else ZERO  # the first ones that are heard of may have lived long before
+        self._counting = {process: self._counting.get(process, known_since) for process in processes}
 
     def _on_message(self, event: MessageReceived, now: timedelta) -> list[Effect]:
         """Take what a process counted, and confirm it; also where the window is recorded already, so that it is not sent again."""
@@ -165,10 +166,14 @@
             self.closed = recorded.window
         if recorded is not None and recorded.window > self.closed:
             effects += self._send(recorded, now)
-        elif self.call is None:
+        elif self.call is None and self._may_act(now):  # by then all have told a new holder what they counted
             effects += self._record_next(now)
         return [*effects, WakeAt(now + TURN)]
 
+    def _may_act(self, now: timedelta) -> bool:
+        """Tell whether this daemon may use its lease now."""
+        return self.lease.token is not None and self.lease.usable_until is not None and now < self.lease.usable_until
+
     def _late_at(self, window: int) -> timedelta:
         """Return when the report of a window is late."""
         return self._clock.end_of(window) + self._late
@@ -219,10 +224,8 @@
 
     def _send(self, recorded: UsageRecord, now: timedelta) -> list[Effect]:
         """Send what is recorded, if the lease may be used and the pause is over."""
-        token, usable_until = self.lease.token, self.lease.usable_until
-        if self.call is not None or now < self._next_call_at or token is None or token == self._refused_token:
-            return []
-        if usable_until is None or now >= usable_until:
+        token = self.lease.token
+        if self.call is not None or now < self._next_call_at or token is None or token == self._refused_token or not self._may_act(now):
             return []
         self._call_count += 1
         call_id = f"usage-{token}-{self._call_count}"
