--- a/silverglade/configuration/schema.py
+++ b/silverglade/configuration/schema.py
@@ -10,13 +10,17 @@
 from hashlib import blake2b
 from typing import Any
 
+from ..runtime.outside_input import is_header_value
 from .validation import (
+    LEFT_OUT,
+    MAX_NAME_LENGTH,
     ValidationError,
     boolean,
     integer,
     list_of,
     mapping_of,
     number,
+    omittable,
     one_of,
     optional,
     record,
@@ -47,6 +51,16 @@
 )
 """A class of a tenant's requests."""
 
+SCALING = record(
+    {
+        "least": integer(least=0, most=10000),
+        "most": integer(least=1, most=10000),
+        "boot_ms": integer(least=0, most=HOUR_MS),  # from an order until the replica that it adds serves
+    },
+    default=LEFT_OUT,
+)
+"""Between which numbers of replicas a service may be ordered in each zone (design 16.5)."""
+
 SERVICE = record(
     {
         "health": text(default="", least=0),
@@ -56,6 +70,7 @@
         "slots": integer(default=0, most=100000),  # requests at once; 0: as each replica declares
         "keeps": integer(default=0),  # tokens of prompts and answers that a replica's prefix cache holds
         "stride": integer(default=1, least=1, most=100000),  # tokens in one event of a stream
+        "scaling": SCALING,  # left out: its replicas are not ordered
     }
 )
 """A service that routes lead to (design 15.2)."""
@@ -74,6 +89,7 @@
         "homes": list_of(text(), default=(), unique=True),  # regions; none: any
         "by_prefix": boolean(default=False),
         "resumable": boolean(default=False),
+        "public": omittable(boolean()),  # whether it wants no caller's key; left out: false
         "shares": list_of(record({"service": text(), "weight": number()}), least=1),
     }
 )
@@ -101,6 +117,15 @@
 )
 """A tenant."""
 
+CALLER = record(
+    {
+        "keys": list_of(text(least=32, most=64), default=(), unique=True),  # digests of its keys
+        "homes": list_of(text(), default=(), unique=True),  # regions; none: any
+        "rank": optional(integer(most=1000)),  # goes before the route's; None: as 0
+    }
+)
+"""A caller: a tenant of forwarded requests, known by its key (design 17)."""
+
 CONFIGURATION = record(
     {
         "number": integer(default=0),  # the operator's own version; 0: it uses control's alone
@@ -109,15 +134,16 @@
         "limits": optional(CLIENT_LIMITS),
         "zones": mapping_of(ZONE, least=1),
         "tenants": mapping_of(TENANT),
+        "callers": omittable(mapping_of(CALLER)),  # left out: routes want no key; empty: every key is unknown
         "body_cap": integer(default=MEBIBYTE, least=1, most=4 * MEBIBYTE),  # bytes of a tenant's request
     }
 )
 """The whole configuration."""
 
 
-def key_digest(key: str, /) -> str:
+def key_digest(key: str | bytes, /) -> str:
     """Digest a key: only its digest is kept, never the key (design 2.1)."""
-    return blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).hexdigest()
+    return blake2b(key.encode() if isinstance(key, str) else key, digest_size=KEY_DIGEST_BYTES).hexdigest()
 
 
 def parse_configuration(raw: Any, /) -> tuple[Any, Errors]:
@@ -128,7 +154,12 @@
     """
     configuration, errors = validate(CONFIGURATION, raw)
     if not errors:
-        errors = (*_route_errors(configuration), *_tenant_errors(configuration))
+        errors = (
+            *_route_errors(configuration),
+            *_service_errors(configuration),
+            *_tenant_errors(configuration),
+            *_caller_errors(configuration),
+        )
     return (None, errors) if errors else (configuration, ())
 
 
@@ -145,6 +176,21 @@
             tenant_by_key[key] = name
 
 
+def _caller_errors(configuration: Configuration) -> Iterator[ValidationError]:
+    """Errors between callers and regions, and keys that two callers share (design 17)."""
+    caller_by_key: dict[str, str] = {}
+    regions = {zone["region"] for zone in configuration["zones"].values()}
+    for name, caller in configuration.get("callers", {}).items():
+        if not is_header_value(name, max_length=MAX_NAME_LENGTH):
+            yield ValidationError(f"callers.{name}", "wants a name that a header can carry")
+        for index, home in enumerate(caller["homes"]):
+            if home not in regions:
+                yield ValidationError(f"callers.{name}.homes[{index}]", f"unknown region {home}")
+        for index, key in enumerate(caller["keys"]):
+            if caller_by_key.setdefault(key, name) != name:
+                yield ValidationError(f"callers.{name}.keys[{index}]", f"also a key of {caller_by_key[key]}")
+
+
 def _route_errors(configuration: Configuration) -> Iterator[ValidationError]:
     """Errors between routes, services and regions (design 15.2)."""
     route_by_place: dict[tuple[str, str], str] = {}
@@ -163,6 +209,14 @@
                 yield ValidationError(f"{path}.homes[{home_index}]", f"unknown region {home}")
 
 
+def _service_errors(configuration: Configuration) -> Iterator[ValidationError]:
+    """Errors within services (design 16.5)."""
+    for name, service in (configuration["services"] or {}).items():
+        scaling = service.get("scaling")
+        if scaling and scaling["least"] > scaling["most"]:
+            yield ValidationError(f"services.{name}.scaling.least", "is above most")
+
+
 def _share_errors(shares: tuple[Mapping[str, Any], ...], path: str, services: Mapping[str, Any]) -> Iterator[ValidationError]:
     """Errors in how a route is divided between services."""
     for index, share in enumerate(shares):
--- a/silverglade/routing/attempt_progress.py
+++ b/silverglade/routing/attempt_progress.py
@@ -7,9 +7,10 @@
 from http import HTTPStatus
 from typing import Any
 
+from ..duties.duty import Duty
 from ..runtime.components import Component
 from ..runtime.effects import ForgetReplica, PassResponse, Post, milliseconds
-from ..runtime.events import AttemptProgressed, ServiceRequestServed
+from ..runtime.events import AttemptProgressed, ServiceRequestServed, TenantRequestStarted
 from .attempt_outcomes import READ_ERROR, AttemptOutcome, UnsentReason
 from .attempts import RESPONSE_LOST, RETRY_AFTER_ATTEMPTS_S, Attempts, attempts_exhausted
 from .context import RouterContext
@@ -34,14 +35,18 @@
 
 
 class AttemptProgress:
-    """Handles reports of the request forwarder."""
+    """Handles reports of the request forwarder.
 
-    __slots__ = ("attempts", "context", "feedback", "handlers")
+    :ivar counts_usage: whether each caller's request that begins to run is told to the usage counter (design 18.4).
+    """
+
+    __slots__ = ("attempts", "context", "counts_usage", "feedback", "handlers")
 
     def __init__(self, context: RouterContext, attempts: Attempts) -> None:
         self.context = context
         self.attempts = attempts
         self.feedback = ReplicaFeedback(context)
+        self.counts_usage = Duty.USAGE in context.tuning["duties"]
         self.handlers: dict[str, Handler] = {
             AttemptOutcome.BEGAN: self.on_response_began,
             AttemptOutcome.FIRST: self.on_response_began,
@@ -75,6 +80,9 @@
         if message is not None:
             self.context.effects.append(message)
         request.response_begun = request.response_begun or request.is_streaming
+        if request.caller and self.counts_usage and not request.is_counted:
+            request.is_counted = True
+            self.context.effects.append(Post(Component.USAGE_COUNTER, TenantRequestStarted(request.caller.name)))
         if replica:
             self.feedback.on_served(replica, now)
 
