A stop logs how late its signal was noticed, and what ended with the process

Asked after the users' record: was the signal noticed late (a slow machine), was a request taken late, or was what was cut taken in time? The logs of a daemon did not say. drain now tells the time from the signal to the loop's turn; cut-at-shutdown tells how many requests end with the process, how many had begun to answer, and when the last of them was read, counted from the signal. Evidence: test_a_stop_logs_how_late_its_signal_was_noticed_and_what_was_cut failed before (no such line).

--- a/silverglade/server/client_request.py
+++ b/silverglade/server/client_request.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import AbstractContextManager
@@ -118,6 +119,7 @@
     :ivar was_started: the client was sent a head.
     :ivar was_sent: a byte of it was sent to some replica.
     :ivar forget_timer: ends the request even without the router.
+    :ivar received_at: when it was read, on the monotonic clock.
     """
 
     __slots__ = (
@@ -137,6 +139,7 @@
         "was_started",
         "was_sent",
         "forget_timer",
+        "received_at",
         "_send",
         "_is_draining",
         "_instructions",
@@ -173,6 +176,7 @@
         self.was_started = False
         self.was_sent = False
         self.forget_timer: asyncio.TimerHandle | None = None
+        self.received_at = timedelta(seconds=time.monotonic())
         self._send = send
         self._is_draining = is_draining
         self._instructions: deque[Instruction] = deque()
--- a/silverglade/server/shutdown.py
+++ b/silverglade/server/shutdown.py
@@ -10,7 +10,7 @@
 import anyio
 
 from ..runtime import result_codes
-from ..runtime.effects import Reply, to_tuple
+from ..runtime.effects import Reply, to_milliseconds, to_tuple
 from ..runtime.events import DaemonStateChanged, DrainStarted, ShutdownStarted
 from ..runtime.shutdown_timetable import Timetable, timetable
 from ..runtime.structured_logging import format_line
@@ -74,8 +74,12 @@
     if daemon.draining:
         return
     daemon.draining = True
-    daemon.logger.info(format_line("drain"))
-    times = timetable_of(daemon, told_at or clock())
+    began_at = clock()
+    told_at = told_at or began_at
+    daemon.logger.info(
+        format_line("drain", [("noticed_ms", to_milliseconds(began_at - told_at)), ("requests", len(daemon.forwarder.requests))])
+    )
+    times = timetable_of(daemon, told_at)
     await daemon.queues.send(ShutdownStarted(times.streams_until, times.answer_at, times.end_at))
     await daemon.queues.send(DrainStarted())
     await daemon.queues.send(DaemonStateChanged("leaving"))
@@ -91,9 +95,19 @@
     answer_what_waits(daemon)
     while clock() < times.end_at and (daemon.forwarder.requests or daemon.open_connections):
         await anyio.sleep(LAST_CHECK_INTERVAL_S)
+    log_what_is_cut(daemon, told_at)
     daemon.stopping.set()
 
 
+def log_what_is_cut(daemon: Daemon, told_at: timedelta) -> None:
+    """Log how many requests end with the process, and how long after the signal the last of them was read."""
+    requests = daemon.forwarder.requests.values()
+    if requests:
+        last_ms = max(to_milliseconds(request.received_at - told_at) for request in requests)
+        begun = sum(request.was_started for request in requests)
+        daemon.logger.warning(format_line("cut-at-shutdown", [("requests", len(requests)), ("begun", begun), ("last_after_ms", last_ms)]))
+
+
 def answer_what_waits(daemon: Daemon) -> None:
     """Answer, at the last moment, forwarded requests, tenants' requests and operators' calls."""
     forwarded, tenants, calls = daemon.forwarder.requests, daemon.tenant_requests.result_streams, daemon.pending_calls
--- a/tests/server/test_graceful_shutdown.py
+++ b/tests/server/test_graceful_shutdown.py
@@ -20,7 +20,7 @@
     """A client's request under way, as the forwarder holds it."""
 
     def __init__(self, *, started=True):
-        self.request_id, self.was_started, self.told = "r1", started, []
+        self.request_id, self.was_started, self.told, self.received_at = "r1", started, [], 0 * SEC
 
     def put(self, effect):
         self.told.append(effect)
@@ -143,6 +143,23 @@
     assert leave(monkeypatch, step, told_at=timedelta(seconds=18.5))[1] == pytest.approx(5.5, abs=0.2)
 
 
+def test_a_stop_logs_how_late_its_signal_was_noticed_and_what_was_cut(monkeypatch):
+    """Guards against a stop that nothing can be said of afterwards: was the signal noticed late, was a request taken late?"""
+    lines = []
+
+    def before(d):
+        d.logger.info = d.logger.warning = lambda line: lines.append(line)
+
+    def step(d, t):
+        begun, late = Request(), Request(started=False)
+        begun.received_at, late.received_at = 18 * SEC, 22.5 * SEC
+        d.forwarder.requests, d.open_connections = {"r1": begun, "r2": late}, {1}
+
+    leave(monkeypatch, step, told_at=timedelta(seconds=18.5), before=before)
+    assert lines[0].endswith(" event=drain noticed_ms=1500 requests=2")
+    assert lines[-1].endswith(" event=cut-at-shutdown requests=2 begun=1 last_after_ms=4000")
+
+
 def test_a_second_signal_changes_nothing(monkeypatch):
     async def go():
         d = daemon()
