Tests of each path by which a late stream could be taken, and of the word of a stop in a crowd

Hypotheses 1 and 2 of incident stream-cut-at-the-end-of-grace, each with a test: requests 3.98 and 5.613 s after the signal, as in the users' record, new, taken up again, with no deadline and a long one; a further attempt; ShutdownStarted behind a full queue of control and 200 requests.

--- a/tests/routing/test_departure.py
+++ b/tests/routing/test_departure.py
@@ -79,6 +79,27 @@
     assert answered(b.request("/p/x", deadline_ms=15000)[1]) == (503, 811)
 
 
+@pytest.mark.parametrize("after_s", [3.98, 5.613])
+@pytest.mark.parametrize("facts", [{}, {"last_event": "12"}, {"deadline_ms": None}, {"deadline_ms": 60000}])
+def test_no_path_takes_the_streams_of_the_users_record(after_s, facts):
+    """Guards against the record of incident stream-cut-at-the-end-of-grace: streams sent 4.0 and 5.6 s after SIGTERM and cut at 7 s."""
+    b = Leaver()
+    b.leave()
+    b.advance(after_s)
+    assert answered(b.request(**{"deadline_ms": 15190, **facts})[1]) == (503, 811)
+
+
+def test_a_stream_that_no_replica_took_in_time_gets_no_late_attempt():
+    """Guards against a further attempt that begins a stream late: the request came in time, its first replica did not take it."""
+    b = Leaver()
+    b.leave()
+    b.advance(2)
+    rid, effects = b.request(deadline_ms=15000)
+    only_effect(effects, "try")
+    b.advance(1.5)
+    assert answered(b.report(rid, 1, "unsent", "refused")) == (503, 811)
+
+
 def test_what_nothing_is_known_of_is_not_taken():
     b = RouterBench(route(due_ms=15000))
     Leaver.leave(b)
--- a/tests/server/test_priority_queues.py
+++ b/tests/server/test_priority_queues.py
@@ -7,10 +7,11 @@
 from silverglade.http import asgi
 from silverglade.runtime import structured_logging as log
 from silverglade.runtime.errors import SilvergladeError
+from silverglade.runtime.events import ShutdownStarted
 from silverglade.runtime.settings import checked
 from silverglade.server import priority_queues as lanes
 from silverglade.server import supervisor as tree
-from silverglade.server.daemon import Daemon
+from silverglade.server.daemon import EVENTS_PER_TURN, Daemon
 from silverglade.server.disk_writer import QUEUE_LENGTH as DISK_QUEUE_LENGTH
 from silverglade.server.limits import MAX_BUFFERED_BODY_BYTES
 from silverglade.testbed.simulator import daemons as world
@@ -246,3 +247,25 @@
         return held, len(read)
 
     assert anyio.run(go) == (0, 3)
+
+
+def test_the_word_of_a_stop_overtakes_requests_that_came_before_it_and_is_not_lost_in_a_crowd():
+    """Guards against a router that takes requests because the word that the daemon stops waits behind them, or for room."""
+
+    async def go():
+        q = lanes.PriorityQueues()
+        for i in range(200):
+            q.admit(("request", i, {}))
+        for i in range(lanes.QUEUE_LENGTHS[lanes.Queue.FIRST]):
+            await q.send(("msg", "x", ("hb", i)))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(q.send, ShutdownStarted(1 * SEC, 2 * SEC, 3 * SEC))  # waits for room
+            await anyio.lowlevel.checkpoint()
+            got = []
+            while not got or got[-1] != ShutdownStarted.TAG:
+                got.append((await q.take())[0])
+                if len(got) % EVENTS_PER_TURN == 0:  # as run_machine does
+                    await anyio.lowlevel.checkpoint()
+        assert "request" not in got
+
+    anyio.run(go)
