--- a/tests/routing/test_departure.py
+++ b/tests/routing/test_departure.py
@@ -158,3 +158,16 @@
         assert broken == []
         served, sent = scene.r.served(timedelta(0), scene.w.now)
         assert served > 0.9 * sent
+
+
+def test_a_change_that_drops_a_route_or_shortens_its_time_cuts_nothing_that_runs():
+    """Guards against streams that end because a configuration changes (LOST, planned work of the third kind)."""
+    b = RouterBench(route(due_ms=15000))
+    rid, effects = b.request(deadline_ms=15000)
+    only_effect(effects, "try")
+    b.report(rid, 1, "began", 200)
+    b.configure(route("other", prefix="/o/"), number=2)
+    b.configure(route(due_ms=500), number=3)
+    b.feed("listed", (endpoint("2", leaving=True),), True)
+    assert b.advance(10) == [] and b.component.machine.context.requests[rid].open_attempts
+    assert b.report(rid, 1, "done") == [] and rid not in b.component.machine.context.requests
