Duties: a daemon carries out leases, calls and the time of day, over a real socket

Cause: the way from the effects to the socket and back was not tested. Change: a test of the daemon with a stand-in platform. Seen: tests/server/test_platform_calls.py and style pass.

--- a/tests/server/test_platform_calls.py
+++ b/tests/server/test_platform_calls.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import json
+import logging
 import pathlib
 import sys
+import time
 from datetime import timedelta
 
+import anyio
 import pytest
 
+from silverglade.http.dialect import OWN
+from silverglade.runtime.settings import checked
+from silverglade.server.daemon import Daemon
 from silverglade.server.platform_calls import PlatformAnswer, PlatformCaller, PlatformRequest
+from silverglade.server.shutdown import clock
 from tests.support.source_mutation import without
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent.parent / "platform"))
@@ -173,3 +180,41 @@
         address="1.2.3.4:5", holder="core-1", path_kind="scale", token=3, body={"service": "s", "zone": "z", "replicas": 6}
     )
     assert request.path == "/desired-scale" and json.loads(request.body) == {"target": "s", "zone": "z", "desired": 6}
+
+
+class Adapter:
+    """What a daemon asks of a platform, as far as calls go."""
+
+    client_address, endpoint_list_address, api_addresses = "", "", ()
+
+    def __init__(self, address):
+        self.dialect, self.address = OWN, address
+
+    def platform_request(self, path_kind, token, body):
+        return PlatformRequest(self.address, f"/{path_kind}/{token}", (), json.dumps(body).encode())
+
+
+def test_a_daemon_carries_out_leases_calls_and_the_time_of_day():
+    platform = Platform([b"HTTP/1.1 200 OK\r\n\r\n"])
+
+    async def run():
+        server = await asyncio.start_server(platform.serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        raw = {"name": "n", "zone": "z", "region": "r", "listen": "127.0.0.1:1", "http": "127.0.0.1:2", "seeds": ["127.0.0.1:1"]}
+        daemon = Daemon(
+            settings=checked({**raw, "cores": ["x", "y", "z"], "tuning": {"duties": ["usage"]}}),
+            logger=logging.getLogger("test"),
+            adapter=Adapter(address),
+        )
+        async with anyio.create_task_group() as daemon.task_group:
+            daemon.carry_out(("lease", "usage", 7, clock() + SECOND))
+            daemon.carry_out(("call-platform", "c1", "usage", 7, "usage", {"window": 3}))
+            daemon.carry_out(("wall",))
+        events = [daemon.queues.next_event(), daemon.queues.next_event()]
+        server.close()
+        return events
+
+    (_, since_1970), ended = asyncio.run(run())
+    assert abs(since_1970.total_seconds() - time.time()) < 5
+    assert ended == ("platform-called", "c1", 200, b"")
+    assert platform.requests[0][0].startswith(b"POST /usage/7 ") and platform.requests[0][1] == b'{"window": 3}'
