--- a/tests/configuration/test_after_restarts.py
+++ b/tests/configuration/test_after_restarts.py
@@ -8,6 +8,7 @@
 
 from silverglade.testbed.simulator import restart_days
 from silverglade.testbed.simulator.restart_days import RELAYED
+from silverglade.testbed.simulator.scenario import SEC
 
 from ..support.source_mutation import without
 
@@ -39,6 +40,18 @@
     judged(restart_days.stormy(0, seconds=20, size=RELAYED))
 
 
+KNOWN_WITHIN_S = 1.0
+"""A machine that starts holds what is in force, and its proof, though one core of three is away."""
+
+
+# guards against: an edge that starts waits 1.5 s for a core that is away before it asks another
+@pytest.mark.parametrize("seed", range(12))
+def test_an_edge_that_starts_while_a_core_is_away_soon_knows_what_is_in_force(seed):
+    day, edge = restart_days.started_while_a_core_is_away(seed)
+    assert [took for took, name in day.o.ready_after if name == edge and took < KNOWN_WITHIN_S * SEC], day.o.ready_after
+    assert day.o.breaches == []
+
+
 UPDATER, ROUTER, RELAY = "silverglade.configuration.updater", "silverglade.routing.router", "silverglade.membership.zone_relay"
 LIVENESS, DAEMON_PARTS = "silverglade.control.liveness", "silverglade.runtime.daemon_components"
 BREACHES = [
--- a/tests/configuration/test_updater.py
+++ b/tests/configuration/test_updater.py
@@ -157,6 +157,17 @@
     assert set(asked) == {"@seed:1", "@seed:2"} and asked[:2] == asked[2:]
 
 
+# guards against: a process that holds nothing waits for a seed that is away as long as one that is well informed would
+def test_a_process_that_has_just_started_asks_the_next_seed_as_soon_as_one_does_not_answer():
+    d = Daemon(members=(), seeds=("a:1", "b:1"))
+    first, gap = d.ask(), to_ms(d.tuning["hedge_gap"])
+    assert d.ask(after_ms=gap) is None
+    effects = d.step(TimerFired(), after_ms=1)
+    assert [effect for effect in effects if isinstance(effect, LogRecord)] == []  # nothing is overdue yet
+    assert d.updater.pending_request.core != first.core
+    assert d.ask(after_ms=2 * gap) is None and d.ask(after_ms=1).core == first.core  # and waits longer each time
+
+
 def test_the_nearest_core_is_selected_that_is_not_passed_over():
     selector = CoreSelector(own_name="d", zone="z", region="r", is_core=False, own_address="d:1", seeds=(), rng=random.Random(7))
     selector.members = CORES
