--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -271,6 +271,7 @@
 
     def on_process_paused(self, now: timedelta) -> None:
         """Forget what was heard before this daemon stood still: it says nothing of now."""
+        self.log("proof-lost", shown=self.state.committed_version, age_ms=serving.proof_age(self, now))
         self.state.proven_at, self.state.seeking_since = None, None
         self.state.awake_since = self.state.listening_since = now
         self.state.peers.clear()
--- a/silverglade/routing/context.py
+++ b/silverglade/routing/context.py
@@ -13,6 +13,7 @@
 from .outlier_ejection import SUSPECT, OutlierEjection
 from .prefill_placement import PrefillPlacement
 from .reachability import RegionReachability
+from .refused_routes import RefusedRoutes
 from .replicas import ReplicaState
 from .request import Request
 from .retry_budget import RetryBudget
@@ -39,6 +40,7 @@
     :ivar services: its services by name.
     :ivar drained_zones: zones in which nothing new is started.
     :ivar proved_at: when the configuration was last proved to be the newest, or None.
+    :ivar refused_routes: requests on routes that are not known, for the log.
     :ivar short_services: (region, service) that have fewer ready replicas than they need.
     :ivar peers: live daemons of the own region that forward requests, at least 1.
     :ivar daemons: live daemons that forward requests, or did lately; at least `FEWEST_DAEMONS`.
@@ -58,6 +60,7 @@
         "services",
         "drained_zones",
         "proved_at",
+        "refused_routes",
         "short_services",
         "peers",
         "daemons",
@@ -83,6 +86,7 @@
         self.services: Mapping[str, ServiceConfiguration] = {}
         self.drained_zones: frozenset[str] = frozenset()
         self.proved_at: timedelta | None = None
+        self.refused_routes = RefusedRoutes()
         self.short_services: frozenset[tuple[str, str]] = frozenset()
         self.peers = 1
         self.daemons = FEWEST_DAEMONS
@@ -106,6 +110,17 @@
         """Whether the configuration is surely as new as all that must be in force by now; else "no such route" says too much."""
         return self.proved_at is not None and now - self.proved_at <= self.tuning["certain"]
 
+    def note_refused_route(self, now: timedelta) -> None:
+        """Note a request on a route that is not known."""
+        proof_age = None if self.proved_at is None else now - self.proved_at
+        self.refused_routes.note(proof_age=proof_age, is_certain=self.is_configuration_certain(now))
+
+    def log_refused_routes(self) -> None:
+        """Write the line of the log about requests on routes that are not known, if there were any."""
+        line = self.refused_routes.take_line(self.configuration or {})
+        if line is not None:
+            self.log("routes-unknown", **line)
+
     def answer(self, request: Request, status: int, retry_after: float | None, code: int) -> None:
         """Answer a request with a status and a result code of our own."""
         self.finish(request)
--- a/silverglade/routing/router.py
+++ b/silverglade/routing/router.py
@@ -169,6 +169,7 @@
     def on_store_updated(self, event: StoreUpdated, now: timedelta) -> None:
         """Take the configuration and the drained zones."""
         context = self.context
+        context.refused_routes.version = event.version
         configuration = value_of(event.store, "config")
         if configuration is not context.configuration and configuration is not None and configuration.get("services"):
             self.set_configuration(configuration)
@@ -255,6 +256,7 @@
         for request in context.placement.overdue(now):
             self.send_once_answered(request, now)
         context.publish_accusations()
+        context.log_refused_routes()
         self.answer_overdue_requests(now)
 
     def announce_if_serving(self) -> None:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -64,6 +64,21 @@
         only_effect(b.request(proved=proved)[1], "try")  # a route that is known is served on
 
 
+# guards against: a refused route that leaves no trace of the configuration and the proof behind it
+def test_unknown_routes_are_logged_together_with_the_version_and_the_oldest_proof_behind_a_404():
+    b = RouterBench(route())
+
+    def logged():
+        b.now += timedelta(seconds=5)
+        return [effect[1:] for effect in b.all_effects("pulse") if effect[0] == "log"]
+
+    for proved in (0.5, 2, 60, None):
+        b.request("/q/", proved=proved)
+    line = {"refused": 2, "uncertain": 2, "version": "1.1", "number": 1, "age_ms": 2000}
+    assert [(event, dict(pairs)) for event, pairs in logged()] == [("routes-unknown", line)]
+    assert logged() == []
+
+
 @pytest.mark.parametrize("kind, resumable", [("effectful", False), ("streaming", False)])
 @pytest.mark.parametrize("what", ["lost", "cut"])
 def test_what_may_have_run_is_never_sent_again(kind, resumable, what):
