--- a/tests/routing/test_departure.py
+++ b/tests/routing/test_departure.py
@@ -79,6 +79,27 @@
     assert answered(b.request("/p/x", deadline_ms=15000)[1]) == (503, 811)
 
 
+@pytest.mark.parametrize("after_s", [3.98, 5.613])
+@pytest.mark.parametrize("facts", [{}, {"last_event": "12"}, {"deadline_ms": None}, {"deadline_ms": 60000}])
+def test_no_path_takes_the_streams_of_the_users_record(after_s, facts):
+    """Guards against the record of incident stream-cut-at-the-end-of-grace: streams sent 4.0 and 5.6 s after SIGTERM and cut at 7 s."""
+    b = Leaver()
+    b.leave()
+    b.advance(after_s)
+    assert answered(b.request(**{"deadline_ms": 15190, **facts})[1]) == (503, 811)
+
+
+def test_a_stream_that_no_replica_took_in_time_gets_no_late_attempt():
+    """Guards against a further attempt that begins a stream late: the request came in time, its first replica did not take it."""
+    b = Leaver()
+    b.leave()
+    b.advance(2)
+    rid, effects = b.request(deadline_ms=15000)
+    only_effect(effects, "try")
+    b.advance(1.5)
+    assert answered(b.report(rid, 1, "unsent", "refused")) == (503, 811)
+
+
 def test_what_nothing_is_known_of_is_not_taken():
     b = RouterBench(route(due_ms=15000))
     Leaver.leave(b)
@@ -137,3 +158,16 @@
         assert broken == []
         served, sent = scene.r.served(timedelta(0), scene.w.now)
         assert served > 0.9 * sent
+
+
+def test_a_change_that_drops_a_route_or_shortens_its_time_cuts_nothing_that_runs():
+    """Guards against streams that end because a configuration changes (LOST, planned work of the third kind)."""
+    b = RouterBench(route(due_ms=15000))
+    rid, effects = b.request(deadline_ms=15000)
+    only_effect(effects, "try")
+    b.report(rid, 1, "began", 200)
+    b.configure(route("other", prefix="/o/"), number=2)
+    b.configure(route(due_ms=500), number=3)
+    b.feed("listed", (endpoint("2", leaving=True),), True)
+    assert b.advance(10) == [] and b.component.machine.context.requests[rid].open_attempts
+    assert b.report(rid, 1, "done") == [] and rid not in b.component.machine.context.requests
