The list of live members is made from what changed, not from the whole table

Each change of one daemon's attribute read all rows of soft state and made every member's record anew: in a profile of 70 daemons of which 24 stop in a row, 29% of the time of the phase of ends and starts. Golden plays are unchanged; a play of drawn rows holds the list against the whole table.

--- a/silverglade/membership/live_members.py
+++ b/silverglade/membership/live_members.py
@@ -4,16 +4,24 @@
 
 from collections.abc import Callable, Mapping
 from operator import itemgetter
-from typing import Any
+from typing import Any, NamedTuple
 
 from ..runtime.effects import Broadcast, Effect, log_record
 from ..runtime.events import MembershipChanged
-from .records import ATTRIBUTE_ROW, Attributes, MemberRecord, MemberState
+from .records import Attributes, MemberRecord, MemberState
 from .replicated_table import ReplicatedTable
 
 _ATTRIBUTE_NAME = itemgetter(0)
 
 
+class MadeMember(NamedTuple):
+    """A member as it was listed last, and what it was made of."""
+
+    record: MemberRecord
+    attributes: Attributes
+    member: MemberRecord
+
+
 class LiveMembers:
     """The list of live members.
 
@@ -23,13 +31,14 @@
     :ivar is_frozen: whether the list stays as it is, since the table is being read anew.
     """
 
-    __slots__ = ("members", "dead", "is_outdated", "is_frozen", "_own_name", "_was_isolated")
+    __slots__ = ("members", "dead", "is_outdated", "is_frozen", "_made", "_own_name", "_was_isolated")
 
     def __init__(self, *, own_name: str) -> None:
         self.members: tuple[MemberRecord, ...] = ()
         self.dead: frozenset[str] = frozenset()
         self.is_outdated = True
         self.is_frozen = False
+        self._made: dict[str, MadeMember] = {}  # by name, as it was listed last
         self._own_name = own_name
         self._was_isolated: bool | None = None
 
@@ -66,23 +75,29 @@
         }
         if own_record.state != MemberState.LEFT:
             records[self._own_name] = own_record
-        attributes = self._attributes(table, own_attributes)
-        members = tuple([records[name].with_attributes(attributes.get(name, ())) for name in sorted(records)])
+        for name in self._made.keys() - records.keys():
+            del self._made[name]
+        attributes = {name: table.attributes_of(name) for name in records}
+        if self._own_name in records:
+            attributes[self._own_name] = self._own_attributes(attributes[self._own_name], own_attributes)
+        members = tuple([self._member(name, records[name], attributes[name]) for name in sorted(records)])
         if members == self.members or self.is_frozen:
             return []
         effects: list[Effect] = [*self._log_changes(members), Broadcast(MembershipChanged(members))]
         self.members = members
         return effects
 
-    def _attributes(self, table: ReplicatedTable, own_attributes: Mapping[str, Any]) -> dict[str, Attributes]:
-        """Return the attributes of each daemon in the order of their names; of this one as its components last set them."""
-        values: dict[str, list[tuple[str, Any]]] = {}
-        for (kind, key), row in table.rows.items():
-            if kind == ATTRIBUTE_ROW and row.value is not None:
-                daemon, attribute = key.split(" ", 1)  # as split_key, without a call for each row
-                values.setdefault(daemon, []).append((attribute, row.value))
-        values[self._own_name] = list({**dict(values.get(self._own_name, ())), **own_attributes}.items())
-        return {daemon: tuple(sorted(of_daemon, key=_ATTRIBUTE_NAME)) for daemon, of_daemon in values.items()}
+    def _member(self, name: str, record: MemberRecord, attributes: Attributes) -> MemberRecord:
+        """Return a record with its attributes: the one that was made before, where neither has changed."""
+        made = self._made.get(name)
+        if made is None or made.record is not record or made.attributes is not attributes:
+            made = self._made[name] = MadeMember(record, attributes, record.with_attributes(attributes))
+        return made.member
+
+    @staticmethod
+    def _own_attributes(table_attributes: Attributes, set_here: Mapping[str, Any]) -> Attributes:
+        """Return this daemon's own attributes, as its components last set them."""
+        return tuple(sorted({**dict(table_attributes), **set_here}.items(), key=_ATTRIBUTE_NAME))
 
     def _log_changes(self, members: tuple[MemberRecord, ...]) -> list[Effect]:
         before = {member.name for member in self.members}
--- a/silverglade/membership/replicated_table.py
+++ b/silverglade/membership/replicated_table.py
@@ -9,10 +9,13 @@
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
+from operator import itemgetter
 from typing import Any
 from zlib import crc32
 
-from .records import ALL_CORES, MEMBER_ROW, MemberRecord, RowKey, SoftStateRow
+from .records import ALL_CORES, ATTRIBUTE_ROW, MEMBER_ROW, Attributes, MemberRecord, RowKey, SoftStateRow, split_key
+
+_ATTRIBUTE_NAME = itemgetter(0)
 
 MAX_KNOWN_POSITIONS = 64
 """How many version vectors a delta server remembers by their tokens."""
@@ -135,7 +138,7 @@
     :ivar tombstones: rows without a value, and since when they are held.
     """
 
-    __slots__ = ("process_id", "rows", "vector", "tombstones", "_keys", "_members")
+    __slots__ = ("process_id", "rows", "vector", "tombstones", "_attribute_values", "_attributes", "_keys", "_members")
 
     def __init__(self, *, process_id: str = "") -> None:
         self.process_id = process_id
@@ -144,6 +147,8 @@
         self.tombstones: dict[RowKey, timedelta] = {}
         self._keys: dict[str, dict[int, RowKey]] = {}  # origin -> number -> which row has this stamp
         self._members: dict[str, MemberRecord | None] = {}  # the member rows, decoded; None for a tombstone
+        self._attribute_values: dict[str, dict[str, Any]] = {}  # the attribute rows that have a value: daemon -> name -> value
+        self._attributes: dict[str, Attributes] = {}  # the same as they are asked for; a daemon is missing until then
 
     def _set(self, row: SoftStateRow, now: timedelta) -> None:
         key = row.row_key
@@ -154,11 +159,25 @@
         self._keys.setdefault(row.origin, {})[row.number] = key
         if row.kind == MEMBER_ROW:
             self._members[row.key] = MemberRecord.of(row.value) if row.value is not None else None
+        elif row.kind == ATTRIBUTE_ROW:
+            self._set_attribute(row)
         if row.value is None:
             self.tombstones[key] = now
         else:
             self.tombstones.pop(key, None)
 
+    def _set_attribute(self, row: SoftStateRow) -> None:
+        """Note an attribute of a daemon, or that it has none of this name any more."""
+        daemon, name = split_key(row.key)
+        values = self._attribute_values.setdefault(daemon, {})
+        if row.value is not None:
+            values[name] = row.value
+        else:
+            values.pop(name, None)
+        self._attributes.pop(daemon, None)
+        if not values:
+            del self._attribute_values[daemon]
+
     def take(self, row: SoftStateRow, now: timedelta) -> bool:
         """Hold a publisher's row with a stamp of this core.
 
@@ -237,6 +256,12 @@
         """Return the records of all daemons that the table speaks of, by name."""
         return {name: record for name, record in self._members.items() if record is not None}
 
+    def attributes_of(self, daemon: str) -> Attributes:
+        """Return the attributes of a daemon in the order of their names; the same object until one of them changes."""
+        if daemon not in self._attributes and daemon in self._attribute_values:
+            self._attributes[daemon] = tuple(sorted(self._attribute_values[daemon].items(), key=_ATTRIBUTE_NAME))
+        return self._attributes.get(daemon, ())
+
     def member(self, name: str) -> MemberRecord | None:
         """Return the record of a daemon, or None."""
         return self._members.get(name)
