A change of which a daemon is told no item is no news that it publishes

Usage records are told to cores alone, but each moved the version of every daemon, which published it: a row from each daemon to each, every window. A daemon now says the version of the last change that brought it something.

--- a/silverglade/configuration/updater.py
+++ b/silverglade/configuration/updater.py
@@ -303,7 +303,8 @@
         self.store_version = max(self.store_version, answer.version)
         self._effects.append(Broadcast(StoreUpdated(self.store, self.store_version)))
         self._effects.append(Post(Component.ZONE_RELAY, ItemsReceived(answer.items, self.store_version)))
-        self._effects.append(Post(Component.MEMBERSHIP, AttributeSet("news", self.store_version)))
+        if newer:  # a change that no item told here speaks of is no news to anybody
+            self._effects.append(Post(Component.MEMBERSHIP, AttributeSet("news", self.store_version)))
         keys = [key for key, _, _ in newer]
         if any(key == "config" or key.startswith("evac/") for key in keys):
             epoch, number = self.store_version
--- a/tests/configuration/test_updater.py
+++ b/tests/configuration/test_updater.py
@@ -10,6 +10,7 @@
 from silverglade.membership.records import MemberRecord
 from silverglade.runtime.effects import Broadcast, LogRecord, Post, Send, milliseconds
 from silverglade.runtime.events import (
+    AttributeSet,
     DeltaReceived,
     MembershipChanged,
     MessageReceived,
@@ -126,6 +127,20 @@
     assert d.updater.store == {"config": ((1, 3), "new")} and d.updater.store_version == (1, 4)
 
 
+# A record that only cores are told of made every daemon of the fleet publish a new version of its own.
+def test_a_change_whose_items_are_not_told_here_is_no_news_to_others():
+    daemon = Daemon()
+    effects = daemon.answer(daemon.ask(), version=(1, 1))
+    assert [posted.value for posted in posts_of(effects, AttributeSet)] == [(1, 1)]
+    effects = daemon.answer(daemon.ask(1100), version=(1, 2), items=())
+    assert posts_of(effects, AttributeSet) == [] and daemon.updater.store_version == (1, 2)
+
+
+def posts_of(effects, event_class):
+    """The events of this class that are posted."""
+    return [effect.event for effect in effects if isinstance(effect, Post) and isinstance(effect.event, event_class)]
+
+
 def test_while_the_proof_grows_old_another_core_is_asked_as_one_that_lacks_the_last_change():
     d = Daemon()
     d.answer(d.ask(after_ms=100), version=(1, 3))
