--- a/silverglade/configuration/updater.py
+++ b/silverglade/configuration/updater.py
@@ -127,7 +127,7 @@
         self._position: Any = ()  # of the table of soft state
         self._unanswered: dict[int, UnansweredRequest] = {}
         self._next_request_at = ZERO
-        # when this process started, and since when no proof is held: at the start, for so long that another core is asked besides
+        # when this process started, and since when no proof is held
         self._started_at = ZERO
         self._unproved_since = ZERO
         # whether the store may be trusted not to be older than what an earlier process of this daemon held (design 5.7)
@@ -138,9 +138,8 @@
         self._transit_time = ZERO
 
     def on_start(self, now: timedelta) -> None:
-        """Note when this process started. It holds nothing, so another core is asked besides as soon as one does not answer."""
-        self._started_at = now
-        self._unproved_since = now - self._tuning["hedge_after"]
+        """Note when this process started."""
+        self._started_at = self._unproved_since = now
 
     def step(self, now: timedelta, event: Event) -> list[Effect]:
         """Handle one event and return its effects."""
@@ -226,7 +225,7 @@
         answer_time = self._longest_answer_time()
         is_silent = now - pending.sent_at > answer_time
         self._selector.avoid(pending.core, now + self._tuning["gone" if is_silent else "settle"])
-        if not is_silent and self._first_answer_at is not None:
+        if not is_silent:
             age_ms = to_milliseconds(now - self.proved_at) if self.proved_at is not None else NO_PROOF
             self._effects.append(log_record("updates-overdue", core=pending.core, age_ms=age_ms))
         self._hedge_gap = min(self._hedge_gap * 2, answer_time)
