Taken back: a public route names no caller while keys are not certain

A public route wants no key, so what a daemon knows of one that comes all the same is said, as before.

--- a/silverglade/routing/attempts.py
+++ b/silverglade/routing/attempts.py
@@ -128,11 +128,9 @@
             return None
         key = request.facts.get("key")
         caller = context.callers.get(key) if key else None
-        if not context.are_keys_certain(now):
-            if not route.get("public"):
-                return UNCERTAIN_KEY
-            caller = None
         if not route.get("public"):
+            if not context.are_keys_certain(now):
+                return UNCERTAIN_KEY
             if caller is None and not context.is_configuration_certain(now):
                 return UNCERTAIN_KEY
             if caller is None:
