Settings: a fleet starts again with whichever seeds and cores are left

Cause: settings wanted three to nine `cores` at every start and reload, though the list matters only until the first view is formed, and the pages let the platform name fewer ("fewer, if fewer serve it"). The last line of each process shows it: "701 bad-settings: cores: must have at least 3".

Change: numbers of seeds and cores, and the data folder of a named core, are checked where `first` is true alone. A core whose settings name fewer cores than a view has witnesses never forms the first view: a shorter list is of a later start. A running daemon takes fewer seeds, and keeps those it has if a file names none.

Why it works: after the first start nothing reads `cores`, and seeds are only asked in turn.

--- a/silverglade/control/state.py
+++ b/silverglade/control/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -19,7 +19,7 @@
 from .register import read as read_register
 from .replicated_state import INITIAL_VERSION, Items, Version
 from .store import Store
-from .view import View
+from .view import MIN_WITNESSES, View
 from .view_proposer import ViewProposer
 
 Client = tuple[str, int]
@@ -203,9 +203,12 @@
     table_position: Any = None
 
 
-def may_form_first_view(*, name: str, initial_cores: Iterable[str], first: bool, formed_before: bool) -> bool:
-    """Return whether this core may form the first view (design 5.5): it was started for that now or, as its disk records, earlier."""
-    return name in initial_cores and (first or formed_before)
+def may_form_first_view(*, name: str, initial_cores: Collection[str], first: bool, formed_before: bool) -> bool:
+    """Return whether this core may form the first view (design 5.5): it was started for that now or, as its disk records, earlier.
+
+    Settings that name too few cores for a view are those of a later start, when cores may be gone: the first view may already exist.
+    """
+    return name in initial_cores and len(initial_cores) >= MIN_WITNESSES and (first or formed_before)
 
 
 def initial_state(
--- a/silverglade/duties/leases.py
+++ b/silverglade/duties/leases.py
@@ -13,7 +13,7 @@
 
 from ..control.replicated_state import DUTY_ROLE, role_assignment
 from ..runtime.components import Component
-from ..runtime.effects import NEVER, Effect, Post, SetLease, WakeAt, log_record
+from ..runtime.effects import NEVER, Effect, Post, SetLease, WakeAt, log_record, to_milliseconds
 from ..runtime.events import Event, LeaseChanged, ProcessPaused, ProofRenewed, StoreUpdated, TimerFired
 from ..runtime.record import Record
 from .duty import Duty
@@ -23,6 +23,11 @@
 """The component that acts on each duty."""
 
 
+def _short_lease(lease: timedelta, least: timedelta) -> dict[str, int] | None:
+    """Return the log fields of a lease that ends before the next proof usually arrives, so that it can seldom be used; else None."""
+    return {"lease_ms": to_milliseconds(lease), "least_ms": to_milliseconds(least)} if lease < least else None
+
+
 class HeldDuty(Record):
     """A duty assigned to this daemon.
 
@@ -50,10 +55,15 @@
         self.held: dict[str, HeldDuty] = {}
         self.proved_at: timedelta | None = None
         self._published_leases: dict[str, LeaseChanged] = {}
+        # the fields of a log line that is still to be written: the lease is shorter than the usual age of a proof
+        self._short_lease = _short_lease(tuning["duty_lease"], LeaseTimes.shortest_lease(tuning))
 
     def step(self, now: timedelta, event: Event) -> list[Effect]:
         """Handle one event; return its effects."""
         effects: list[Effect] = []
+        if self._short_lease is not None:
+            effects.append(log_record("duty-lease-short", **self._short_lease))
+            self._short_lease = None
         match event:
             case StoreUpdated():
                 effects += self._on_store_updated(event, now)
--- a/silverglade/runtime/settings.py
+++ b/silverglade/runtime/settings.py
@@ -14,7 +14,6 @@
 
 from ..configuration.validation import address, boolean, duration, integer, list_of, number, one_of, optional, record, text, validate
 from ..duties.duty import Duty
-from ..duties.lease_times import LeaseTimes
 from .errors import InvalidSettingsError
 
 API_ROLES = ("operator", "replica", "platform")
@@ -92,12 +91,12 @@
     "need_latency": one_of("place", "whole", default="place"),  # mean latency is that of a slot or of a whole replica (docs/paper.md)
     "need_room": integer(default=0),  # K of a replica; 0: derived from its capacity
     "budget_window": duration(default=timedelta(seconds=10)),  # window of the retry budget of a service (16.1)
-    "budget_ratio": number(default=0.2, most=1.0),  # retry budget: attempts beyond the first, per request
+    "budget_ratio": number(default=0.2),  # retry budget: attempts beyond the first, per request
     "budget_slack": number(default=50.0),  # additional attempts for the whole fleet
     "budget_ratio_part": number(default=0.9, most=1.0),  # share of budget_ratio that the daemons use
     "budget_slack_part": number(default=0.6, most=1.0),  # share of budget_slack that the daemons use
     "budget_recall": duration(default=timedelta(seconds=300)),  # how long the largest known fleet size remains the divisor of budget_slack
-    "cold_excess": number(default=1.5, least=1.0),  # a cold replica is overloaded above this multiple of its capacity per second (16.2)
+    "cold_excess": number(default=1.5),  # a cold replica is overloaded above this multiple of its capacity per second (16.2)
     "cold_slack": number(default=5.0),  # added to that limit
     "cold_settle": duration(default=timedelta(seconds=5)),  # minimum age of a daemon before it sends to a cold replica
     "cold_recall": duration(default=timedelta(seconds=300)),  # how long a daemon counts as one of those that share a cold replica
@@ -112,7 +111,7 @@
 }
 """Time settings and limits (documented in docs/options.md): name -> type. Times are given in seconds in files."""
 
-TOLERANCE: dict[str, Any] = {kind: integer(default=1, most=4) for kind in ("machines", "zones", "regions")}
+TOLERANCE: dict[str, Any] = {kind: integer(default=1) for kind in ("machines", "zones", "regions")}
 """Numbers of machines, zones and regions that may be lost at once (design 5.9): kind -> type."""
 
 SETTINGS: dict[str, Any] = {
@@ -122,8 +121,8 @@
     "listen": address(),  # address to listen on for other daemons
     "advertise": text(default=""),  # address advertised to other daemons instead of listen
     "http": address(),  # address to listen on for clients, replicas, platform, operators
-    "seeds": list_of(address(), least=1),
-    "cores": list_of(text(), least=3, unique=True),
+    "seeds": list_of(address()),  # at least one for the first start of a fleet
+    "cores": list_of(text(), unique=True),  # three to nine for the first start of a fleet; not used after it
     "data": text(default=""),
     "tolerance": record(TOLERANCE, default=None),  # numbers of failures tolerated at once (5.9)
     "first": boolean(default=True),  # whether a core with an empty disk may take part in forming the first view (5.5)
@@ -159,7 +158,7 @@
     """
     settings: dict[str, Any]
     settings, errors = validate(record(SETTINGS), raw)
-    faults: FaultList = errors or _core_faults(settings) or _key_faults(settings)
+    faults: FaultList = (*errors, *_first_start_faults(settings)) or _key_faults(settings)
     if faults:
         raise InvalidSettingsError(_format_faults(faults))
     settings["tuning"] = settings["tuning"] or tuning()
@@ -171,24 +170,28 @@
 
 
 def _duty_faults(values: Mapping[str, Any]) -> FaultList:
-    """Return the faults of the duty settings: a lease must outlast the usual age of a proof (design 18)."""
-    if not values["duties"]:
-        return ()
-    least = LeaseTimes.shortest_lease(values)
-    if values["duty_lease"] < least:
-        return (("tuning.duty_lease", f"must be at least {least.total_seconds():.2f} s, so that a lease outlasts the age of a proof"),)
-    if not values["duty_rate"] or not values["usage_window"]:
+    """Return the faults of the duty settings (design 18)."""
+    if values["duties"] and not (values["duty_rate"] and values["usage_window"]):
         return (("tuning.duties", "need duty_rate and usage_window above 0"),)
     return ()
 
 
-def _core_faults(settings: Mapping[str, Any]) -> FaultList:
-    """Return the faults in the list of cores and in the data folder of a core."""
-    if not MIN_CORES <= len(settings["cores"]) <= MAX_CORES:
-        return (("cores", "needs three to nine names"),)
-    if not settings["data"] and settings["name"] in settings["cores"]:
-        return (("data", "a core needs a data folder"),)
-    return ()
+def _first_start_faults(settings: Any) -> FaultList:
+    """Return the faults that prevent a fleet from starting for the first time (design 5.5).
+
+    Without the setting `first` the fleet has been started before: seeds and cores are then whichever the operator still runs.
+    """
+    if not isinstance(settings, dict) or settings.get("first") is not True:
+        return ()
+    seeds, cores, name = settings.get("seeds"), settings.get("cores"), settings.get("name")
+    faults = []
+    if isinstance(seeds, tuple) and not seeds:
+        faults.append(("seeds", "must have at least 1 for the first start"))
+    if isinstance(cores, tuple) and not MIN_CORES <= len(cores) <= MAX_CORES:
+        faults.append(("cores", f"must have {MIN_CORES} to {MAX_CORES} for the first start"))
+    if isinstance(cores, tuple) and name in cores and not settings.get("data"):
+        faults.append(("data", "a core needs a data folder"))
+    return tuple(faults)
 
 
 def _key_faults(settings: dict[str, Any]) -> FaultList:
--- a/silverglade/server/settings_reload.py
+++ b/silverglade/server/settings_reload.py
@@ -83,7 +83,7 @@
         self._settings["tuning"].update(new["tuning"])
         self._settings["log_level"] = new["log_level"]
         self._logger.setLevel(logging.getLevelNamesMapping()[new["log_level"]])
-        if tuple(new["seeds"]) != tuple(self._settings["seeds"]):
+        if new["seeds"] and tuple(new["seeds"]) != tuple(self._settings["seeds"]):  # without any, the previous ones may still answer
             self._settings["seeds"] = new["seeds"]
             await self._report_seeds(SeedsChanged(tuple(new["seeds"])))
         self._logger.info(format_line("settings", [("level", new["log_level"]), ("seeds", ",".join(new["seeds"]))]))
--- a/tests/configuration/test_reload.py
+++ b/tests/configuration/test_reload.py
@@ -66,6 +66,21 @@
     assert daemon.queues.next_event() is None and daemon.settings["seeds"] == checked(dict(BASE))["seeds"]
 
 
+# Guards against: a running daemon refuses a settings file that names fewer seeds than the first start needed, and keeps asking a gone core.
+@pytest.mark.parametrize("seeds", [["127.0.0.1:4", "127.0.0.1:5"], ["127.0.0.1:4"]])
+def test_fewer_seeds_than_at_the_first_start_are_taken_by_a_running_daemon(seeds):
+    daemon, lines = reloaded(seeds=seeds, cores=["a", "d"][: len(seeds)], first=False)
+    assert daemon.queues.next_event() == ("seeds", tuple(seeds))
+    assert "event=settings " in lines[0]
+
+
+# Guards against: a running daemon forgets the last seeds that it was given, when the file is written while no core is up.
+def test_a_running_daemon_keeps_its_seeds_if_the_file_names_none():
+    daemon, lines = reloaded(seeds=[], cores=[], first=False)
+    assert daemon.queues.next_event() is None and daemon.settings["seeds"] == ("127.0.0.1:3",)
+    assert "event=settings " in lines[0]
+
+
 def test_settings_that_cannot_be_read_change_nothing():
     daemon, lines = reloaded(**NEW, colour=1)
     assert len(lines) == 1 and "settings-refused" in lines[0] and "code=701" in lines[0]
