--- a/tests/duties/test_duties_at_platform.py
+++ b/tests/duties/test_duties_at_platform.py
@@ -111,7 +111,7 @@
     """Override lease times, and shorten the backoff between calls, so that two holders are sure to overlap."""
     monkeypatch.setattr(usage_reporter, "INITIAL_BACKOFF", SECOND / 10)
     monkeypatch.setattr(usage_reporter, "MAX_BACKOFF", SECOND / 10)
-    times = type("Times", (), {"of": staticmethod(lambda lease: LeaseTimes.of(lease)._replace(**changed))})
+    times = type("Times", (LeaseTimes,), {"of": staticmethod(lambda lease: LeaseTimes.of(lease)._replace(**changed))})
     monkeypatch.setattr(leases, "LeaseTimes", times)
 
 
