--- a/silverglade/control/view.py
+++ b/silverglade/control/view.py
@@ -7,6 +7,8 @@
 
 from typing import Any, NamedTuple
 
+from ..runtime.outside_input import is_sent_integer
+
 MAX_WITNESSES = 9
 MIN_WITNESSES = 3
 
@@ -58,7 +60,7 @@
     if not isinstance(value, tuple) or len(value) != len(Ballot._fields):
         return False
     number, proposer = value
-    return type(number) is int and isinstance(proposer, str)
+    return is_sent_integer(number) and isinstance(proposer, str)
 
 
 def is_view(value: Any) -> bool:
@@ -67,7 +69,7 @@
         return False
     number, primary, backups, witnesses = value
     return (
-        type(number) is int
+        is_sent_integer(number)
         and number > 0
         and isinstance(primary, str)
         and is_text_tuple(backups, 1, MAX_WITNESSES - 1)
--- a/silverglade/duties/usage_reporter.py
+++ b/silverglade/duties/usage_reporter.py
@@ -39,6 +39,8 @@
 RECORD_RETRY_INTERVAL = timedelta(seconds=1)
 """A record operation whose result has not been read back is requested again after this."""
 
+LONGEST_CALL_INTERVAL_S = 3600.0
+
 INITIAL_BACKOFF = timedelta(seconds=1)
 MAX_BACKOFF = timedelta(seconds=4)
 """Delay between calls that got no conclusive answer; doubled after each."""
@@ -60,6 +62,11 @@
     process_id: str
 
 
+def _call_interval(duties: int, rate: float) -> timedelta:
+    """Return the time between two calls of a duty, if this many duties share `rate` calls per second."""
+    return timedelta(seconds=min(duties / rate, LONGEST_CALL_INTERVAL_S)) if rate else INITIAL_BACKOFF
+
+
 class UsageReporter:
     """Collects counts, records their sums and sends the reports.
 
@@ -82,7 +89,7 @@
 
     def __init__(self, *, tuning: Mapping[str, Any]) -> None:
         self._allowed_lateness: timedelta = tuning["usage_late"]
-        self._min_call_interval = timedelta(seconds=len(tuning["duties"]) / tuning["duty_rate"]) if tuning["duty_rate"] else INITIAL_BACKOFF
+        self._min_call_interval = _call_interval(len(tuning["duties"]), tuning["duty_rate"])
         self._clock = WindowClock(length=tuning["usage_window"])
         self.lease = LeaseChanged(Duty.USAGE, None, None)
         self.recorded: UsageRecord | None = None
--- a/silverglade/duties/wall_clock.py
+++ b/silverglade/duties/wall_clock.py
@@ -4,6 +4,9 @@
 
 from datetime import timedelta
 
+LONGEST_TIME = timedelta(days=10**8)
+"""Windows that end later than this after 1970 are taken to end then, since a timedelta cannot hold any time."""
+
 
 class WindowClock:
     """Maps monotonic times to wall-clock windows.
@@ -31,4 +34,5 @@
     def window_end(self, window: int) -> timedelta:
         """Return the monotonic time at which a window ends. The wall clock must have been read."""
         assert self.offset is not None
-        return (window + 1) * self.length - self.offset
+        last = LONGEST_TIME // self.length
+        return max(-last, min(window + 1, last)) * self.length - self.offset
--- a/silverglade/http/forwarding_protocol.py
+++ b/silverglade/http/forwarding_protocol.py
@@ -20,7 +20,7 @@
 
 from ..configuration.schema import key_digest
 from ..runtime import result_codes
-from ..runtime.outside_input import MAX_LENGTH_DIGITS, is_whole_number
+from ..runtime.outside_input import MAX_COUNT, MAX_LENGTH_DIGITS, is_whole_number
 from ..server.client_request import ClientLimits, ClientRequest, RequestEnd, end_to_end_headers, send_result_code
 from ..server.limits import MAX_BUFFERED_BODY_BYTES
 from .asgi import Receive, Scope, Send
@@ -107,12 +107,18 @@
     return int(value)
 
 
+def parse_count(value: bytes | None) -> int | None:
+    """Return a number of tokens, at most `MAX_COUNT` however many the client states; None for any value that is not a number."""
+    count = parse_integer(value)
+    return None if count is None else min(count, MAX_COUNT)
+
+
 def parse_prompt_parts(value: bytes | None) -> tuple[tuple[str, int], ...]:
     """Parse the parts of a prompt, ID:TOKENS,..., to pairs of (id, tokens); empty if any part is invalid."""
     parts = []
     for part in value.split(b",") if value else ():
         part_id, _, number = part.strip().rpartition(b":")
-        tokens = parse_integer(number)
+        tokens = parse_count(number)
         if not part_id or tokens is None:
             return ()
         parts.append((part_id.decode("latin-1"), tokens))
@@ -122,7 +128,7 @@
 def parse_token_counts(value: bytes | None) -> tuple[int, int] | None:
     """Parse IN,OUT: the prompt's number of tokens and the most output tokens; None if invalid."""
     first, _, second = (value or b"").partition(b",")
-    tokens_in, tokens_out = parse_integer(first.strip()), parse_integer(second.strip())
+    tokens_in, tokens_out = parse_count(first.strip()), parse_count(second.strip())
     return None if tokens_in is None or tokens_out is None else (tokens_in, tokens_out)
 
 
--- a/silverglade/http/handlers.py
+++ b/silverglade/http/handlers.py
@@ -19,7 +19,7 @@
     WrongRoleError,
     http_status,
 )
-from ..runtime.outside_input import is_whole_number, parse_json
+from ..runtime.outside_input import is_sent_integer, is_whole_number, parse_json
 from ..runtime.result_codes import RESULT_CODES
 from ..runtime.settings import API_ROLES
 from .asgi import HeaderTable, Receive, Send, bearer_key, read_body, send_json, send_response
@@ -118,7 +118,7 @@
         if not (
             isinstance(row, dict)
             and isinstance(row.get("id"), str)
-            and type(row.get("incarnation", 0)) is int
+            and is_sent_integer(row.get("incarnation", 0))
             and type(row.get("leaving", False)) is bool
         ):
             raise InvalidCallError(f"replicas[{position}]")
--- a/silverglade/membership/attribute_checks.py
+++ b/silverglade/membership/attribute_checks.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from ..runtime.outside_input import MAX_COUNT, is_sent_integer
+
 VIEW_MEMBERS_START = 1
 """Index of the first member's name in the attribute "view"; the epoch comes before it."""
 
@@ -20,20 +22,20 @@
     return (
         type(value) is tuple
         and len(value) > VIEW_MEMBERS_START
-        and type(value[0]) is int
+        and is_sent_integer(value[0])
         and all(type(name) is str for name in value[VIEW_MEMBERS_START:])
     )
 
 
 def _is_version(value: Any) -> bool:
-    return type(value) is tuple and len(value) == 2 and all(type(number) is int for number in value)
+    return type(value) is tuple and len(value) == 2 and all(is_sent_integer(number) for number in value)
 
 
 def _is_requirement(value: Any) -> bool:
     if type(value) is not tuple or len(value) < len(REQUIREMENT_TYPES):
         return False
     return all(type(field) in types for field, types in zip(value, REQUIREMENT_TYPES)) and all(
-        abs(number) < float("inf") for number in value[1:5]
+        abs(number) <= MAX_COUNT for number in value[1:5]
     )
 
 
--- a/silverglade/membership/records.py
+++ b/silverglade/membership/records.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from typing import Any, Final, NamedTuple
 
+from ..runtime.outside_input import is_sent_integer
 from .attribute_checks import is_valid_attribute
 
 ALL_CORES: Final = "*cores"
@@ -157,7 +158,8 @@
     if not all(type(field) is field_type for field, field_type in zip(value, FIELD_TYPES)):
         return False
     record = MemberRecord.of(value)
-    return record.state in STATES and record.incarnation > 0 and record.sequence >= 0
+    is_numbered = is_sent_integer(record.incarnation) and is_sent_integer(record.sequence)
+    return record.state in STATES and is_numbered and record.incarnation > 0 and record.sequence >= 0
 
 
 def is_silence_value(value: Any) -> bool:
@@ -165,7 +167,7 @@
     if type(value) is not tuple or len(value) != 2:
         return False
     incarnation, core = value
-    return type(incarnation) is int and type(core) is str
+    return is_sent_integer(incarnation) and type(core) is str
 
 
 def is_readable(row: SoftStateRow) -> bool:
@@ -177,7 +179,7 @@
 ROW_CHECKS: dict[str, Callable[[SoftStateRow], bool]] = {
     MEMBER_ROW: lambda row: row.value is None or is_member_record(row.value) and MemberRecord.of(row.value).name == row.key,
     ATTRIBUTE_ROW: lambda row: " " in row.key and (row.value is None or is_valid_attribute(split_key(row.key)[1], row.value)),
-    SUSPICION_ROW: lambda row: " " in row.key and (row.value is None or type(row.value) is int),
+    SUSPICION_ROW: lambda row: " " in row.key and (row.value is None or is_sent_integer(row.value)),
     QUERIED_CORE_ROW: lambda row: row.value is None or type(row.value) is str,
     SILENCE_ROW: lambda row: row.value is None or is_silence_value(row.value),
 }
--- a/silverglade/membership/replicated_table.py
+++ b/silverglade/membership/replicated_table.py
@@ -13,6 +13,7 @@
 from typing import Any
 from zlib import crc32
 
+from ..runtime.outside_input import is_sent_integer
 from .records import ALL_CORES, ATTRIBUTE_ROW, MEMBER_ROW, Attributes, MemberRecord, RowKey, SoftStateRow, split_key
 
 _ATTRIBUTE_NAME = itemgetter(0)
@@ -40,7 +41,7 @@
 
 def is_rank(value: Any) -> bool:
     """Whether a value is a rank: one to four whole numbers."""
-    return type(value) is tuple and 0 < len(value) <= MAX_RANK_LENGTH and all(type(number) is int for number in value)
+    return type(value) is tuple and 0 < len(value) <= MAX_RANK_LENGTH and all(is_sent_integer(number) for number in value)
 
 
 def is_vector(value: Any) -> bool:
@@ -56,7 +57,7 @@
 
 
 def _is_count(value: Any) -> bool:
-    return type(value) is int and value >= 0
+    return is_sent_integer(value) and value >= 0
 
 
 def is_published_rows(rows: Any) -> bool:
--- a/silverglade/replicas/records.py
+++ b/silverglade/replicas/records.py
@@ -9,6 +9,8 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from ..runtime.outside_input import MAX_COUNT
+
 
 class ReplicaState(StrEnum):
     """State of a replica according to its health checks. Statuses hold the plain string."""
@@ -114,7 +116,11 @@
     @classmethod
     def parse(cls, row: Any) -> ReplicaStatus | None:
         """Return the status in a row of soft state, or None if the row is malformed."""
-        return cls.of(row) if _matches(row, _STATUS_TYPES) else None
+        if not _matches(row, _STATUS_TYPES):
+            return None
+        status = cls.of(row)
+        is_bounded = 0 <= status.use <= MAX_COUNT and 0 <= status.served <= MAX_COUNT and status.running <= MAX_COUNT
+        return status if is_bounded else None
 
     @property
     def rank(self) -> tuple[int, int, int]:
--- a/silverglade/routing/endpoint_list.py
+++ b/silverglade/routing/endpoint_list.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from enum import IntEnum
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeGuard
 
 from ..membership.records import MemberRecord, members_of
 from ..membership.rendezvous import rank_nodes
@@ -30,6 +30,7 @@
     SoftStatePublished,
     TimerFired,
 )
+from ..runtime.outside_input import MAX_COUNT
 from .health_checks import HealthChecks
 from .records import EndpointRecord, is_endpoint_row
 
@@ -80,12 +81,24 @@
     queued: int
     slots: int
 
+    @classmethod
+    def of(cls, row: tuple[Any, ...]) -> ReplicaLoad:
+        """Build a load from its array; additional fields of a later version are dropped."""
+        return cls(*row[: len(cls._fields)])
+
     @property
     def is_answered(self) -> bool:
         """Whether the replica answered."""
         return self.active >= 0
 
 
+def is_load_row(row: object) -> TypeGuard[tuple[Any, ...]]:
+    """Return whether an untrusted array is a valid load: enough whole numbers, none too large."""
+    if not isinstance(row, tuple) or len(row) < len(ReplicaLoad._fields):
+        return False
+    return all(type(value) is int and value <= MAX_COUNT for value in row[: len(ReplicaLoad._fields)])
+
+
 def list_readers(members: Iterable[MemberRecord], /) -> tuple[str, ...]:
     """Return the daemons that read the list: the first in rendezvous order that can, and the next one, of another region if possible."""
     live = {member.name: member for member in members if not member.is_core and member.is_ready}
@@ -287,8 +300,8 @@
     def on_load_rows(self, rows: Mapping[str, tuple[Any, Any]]) -> None:
         """Apply the loads of replicas that other daemons check."""
         for name, (_, row) in rows.items():
-            if row is not None and name not in self.health_checks.own_replicas:
-                self.loads[name] = ReplicaLoad(*row)
+            if is_load_row(row) and name not in self.health_checks.own_replicas:
+                self.loads[name] = ReplicaLoad.of(row)
         self.report_loads()
 
     # health checks
--- a/silverglade/routing/graceful_shutdown.py
+++ b/silverglade/routing/graceful_shutdown.py
@@ -35,8 +35,10 @@
         self.per_work = max(self.per_work, took / work)
 
     def expected(self, work: float) -> timedelta:
-        """Return the expected upper bound of the response time for this much work."""
-        return min(self.longest, self.per_work * work)
+        """Return the expected upper bound of the response time for this much work, which may be as large as a client states."""
+        if not self.per_work or work >= self.longest / self.per_work:
+            return self.longest
+        return self.per_work * work
 
 
 class ResponseTimes:
--- a/silverglade/routing/outlier_ejection.py
+++ b/silverglade/routing/outlier_ejection.py
@@ -203,7 +203,7 @@
                 self.ejection_states[replica.id].clear()
         elif is_accusation(value):
             self.state_of(now, replica.id)
-            self.add_accusation(now, replica, daemon, min(MAX_EJECTION, milliseconds(value[0])))
+            self.add_accusation(now, replica, daemon, milliseconds(min(to_milliseconds(MAX_EJECTION), value[0])))
 
     def state_of(self, now: timedelta, replica: str) -> EjectionState:
         """Return the state of a replica; create it if there is none."""
--- a/silverglade/routing/prefill_placement.py
+++ b/silverglade/routing/prefill_placement.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, Protocol, TypeVar
 
 from ..runtime.effects import Send
+from ..runtime.outside_input import MAX_SENT_INTEGER
 from .health_checks import LiveDaemon, health_checker
 from .messages import BacklogReply, BacklogRequest, PrefillEnded, PrefillMessage, PrefillStarted, encode
 from .prefill_backlog import BacklogQuery, OngoingPrefill, PrefillBacklogs, PrefillId, Prompt, PromptLengths, prompt_of
@@ -183,7 +184,7 @@
     def on_backlog_request(self, now: timedelta, sender: str, message: BacklogRequest) -> Send:
         """Reply to another daemon's query."""
         cost = self.backlogs.cost(now, message.replica, Prompt(message.shared, message.own_tokens))
-        return message_to(sender, BacklogReply(message.number, message.replica, cost))
+        return message_to(sender, BacklogReply(message.number, message.replica, min(cost, MAX_SENT_INTEGER)))
 
     def on_backlog_reply(self, sender: str, message: BacklogReply) -> Request | None:
         """Record a reply; return its request if all replies have now arrived, else None."""
--- a/silverglade/routing/records.py
+++ b/silverglade/routing/records.py
@@ -7,6 +7,8 @@
 
 from typing import Any, NamedTuple
 
+from ..runtime.outside_input import MAX_COUNT, MAX_MILLISECONDS
+
 
 class EndpointRecord(NamedTuple):
     """One replica of a service.
@@ -40,7 +42,10 @@
 
 
 def is_endpoint_row(row: object) -> bool:
-    """Return whether an untrusted array is a valid endpoint record: enough fields, each of exactly the declared type."""
+    """Return whether an untrusted array is a valid endpoint record: enough fields, each of the declared type, and no number too large."""
     if not isinstance(row, tuple) or len(row) < len(FIELD_TYPES):
         return False
-    return all(type(value) is field_type for value, field_type in zip(row, FIELD_TYPES))
+    if not all(type(value) is field_type for value, field_type in zip(row, FIELD_TYPES)):
+        return False
+    record = EndpointRecord.of(row)
+    return abs(record.slots) <= MAX_COUNT and max(abs(record.slow_start_ms), abs(record.gone_in_ms)) <= MAX_MILLISECONDS
--- a/silverglade/runtime/outside_input.py
+++ b/silverglade/runtime/outside_input.py
@@ -12,16 +12,25 @@
 import math
 import re
 import socket
-from typing import Any
+from typing import Any, TypeGuard
 
 from .errors import InvalidInputError, MalformedJsonError
 
 MAX_INTEGER, MIN_INTEGER = 2**63 - 1, -(2**63)
 """Integers outside this range cannot be sent between daemons."""
 
+MAX_SENT_INTEGER = 2**62
+"""Largest absolute value of an integer in a message between daemons: the next one, which may be calculated from it, can be sent too."""
+
 MAX_INTEGER_DIGITS = 19
 """Most digits of an integer in JSON, not counting the sign."""
 
+MAX_COUNT = 2**31 - 1
+"""Largest number of tokens, requests or slots that is calculated with; a larger one is treated like it."""
+
+MAX_MILLISECONDS = 2**53
+"""Longest duration in milliseconds, about 285,000 years: well within the range of a timedelta, also if some are added."""
+
 MAX_PORT, MAX_PORT_DIGITS = 65535, 5
 
 MAX_LENGTH_DIGITS = 20
@@ -42,6 +51,30 @@
     return text.isascii() and text.isdigit() and len(text) <= max_digits
 
 
+def is_sent_integer(value: Any) -> TypeGuard[int]:
+    """Return whether a value is an integer that may occur in a message between daemons."""
+    return type(value) is int and -MAX_SENT_INTEGER <= value <= MAX_SENT_INTEGER
+
+
+def bounded_integer(value: Any, *, least: int = 0, most: int = MAX_COUNT) -> int:
+    """Return the integer within the bounds that is nearest to a number of a JSON document, rounded towards 0.
+
+    :raises InvalidInputError: the value is not a number.
+    """
+    return int(bounded_number(value, least=least, most=most))
+
+
+def bounded_number(value: Any, *, least: float = 0, most: float = MAX_COUNT) -> float:
+    """Return the number within the bounds that is nearest to a number of a JSON document.
+
+    :raises InvalidInputError: the value is not a number.
+    """
+    if type(value) not in (int, float) or value != value:  # NaN differs from itself
+        raise InvalidInputError("must be a number")
+    nearest: float = min(max(value, least), most)
+    return nearest
+
+
 def is_address(text: str) -> bool:
     """Return whether a text is IP:PORT; an IPv6 address may be in brackets."""
     ip, _, port = text.rpartition(":")
--- a/silverglade/server/replica_calls.py
+++ b/silverglade/server/replica_calls.py
@@ -11,7 +11,7 @@
 import httpcore
 
 from ..runtime.errors import InvalidInputError
-from ..runtime.outside_input import MAX_LENGTH_DIGITS, is_whole_number, parse_json
+from ..runtime.outside_input import MAX_INTEGER, MAX_LENGTH_DIGITS, bounded_integer, bounded_number, is_whole_number, parse_json
 
 TIMEOUTS = {"connect": 1.0, "read": None, "write": 10.0, "pool": None}
 """In seconds. Reading has no timeout of its own: the duration of the whole call is limited instead."""
@@ -255,11 +255,11 @@
         if status != 200 or table["state"] not in REPLICA_STATES:
             return None
         return HealthReport(
-            incarnation=int(table["incarnation"]),
+            incarnation=bounded_integer(table["incarnation"], most=MAX_INTEGER),
             state=table["state"],
-            use=float(table["use"]),
-            served=float(table["served"]),
-            running=int(table["running"]),
+            use=float(bounded_number(table["use"], most=1)),
+            served=float(bounded_number(table["served"])),
+            running=bounded_integer(table["running"]),
             warm=table.get("warm") is True,
         )
     except (InvalidInputError, ValueError, KeyError, TypeError):
--- a/silverglade/transport/message_schemas.py
+++ b/silverglade/transport/message_schemas.py
@@ -12,20 +12,18 @@
 from typing import Any
 
 from ..membership.replicated_table import is_delta, is_published_rows, is_stamped_rows, is_vector
+from ..runtime.outside_input import MAX_MILLISECONDS, is_sent_integer
 from .framing import Body
 
 ANY_REST = "..."
 """Suffix of a shape that allows any further fields."""
 
-MAX_MILLISECONDS = 1 << 53
-"""Largest absolute value of a time in a message; well within the range of a timedelta."""
-
 
 class FieldType(StrEnum):
     """The letters of a shape, one for each type of field."""
 
     TEXT = "s"
-    INTEGER = "i"
+    INTEGER = "i"  # an integer of at most MAX_SENT_INTEGER in absolute value
     MILLISECONDS = "m"  # an integer of at most MAX_MILLISECONDS in absolute value
     FLAG = "b"
     BYTES = "y"
@@ -102,8 +100,8 @@
 CLAIM_SHAPE = "sssi"
 """A claim of a tenant's request."""
 
-FACTS_SHAPE = "sssi"
-"""The first four facts of a tenant's request; more follow."""
+FACTS_SHAPE = "sssm"
+"""The first four facts of a tenant's request, the last of them the time left; more follow."""
 
 LEASE_SHAPE = "ss"
 """A slot lease: its id and its daemon."""
@@ -135,17 +133,17 @@
 
 def _is_version(value: Any) -> bool:
     """Return whether a value is a version: (epoch, number)."""
-    return type(value) is tuple and len(value) == 2 and all(type(number) is int and number >= 0 for number in value)
+    return type(value) is tuple and len(value) == 2 and all(is_sent_integer(number) and number >= 0 for number in value)
 
 
 def _is_ballot(value: Any) -> bool:
     """Return whether a value is a ballot: (number, name of the proposer)."""
-    return type(value) is tuple and len(value) == 2 and type(value[0]) is int and type(value[1]) is str
+    return type(value) is tuple and len(value) == 2 and is_sent_integer(value[0]) and type(value[1]) is str
 
 
 FIELD_CHECKS: dict[str, Callable[[Any], bool]] = {
     FieldType.TEXT: lambda value: type(value) is str,
-    FieldType.INTEGER: lambda value: type(value) is int,
+    FieldType.INTEGER: is_sent_integer,
     FieldType.MILLISECONDS: lambda value: type(value) is int and -MAX_MILLISECONDS <= value <= MAX_MILLISECONDS,
     FieldType.FLAG: lambda value: type(value) is bool,
     FieldType.BYTES: lambda value: type(value) is bytes,
