A configuration without services is put in force: empty is told from absent

Cause: the router and the service scaler took a configuration only if its table of services was true, to pass over those that leave services out; an empty table is not true either. That the version arrives is shown by update-applied, and by 404 where only the route is dropped.

Change: has_services tells the two apart; a configuration that follows one with services is always taken.

--- a/silverglade/autoscaling/service_scaler.py
+++ b/silverglade/autoscaling/service_scaler.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 from typing import Any, ClassVar, NamedTuple
 
+from ..configuration.schema import has_services
 from ..control.replicated_state import value_of
 from ..membership.records import REQUIREMENT_ROW, MemberRecord, members_of
 from ..runtime.components import Component
@@ -167,7 +168,7 @@
 
     def _on_store_updated(self, now: timedelta, event: StoreUpdated) -> None:
         configuration = value_of(event.store, "config")
-        if configuration and configuration.get("services"):
+        if configuration is not None and (has_services(configuration) or self._configuration is not None):
             self._configuration = configuration
 
     def _on_loads_reported(self, now: timedelta, event: LoadsReported) -> None:
@@ -188,9 +189,9 @@
     def _on_timer(self, now: timedelta, event: TimerFired) -> None:
         if now >= self._next_run:
             self._next_run = now + self._tuning["scale_every"]
-            if self._configuration:
+            if self._configuration is not None:
                 self._update_requirements(now, self._configuration)
-        self._effects.append(WakeAt(self._next_run if self._configuration else NEVER))
+        self._effects.append(WakeAt(NEVER if self._configuration is None else self._next_run))
 
     def _measurement(self, service: str, now: timedelta) -> ServiceMeasurement:
         if service not in self.measurements:
--- a/silverglade/configuration/schema.py
+++ b/silverglade/configuration/schema.py
@@ -226,6 +226,14 @@
         yield ValidationError(path, "the weights sum to 0")
 
 
+def has_services(configuration: Mapping[str, Any], /) -> bool:
+    """Return whether a configuration says which services there are, even if it says that there are none.
+
+    One that leaves them out says nothing of forwarded requests, unless it replaces one that did.
+    """
+    return configuration.get("services") is not None
+
+
 def homes_of_tenant(configuration: Mapping[str, Any] | None, tenant: str, /) -> tuple[str, ...]:
     """Return the zones where a tenant's requests may run; empty without a configuration, or if the tenant is not in it."""
     if not configuration:
--- a/silverglade/routing/attempt_progress.py
+++ b/silverglade/routing/attempt_progress.py
@@ -130,7 +130,7 @@
             replica.extend_backoff(now + REFUSAL_BACKOFF)
             return
         request.counted_attempts -= 1
-        if request.facts.get("version"):  # another incarnation or other weights: the response does not tell which
+        if request.facts.get("version") is not None:  # another incarnation or other weights: the response does not tell which
             replica.extend_backoff(now + REFUSAL_BACKOFF)
             return
         # another incarnation has the address: the request reached no known replica, but is still charged to the retry budget
--- a/silverglade/routing/attempts.py
+++ b/silverglade/routing/attempts.py
@@ -109,8 +109,8 @@
         request.route = route
         request.service = choose_service(route, facts["attempt"])
         request.work = work_of(facts)
-        longest = route["due_ms"]
-        request.client_deadline = request.received_at + milliseconds(min(longest, facts["deadline_ms"] or longest))
+        longest, stated = route["due_ms"], facts["deadline_ms"]
+        request.client_deadline = request.received_at + milliseconds(longest if stated is None else min(longest, stated))
         request.deadline = context.shutdown.deadline(request.client_deadline, route)
         context.effects.append(Post(Component.SERVICE_SCALER, ServiceRequestObserved(request.service, False)))
         context.retry_budget.on_request(now, request.service)
--- a/silverglade/routing/router.py
+++ b/silverglade/routing/router.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from typing import Any
 
+from ..configuration.schema import has_services
 from ..control.replicated_state import value_of
 from ..membership.records import members_of
 from ..replicas.registry import evacuated_zones
@@ -172,8 +173,9 @@
         context = self.context
         context.refused_routes.version = event.version
         configuration = value_of(event.store, "config")
-        if configuration is not context.configuration and configuration is not None and configuration.get("services"):
-            self.set_configuration(configuration)
+        if configuration is not None and configuration is not context.configuration:
+            if has_services(configuration) or context.configuration is not None:
+                self.set_configuration(configuration)
         drained = frozenset(evacuated_zones(event.store))
         for zone in context.drained_zones - drained:
             self.endpoints.on_zone_returned(zone, now)
@@ -183,11 +185,11 @@
         """Put a configuration in force."""
         context = self.context
         context.configuration = configuration
-        context.services = configuration["services"]
+        context.services = configuration.get("services") or {}
         context.routes = build_route_table(configuration)
         context.callers = build_caller_table(configuration)
         context.placement.cache_sizes = {name: service["keeps"] for name, service in context.services.items()}
-        context.effects.append(SetClientLimits(configuration["limits"]))
+        context.effects.append(SetClientLimits(configuration.get("limits")))
         self.endpoints.set_slots()
 
     def on_proof_renewed(self, event: ProofRenewed, now: timedelta) -> None:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -5,12 +5,13 @@
 
 import pytest
 
+from silverglade.configuration import schema
 from silverglade.routing.replica_selection import shared_prefix_key
 from silverglade.routing.retry_budget import RetryBudget
 from silverglade.routing.route_table import build_route_table, choose_service, find_route
 from silverglade.runtime.settings import tuning
 
-from ..support.router_bench import RouterBench, endpoint, new_router, only_effect, parsed_configuration, route
+from ..support.router_bench import ZONES, RouterBench, endpoint, member, new_router, only_effect, parsed_configuration, route
 
 OPT = tuning()
 SEC = timedelta(seconds=1)
@@ -323,3 +324,75 @@
     only_effect(es, "try")
     b.configure(route(), number=2)
     assert only_effect(b.report(rid, 1, "not-run", 503, None), "answer")[2:] == (503, 1.0, 806)
+
+
+def configuration_of(services, routes=(), **fields):
+    """A valid configuration with just these services and routes; services None: it says nothing of them."""
+    raw = dict(number=2, zones=ZONES, tenants={}, routes=list(routes), **fields)
+    if services is not None:
+        raw["services"] = services
+    configuration, errors = schema.parse_configuration(raw)
+    assert not errors, errors
+    return configuration
+
+
+# Guards against incident empty-configuration-not-applied: a dropped route goes on being served once the last service is gone too.
+@pytest.mark.parametrize("services", [{}, None], ids=["empty", "left out"])
+def test_a_configuration_without_services_takes_the_routes_away(services):
+    bench = RouterBench(route(kind="effectful"))
+    only_effect(bench.request()[1], "try")
+    bench.feed("book", {"config": ((1, 2), configuration_of(services))}, (1, 2))
+    assert only_effect(bench.request()[1], "answer")[2] == 404
+    assert only_effect(bench.request(proved=None)[1], "answer")[2] == 503  # not yet proved to be the newest
+    bench.configure(route(kind="effectful"), number=3)
+    only_effect(bench.request()[1], "try")
+
+
+# Guards against: a daemon that starts with a configuration without services is never ready, and answers 503 in place of 404.
+def test_a_daemon_that_starts_with_an_empty_configuration_is_ready_and_knows_no_route():
+    bench = RouterBench.__new__(RouterBench)
+    bench.component, bench.now, bench.requests_made = new_router(), 100 * SEC, 0
+    bench.feed("book", {"config": ((1, 2), configuration_of({}))}, (1, 2))
+    bench.feed("roll", (member("d1"),))
+    bench.feed("listed", (), True)
+    assert ("reply", "c", 100, {"ready": True}) in bench.all_effects("call", "c", "serving", ())
+    assert only_effect(bench.request()[1], "answer")[2] == 404
+
+
+# Guards against: a daemon that forwards nothing, since its configurations never had services, says that it serves routes.
+def test_a_configuration_that_never_had_services_concerns_no_routes():
+    bench = RouterBench.__new__(RouterBench)
+    bench.component, bench.now, bench.requests_made = new_router(), 100 * SEC, 0
+    bench.feed("book", {"config": ((1, 2), configuration_of(None))}, (1, 2))
+    bench.feed("roll", (member("d1"),))
+    bench.feed("listed", (), True)
+    assert ("reply", "c", 100, {"ready": False}) in bench.all_effects("call", "c", "serving", ())
+    assert only_effect(bench.request()[1], "answer")[2] == 503
+
+
+# Guards against: the limits of an earlier configuration stay in force once no configuration names any.
+def test_limits_go_with_the_configuration_that_named_them():
+    bench = RouterBench(route())
+    limits = {"header_bytes": 300}
+    given = configuration_of({"s": {"conns": 1}}, [route()], limits=limits)
+    effects = bench.all_effects("book", {"config": ((1, 3), given)}, (1, 3))
+    assert [effect[1]["header_bytes"] for effect in effects if effect[0] == "limits"] == [300]
+    effects = bench.all_effects("book", {"config": ((1, 4), configuration_of(None))}, (1, 4))
+    assert [effect[1] for effect in effects if effect[0] == "limits"] == [None]
+
+
+# Guards against: a client that waits 0 ms counts as one that states no time, and its request runs for the route's whole time.
+def test_a_client_that_waits_no_time_is_answered_at_once():
+    bench = RouterBench(route(kind="effectful"))
+    assert only_effect(bench.request(deadline_ms=0)[1], "answer")[2] == 504
+    assert only_effect(bench.request(deadline_ms=None)[1], "try")[3]["deadline_ms"] > 3000
+
+
+# Guards against: a replica with other weights counts as gone, since the version that the client asked for is an empty text.
+def test_a_refusal_to_a_client_that_asks_for_an_empty_version_is_no_sign_of_another_incarnation():
+    bench = RouterBench(route(tries=2), replicas=[endpoint("1")])
+    request_id, effects = bench.request(version="")
+    only_effect(effects, "try")
+    bench.report(request_id, 1, "not-run", 421, None)
+    bench.advance(1)
+    only_effect(bench.request()[1], "try")
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -297,6 +297,14 @@
     assert got["services"]["s"]["slots"] == 64 and got["services"]["s"]["cold_ms"] == 3000 and got["limits"]["header_ms"] == 3000
 
 
+def test_an_empty_configuration_is_valid_and_names_no_service():
+    """Guards against incident empty-configuration-not-applied: empty lists are told from lists that are left out."""
+    got = translated({"version": 9, "routes": [], "services": [], "limits": {}})
+    assert got["services"] == {} and got["routes"] == () and "callers" not in got
+    assert translated({"version": 9, "routes": []}) is None and translated({"version": 9, "services": []}) is None
+    assert translated(scalable({})) is None and "scaling" not in translated(scalable(None))["services"]["s"]
+
+
 SCALING = {"min_count": 2, "max_count": 17, "boot_s": 8.0}
 
 
