After a pause a daemon judges nothing by its configuration until that is proved again

Cause: the pause drops the proof that the configuration is the newest, and what it lacks was doubted then (404, 401); what it holds was taken at its word. Beside it an answer from before the pause, waiting in a buffer, could bring back an old proof, and a request could be handled before the timer that tells of the pause.

Change: StoreProof tells a dropped proof from one that there never was. While it is dropped, a request that was sent nowhere gets 503 (814, a new code), the daemon is not ready, a core's directory gives no answer, and limits refuse nothing for good. Only an answer to a request from after the pause, with a recent proof, counts again; it is asked for so that it comes at once. DaemonMachine.feed lets the timer fire first where it should have long ago.

Why it works: a proof from after the pause says that all that was acknowledged before is here, and nothing is judged before it, whichever event comes first. A daemon that is cut off, or has had no proof since its start, goes on.

--- a/silverglade/configuration/operator_api.py
+++ b/silverglade/configuration/operator_api.py
@@ -150,7 +150,7 @@
             case StoreUpdated(store, version):
                 self.reported.store, self.reported.store_version = store, version
             case ProofRenewed(proved_at):
-                self.reported.proved_at = proved_at
+                self.reported.proof.renew(proved_at)
             case MembershipChanged(members):
                 self.reported.members = members_of(members)
             case ReplicasChanged(replicas):
@@ -225,7 +225,12 @@
         return [_success(call.call_id, capacity_report(self.reported, region))]
 
     def _find_daemons_for_client(self, call: ApiCall, now: timedelta) -> list[Effect]:
-        """Answer with the addresses of daemons that a client may use, in random order (design 15.7)."""
+        """Answer with the addresses of daemons that a client may use, in random order (design 15.7).
+
+        After a pause of this process there is no answer until its store is proved again: homes and daemons may have changed.
+        """
+        if self.reported.proof.is_dropped:
+            return [Reply(call.call_id, result_codes.UNCERTAIN_CONFIGURATION, {})]
         host, region, zone = call.arguments
         configuration = value_of(self.reported.store, "config")
         addresses = addresses_for_client(self.reported.members, configuration, host=host, region=region, zone=zone)
--- a/silverglade/configuration/status_reports.py
+++ b/silverglade/configuration/status_reports.py
@@ -14,6 +14,7 @@
 from ..runtime.record import Record, field
 from ..transport.framing import WIRE_VERSION
 from .messages import Version
+from .store_proof import StoreProof
 
 EVACUATION_PREFIX = "evac/"
 ROLE_PREFIX = "duty/"
@@ -31,7 +32,7 @@
     """The state of the fleet, as the components of this daemon have reported it.
 
     :ivar store: the replicated store as acknowledged by control: key to (version, value).
-    :ivar proved_at: the last time at which the store was proved to be up to date, or None.
+    :ivar proof: the last proof that the store is up to date.
     :ivar replicas: id to `ReplicaEntry`, or to a tuple of its fields.
     :ivar required_replicas: number of replicas that must be ready: (region, kind) to count.
     :ivar status_fields: further fields of this daemon's status.
@@ -40,7 +41,7 @@
     own_name: str
     store: Mapping[str, tuple[Version, Any]] = field(default_factory=dict)
     store_version: Version = INITIAL_VERSION
-    proved_at: timedelta | None = None
+    proof: StoreProof = field(default_factory=StoreProof)
     members: tuple[MemberRecord, ...] = ()
     replicas: Mapping[str, tuple[Any, ...]] = field(default_factory=dict)
     required_replicas: Mapping[tuple[str, str], int] = field(default_factory=dict)
@@ -64,7 +65,7 @@
         "state": own_record and own_record.state,
         "view": list(state.known_view),
         "news": list(state.store_version),
-        "age_ms": _age_ms(state.proved_at, now),
+        "age_ms": _age_ms(state.proof.proved_at, now),
         "config": list(state.store.get("config", (INITIAL_VERSION,))[0]),
         "evacuated": _evacuated_zones(state.store),
         **state.status_fields,
--- a/silverglade/configuration/updater.py
+++ b/silverglade/configuration/updater.py
@@ -130,6 +130,8 @@
         # when this process started, and since when the daemon has held no proof
         self._started_at = ZERO
         self._unproved_since = ZERO
+        # end of the last pause of this process, until a proof from after it
+        self._paused_until: timedelta | None = None
         # whether answers may be applied, because they are not older than what an earlier process of this daemon held (design 5.7)
         self._has_passed_startup_check = False
         self._first_answer_at: timedelta | None = None
@@ -185,10 +187,11 @@
             self._request_updates(now)
 
     def _on_process_paused(self, now: timedelta) -> None:
-        """Drop the proof, because an answer from before the pause proves nothing about the present, and request a new one."""
+        """Drop the proof, because an answer from before the pause proves nothing about the present, and request a new one at once."""
         self.proved_at, self._unproved_since = None, now
+        self._paused_until = now
         self._effects.append(Broadcast(ProofRenewed(None)))
-        self._request_updates(now)
+        self._request_updates(now, urgent=True)
 
     def _on_message(self, event: MessageReceived, now: timedelta) -> None:
         """Handle the answer to a request of this process; ignore all other messages."""
@@ -276,7 +279,8 @@
             self._next_request_at = now + self._tuning["beat" if self._tuning["trust"] else "pulse"]
         else:
             self._apply_items(answer)
-            self._renew_proof(answer.proof_age_ms, proved_at)
+            if self._covers_pause(request, is_proof_stale=is_proof_stale):
+                self._renew_proof(answer.proof_age_ms, proved_at)
         if is_proof_stale:  # another core may have a more recent proof
             self._selector.avoid(sender, now + self._tuning["settle"])
 
@@ -319,6 +323,18 @@
             epoch, number = self.store_version
             self._effects.append(log_record("update-applied", version=f"{epoch}.{number}", keys=",".join(keys)[:MAX_LOGGED_KEYS_LENGTH]))
 
+    def _covers_pause(self, request: UnansweredRequest, *, is_proof_stale: bool) -> bool:
+        """Return whether an answer proves something about the time since the last pause; if so, the pause is over.
+
+        An answer to a request from before it may have waited here all the while, and a core whose proof is stale may have been cut off.
+        """
+        if self._paused_until is None:
+            return True
+        if request.sent_at < self._paused_until or is_proof_stale:
+            return False
+        self._paused_until = None
+        return True
+
     def _renew_proof(self, proof_age_ms: int, proved_at: timedelta) -> None:
         """Adopt a proof that is more recent than the one held."""
         if proof_age_ms < 0 or self.proved_at is not None and proved_at <= self.proved_at:
--- a/silverglade/http/forwarding_protocol.py
+++ b/silverglade/http/forwarding_protocol.py
@@ -43,6 +43,10 @@
 MAX_INTEGER = 2**53
 
 RETRY_WHEN_FULL_S = 1.0
+RETRY_WHEN_PROVED_S = 0.5
+
+CODES_OF_LIMITS = frozenset((result_codes.HEADER_SIZE, result_codes.TOO_LARGE, result_codes.SLOW_BODY))
+"""Reasons for which a request is refused by the limits of the configuration."""
 
 Fields = Mapping[bytes, bytes]
 """Header's name in lower case -> value."""
@@ -316,6 +320,7 @@
             )
             await self.forwarder.run(request, facts)
         except RequestRefusedError as error:
+            error = await self._confirmed(error)
             await send_result_code(send, error.status, error.code, retry_after=error.retry_after, close=True)
         except ClientDisconnectedError:
             pass
@@ -324,6 +329,12 @@
             if self.request is request:  # with pipelining, the next request may be in progress
                 self.request = None
 
+    async def _confirmed(self, refusal: RequestRefusedError) -> RequestRefusedError:
+        """Return the refusal; if limits that may be out of date are its reason, one that asks the client to come back instead."""
+        if refusal.code not in CODES_OF_LIMITS or await self.forwarder.is_configuration_certain():
+            return refusal
+        return RequestRefusedError(503, result_codes.UNCERTAIN_CONFIGURATION, RETRY_WHEN_PROVED_S)
+
     def _check_head(self, scope: Scope, fields: Fields) -> None:
         """Check a request head against the limits.
 
--- a/silverglade/routing/attempts.py
+++ b/silverglade/routing/attempts.py
@@ -69,6 +69,7 @@
 MISSING_KEY = Refusal(HTTPStatus.UNAUTHORIZED.value, None, result_codes.NO_KEY)
 UNKNOWN_KEY = Refusal(HTTPStatus.UNAUTHORIZED.value, None, result_codes.UNKNOWN_KEY)
 UNCERTAIN_KEY = Refusal(HTTPStatus.SERVICE_UNAVAILABLE.value, RETRY_WHEN_PROVED_S, result_codes.UNCERTAIN_KEY)
+UNCERTAIN_CONFIGURATION = Refusal(HTTPStatus.SERVICE_UNAVAILABLE.value, RETRY_WHEN_PROVED_S, result_codes.UNCERTAIN_CONFIGURATION)
 MISSING_ATTEMPT_ID = Refusal(HTTPStatus.BAD_REQUEST.value, None, result_codes.NO_ATTEMPT)
 
 
@@ -179,6 +180,8 @@
 
     def refusal_before_choice(self, request: Request, now: timedelta) -> Refusal | None:
         """Return the refusal that applies whichever replicas there are, or None."""
+        if self.context.proof.is_dropped and not request.arrivals and not request.open_attempts:
+            return UNCERTAIN_CONFIGURATION  # its route, homes or caller may no longer be what they were before the pause
         if self.context.shutdown.has_begun and not request.response_begun and not self.can_end_before_shutdown(request, now):
             return LEAVING
         if request.deadline - now - RESPONSE_MARGIN <= ZERO:
--- a/silverglade/routing/context.py
+++ b/silverglade/routing/context.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import Any
 
+from ..configuration.store_proof import StoreProof
 from ..runtime.components import Component
 from ..runtime.effects import AnswerClient, Effect, Post, TestReachability, log_record
 from ..runtime.events import SoftStatePublished
@@ -41,7 +42,7 @@
     :ivar configuration: the configuration in force, or None.
     :ivar services: services of the configuration by name.
     :ivar drained_zones: zones in which no new attempts are started.
-    :ivar proved_at: when the configuration was last proved to be the newest, or None.
+    :ivar proof: the last proof that configuration and drained zones are the newest.
     :ivar refused_routes: counts of requests on unknown routes, for the log.
     :ivar short_services: (region, service) pairs with fewer ready replicas than required.
     :ivar peers: number of live daemons of the local region that forward requests; at least 1.
@@ -62,7 +63,7 @@
         "configuration",
         "services",
         "drained_zones",
-        "proved_at",
+        "proof",
         "refused_routes",
         "short_services",
         "peers",
@@ -89,7 +90,7 @@
         self.configuration: Mapping[str, Any] | None = None
         self.services: Mapping[str, ServiceConfiguration] = {}
         self.drained_zones: frozenset[str] = frozenset()
-        self.proved_at: timedelta | None = None
+        self.proof = StoreProof()
         self.refused_routes = RefusedRoutes()
         self.short_services: frozenset[tuple[str, str]] = frozenset()
         self.peers = 1
@@ -115,19 +116,19 @@
 
         Otherwise a route or key that this daemon does not know may already be in force elsewhere.
         """
-        return self.proved_at is not None and now - self.proved_at <= self.tuning["certain"]
+        return self.proof.is_younger_than(self.tuning["certain"], now)
 
     def are_keys_certain(self, now: timedelta) -> bool:
         """Return whether the configuration was proved recently enough to accept the keys in it (design 17.3).
 
         A key revoked longer ago than the limit must no longer be accepted.
         """
-        limit = self.tuning["keys_alone"]
-        return limit is None or self.proved_at is not None and now - self.proved_at < limit
+        limit, proved_at = self.tuning["keys_alone"], self.proof.proved_at
+        return limit is None or proved_at is not None and now - proved_at < limit
 
     def record_refused_route(self, now: timedelta) -> None:
         """Count a request on an unknown route."""
-        proof_age = None if self.proved_at is None else now - self.proved_at
+        proof_age = None if self.proof.proved_at is None else now - self.proof.proved_at
         self.refused_routes.count(proof_age=proof_age, is_certain=self.is_configuration_certain(now))
 
     def log_refused_routes(self) -> None:
--- a/silverglade/routing/router.py
+++ b/silverglade/routing/router.py
@@ -193,8 +193,8 @@
         self.endpoints.set_slots()
 
     def on_proof_renewed(self, event: ProofRenewed, now: timedelta) -> None:
-        """Record when the configuration was last proved to be the newest."""
-        self.context.proved_at = event.proved_at
+        """Record when the configuration was last proved to be the newest, or that this proof was dropped."""
+        self.context.proof.renew(event.proved_at)
 
     def on_services_short(self, event: ServiceRequirementsChanged, now: timedelta) -> None:
         """Record which services have fewer ready replicas than required."""
@@ -237,11 +237,14 @@
         self.context.slow_start.on_process_paused(now)
 
     def on_api_call(self, event: ApiCall, now: timedelta) -> None:
-        """Answer the query whether this daemon is ready to serve."""
+        """Answer whether this daemon is ready to serve, or whether its configuration is certain enough to refuse a request by it."""
+        context = self.context
         if event.operation == "serving":
-            context = self.context
-            ready = context.configuration is not None and context.has_endpoint_list and bool(self.daemons_known_at)
+            is_configured = context.configuration is not None and not context.proof.is_dropped
+            ready = is_configured and context.has_endpoint_list and bool(self.daemons_known_at)
             context.effects.append(Reply(event.call_id, result_codes.OK, {"ready": ready}))
+        elif event.operation == "certain":
+            context.effects.append(Reply(event.call_id, result_codes.OK, {"certain": context.is_configuration_certain(now)}))
 
     # time
 
--- a/silverglade/runtime/daemon_machine.py
+++ b/silverglade/runtime/daemon_machine.py
@@ -106,6 +106,7 @@
     "trace": Component.TENANT_INGRESS,
     "head": Component.TENANT_INGRESS,
     "serving": Component.ROUTER,
+    "certain": Component.ROUTER,
 }
 """API operation -> the component that answers it; the operator API answers all others."""
 
@@ -221,6 +222,8 @@
         self._message_receivers: dict[str, Component] = {
             kind: component for component, kinds in MESSAGE_RECEIVERS.items() if component in self.components for kind in kinds
         }
+        self._tuning = tuning
+        self._last_timer_at: timedelta | None = None
         self._wake_at = dict.fromkeys(self.components, ZERO)
         """Component -> time of its next `TimerFired` (design 1.5)."""
         self.queue: deque[tuple[str, Event | RawEvent]] = deque()
@@ -235,10 +238,27 @@
     def feed(self, now: timedelta, event: RawEvent) -> list[RawEffect]:
         """Handle one event in tuple form and return the effects to be carried out by I/O, in tuple form.
 
-        An event without receivers, or a message that fails validation, is logged as "message-refused".
+        An event without receivers, or a message that fails validation, is logged as "message-refused". After a pause of the process the
+        timer fires first, whatever woke the process: no component handles an event before it knows of the pause (4.4).
 
         :param now: the time on a monotonic clock.
         """
+        if event == TIMER_FIRED:
+            self._last_timer_at = now
+        elif self._is_timer_overdue(now):
+            self._last_timer_at = now
+            return [*self._handle(now, TIMER_FIRED), *self._handle(now, event)]
+        return self._handle(now, event)
+
+    def _is_timer_overdue(self, now: timedelta) -> bool:
+        """Return whether the timer should have fired so long ago that the process must have been paused."""
+        late = self._tuning["late"]
+        if self._last_timer_at is None or now - self._last_timer_at <= late:
+            return False
+        return bool(now - self.next_timer() > late)
+
+    def _handle(self, now: timedelta, event: RawEvent) -> list[RawEffect]:
+        """Handle one event in tuple form; see `feed`."""
         receivers = self._receivers(now, event)
         if not receivers and event == TIMER_FIRED:
             return []
--- a/silverglade/runtime/result_codes.py
+++ b/silverglade/runtime/result_codes.py
@@ -99,6 +99,7 @@
 LEAVING = 811
 UNCERTAIN_ROUTE = 812
 UNCERTAIN_KEY = 813
+UNCERTAIN_CONFIGURATION = 814
 
 RESULT_CODES: dict[int, ResultCode] = {
     OK: ResultCode("ok", 200, "Done."),
@@ -168,4 +169,7 @@
     UNCERTAIN_KEY: ResultCode(
         "uncertain-key", 503, "The route wants a key, but this daemon has had no proof of late that the keys that it knows are the newest."
     ),
+    UNCERTAIN_CONFIGURATION: ResultCode(
+        "uncertain-configuration", 503, "This daemon may have missed changes of the configuration, so it does not go by it."
+    ),
 }
--- a/silverglade/server/request_forwarding.py
+++ b/silverglade/server/request_forwarding.py
@@ -65,6 +65,9 @@
     def queues(self) -> EventQueues:
         """The queues of the daemon machine."""
 
+    async def call(self, operation: str, arguments: tuple[Any, ...], /) -> tuple[int, Mapping[str, Any]]:
+        """Call an operation of the daemon machine; return its result code and fields."""
+
 
 class RequestForwarder:
     """Runs the forwarded requests of a daemon.
@@ -117,6 +120,11 @@
         elif tag == SetClientLimits.TAG:
             self.limits = ClientLimits.from_configuration(subject)
 
+    async def is_configuration_certain(self) -> bool:
+        """Return whether the configuration was proved recently enough to refuse a request by its limits."""
+        _, fields = await self.daemon.call("certain", ())
+        return bool(fields.get("certain"))
+
     def is_draining(self) -> bool:
         """Return whether the daemon is shutting down."""
         return self.daemon.draining
--- a/tests/configuration/test_updater.py
+++ b/tests/configuration/test_updater.py
@@ -207,3 +207,41 @@
 
 def to_ms(duration):
     return duration // milliseconds(1)
+
+
+def paused_daemon():
+    """An updater with a proof, whose process then stood still for 5 s; its last request and the one that it sends when it wakes."""
+    d = Daemon()
+    d.answer(d.request(after_ms=100))
+    before = d.request(after_ms=1000)
+    effects = d.step(ProcessPaused(), after_ms=5000)
+    assert of_class(effects, ProofRenewed) == [ProofRenewed(None)]
+    return d, before, of_class(effects, UpdateRequestReady)[0]
+
+
+# Guards against incident served-by-a-dropped-configuration: an answer that waited in a buffer during the pause brings the old proof back.
+def test_an_answer_to_a_request_from_before_a_pause_brings_items_and_no_proof():
+    d, before, _ = paused_daemon()
+    effects = d.answer(before, version=(1, 2), items=(("config", (1, 2), {"number": 2}),), held_ms=900)
+    assert of_class(effects, StoreUpdated) != [] and of_class(effects, ProofRenewed) == []
+    assert d.updater.proved_at is None
+
+
+# Guards against: a core that was cut off hands out a proof from before the pause.
+def test_after_a_pause_only_a_recent_proof_counts():
+    d, _, now = paused_daemon()
+    assert of_class(d.answer(now, age_ms=to_ms(d.tuning["aged"]) + 1), ProofRenewed) == []
+    assert of_class(d.answer(d.request(after_ms=700), age_ms=100), ProofRenewed) != []
+
+
+# Guards against: a core holds the request of a daemon that wakes for a second, and the daemon refuses everything meanwhile.
+def test_a_daemon_that_wakes_asks_for_an_answer_at_once():
+    _, _, now = paused_daemon()
+    assert now.version == version_before((1, 1))
+
+
+def test_a_later_proof_counts_whatever_its_age_once_the_pause_is_covered():
+    d, _, now = paused_daemon()
+    d.answer(now, age_ms=100)
+    age_ms = to_ms(d.tuning["aged"]) + 1
+    assert of_class(d.answer(d.request(after_ms=age_ms + 100), age_ms=age_ms), ProofRenewed) != []
--- a/tests/http/test_forwarding_protocol.py
+++ b/tests/http/test_forwarding_protocol.py
@@ -100,6 +100,21 @@
     assert got[0] == status and closed and rep.conns == [] and d.told == []
 
 
+# Guards against incident served-by-a-dropped-configuration: a proper request is refused for good by limits that were raised meanwhile.
+@pytest.mark.parametrize(
+    "sent",
+    [
+        (FIRST + "X: " + "y" * 400 + "\r\n\r\n",),
+        (FIRST + "Content-Length: 101\r\n\r\n",),
+        (FIRST + "Transfer-Encoding: chunked\r\n\r\n", chunk("x" * 60), chunk("x" * 41)),
+    ],
+)
+def test_limits_that_may_be_out_of_date_refuse_no_request_for_good(sent, monkeypatch):
+    monkeypatch.setattr(scripted.Daemon, "is_certain", False)
+    got, closed, d, rep = send_raw(*sent, lim=LOW_LIMITS)
+    assert got[0] == 503 and got[1]["retry-after"] and closed and rep.conns == [] and d.told == []
+
+
 def test_a_request_at_the_limits_is_accepted():
     got, _, d, rep = send_raw(FIRST + "Content-Length: 100\r\nX: " + "y" * 290 + "\r\n\r\n" + "x" * 100, lim=LOW_LIMITS, until="open")
     assert got[0] == 200 and len(rep.seen[0][2]) == 100
--- a/tests/support/scripted_replicas.py
+++ b/tests/support/scripted_replicas.py
@@ -10,6 +10,7 @@
 
 from silverglade.http.dialect import DEFAULT_DIALECT
 from silverglade.http.forwarding_protocol import ForwardingProtocol
+from silverglade.runtime import result_codes
 from silverglade.runtime.errors import OverloadedError
 from silverglade.runtime.events import event_to_tuple
 from silverglade.server.fault_containment import FaultLog
@@ -108,6 +109,9 @@
 class Daemon:
     """Stands for the daemon: events go to `part`, a function from an event to effects."""
 
+    is_certain = True
+    """Whether the configuration was proved recently enough to refuse a request by its limits."""
+
     def __init__(self, part, **kw):
         self.logger, self.buffered_body_bytes, self.draining, self.full = Quiet(), 0, False, False
         self.faults = FaultLog(self.logger)
@@ -123,6 +127,10 @@
         assert queue == "work"
         self.feed(event_to_tuple(event))
 
+    async def call(self, operation, arguments):
+        assert (operation, arguments) == ("certain", ())
+        return result_codes.OK, {"certain": self.is_certain}
+
     def feed(self, ev):
         self.told.append(ev)
         self.news.set()
