Tests of the router: usual facts of a request and a router that has just started stand in the bench once

Three tests built the facts of a request by hand and three a router without a proof; both are now in router_bench (request_facts, RouterBench.started).

--- a/tests/routing/test_after_pause.py
+++ b/tests/routing/test_after_pause.py
@@ -18,7 +18,7 @@
 from silverglade.runtime.settings import tuning
 from silverglade.runtime.state_machine import MachineComponent
 
-from ..support.router_bench import RouterBench, endpoint, member, new_router, only_effect, parsed_configuration, route
+from ..support.router_bench import RouterBench, endpoint, only_effect, parsed_configuration, request_facts, route
 from ..support.source_mutation import without
 
 SECOND = timedelta(seconds=1)
@@ -41,13 +41,6 @@
     return bench
 
 
-def asked(bench, path="/r/x", **facts):
-    """The effects of a request, without a new proof."""
-    bench.requests_made += 1
-    usual = dict(host="h", path=path, method="POST", attempt=f"t{bench.requests_made}", deadline_ms=4000, prefix=(), tokens=None)
-    return bench.feed("request", f"q{bench.requests_made}", dict(usual, model="", last_event=None, size=0, **facts))
-
-
 # what the operator changed meanwhile: the routes, and what a request gets once they are proved
 CHANGES = {
     "tenants came, a known key": ((route(),), dict(callers=CALLERS), dict(key=KEY), "try"),
@@ -63,11 +56,11 @@
 def test_a_request_that_arrives_after_a_pause_is_judged_by_what_is_proved_after_it(change):
     routes, fields, facts, then = CHANGES[change]
     bench = paused(route(kind="pure"))
-    assert refused(asked(bench, "/r/x/y", **facts)) == (503, 814)
+    assert refused(bench.request_unproved("/r/x/y", **facts)) == (503, 814)
     bench.configure(*routes, number=2, **fields)  # the items may come before the proof
-    assert refused(asked(bench, "/r/x/y", key=KEY)) == (503, 812 if then == 404 else 814)
+    assert refused(bench.request_unproved("/r/x/y", key=KEY)) == (503, 812 if then == 404 else 814)
     bench.feed("fresh", bench.now)
-    effects = asked(bench, "/r/x/y", **facts)
+    effects = bench.request_unproved("/r/x/y", **facts)
     if then == "try":
         target = only_effect(effects, "try")[3]
         assert ("tenant" in target) == ("callers" in fields)
@@ -82,15 +75,15 @@
     bench = RouterBench(*routes, callers=CALLERS)
     only_effect(bench.request(key=KEY)[1], "try")
     bench.feed("fresh", None)
-    assert refused(asked(bench, path, key=key)) == (503, 814 if path == "/p/x" or key == KEY else 813)
+    assert refused(bench.request_unproved(path, key=key)) == (503, 814 if path == "/p/x" or key == KEY else 813)
 
 
 def test_a_zone_drained_during_the_pause_gets_nothing():
     bench = paused(route(kind="pure"))
-    assert refused(asked(bench)) == (503, 814)
+    assert refused(bench.request_unproved()) == (503, 814)
     bench.drain("a1")
     bench.feed("fresh", bench.now)
-    assert refused(asked(bench)) == (503, 806)
+    assert refused(bench.request_unproved()) == (503, 806)
 
 
 def test_a_request_that_was_sent_nowhere_before_the_pause_is_not_sent_after_it():
@@ -128,14 +121,10 @@
 
 def test_a_daemon_that_has_had_no_proof_since_its_start_serves():
     """After a power failure everywhere it may be long until there is a proof."""
-    bench = RouterBench.__new__(RouterBench)
-    bench.component, bench.now, bench.requests_made = new_router(), 100 * SECOND, 0
-    bench.configure(route())
-    bench.feed("roll", (member("d1"),))
-    bench.feed("listed", (endpoint("1"),), True)
+    bench = RouterBench.started(parsed_configuration(route()), replicas=(endpoint("1"),))
     bench.feed("fresh", None)
     bench.advance(30)
-    only_effect(asked(bench), "try")
+    only_effect(bench.request_unproved(), "try")
 
 
 def test_a_proof_is_dropped_only_where_there_was_one():
@@ -187,35 +176,29 @@
     return ("news", request[1], (1, 1), (("config", (1, 1), parsed_configuration(route(kind="pure"))),), 0, 0, ())
 
 
-def facts(number):
-    """The facts of a request."""
-    return dict(
-        host="h",
-        path="/r/x",
-        method="POST",
-        attempt=f"t{number}",
-        deadline_ms=4000,
-        prefix=(),
-        tokens=None,
-        model="",
-        last_event=None,
-        size=0,
-    )
+def decided(machine, now, request_id):
+    """What becomes of a request: the kinds of the effects that concern it."""
+    effects = machine.feed(now, ("request", request_id, request_facts(attempt=request_id)))
+    return [effect[:1] for effect in effects if effect[0] in ("try", "answer")]
 
 
 def test_a_request_that_wakes_with_the_process_is_judged_after_the_pause_is_known():
     """The kernel hands over what a client has sent before the timer of the process fires."""
     machine, now = edge_daemon()
     now = run(machine, now, 3, news)
-    assert [effect[0] for effect in machine.feed(now, ("request", "q1", facts(1))) if effect[0] in ("try", "answer")] == ["try"]
+    assert [
+        effect[0] for effect in machine.feed(now, ("request", "q1", request_facts(attempt="t1"))) if effect[0] in ("try", "answer")
+    ] == ["try"]
     now += 5 * SECOND  # it stands still
-    effects = machine.feed(now, ("request", "q2", facts(2)))
-    assert [effect[2:] for effect in effects if effect[0] in ("try", "answer")] == [(503, 0.5, 814)]
+    effects = machine.feed(now, ("request", "q2", request_facts(attempt="q2")))
+    assert [effect[2:] for effect in effects if effect[0] == "answer"] == [(503, 0.5, 814)]
     asked_for_news = [effect for effect in effects if effect[0] == "send" and effect[2][0] == "get"]
     _, core, request = asked_for_news[-1]
     assert request[2] == (1, 0)  # as one that lacks the last change, so that the answer comes at once
     machine.feed(now, ("msg", core, news(request)))
-    assert [effect[0] for effect in machine.feed(now, ("request", "q3", facts(3))) if effect[0] in ("try", "answer")] == ["try"]
+    assert [
+        effect[0] for effect in machine.feed(now, ("request", "q3", request_facts(attempt="t3"))) if effect[0] in ("try", "answer")
+    ] == ["try"]
 
 
 def test_no_timer_fires_early_while_the_process_runs():
@@ -224,7 +207,7 @@
     fired = []
     handle = machine._handle
     machine._handle = lambda at, event: fired.append(event[0]) or handle(at, event)
-    machine.feed(now + SECOND / 2, ("request", "q1", facts(1)))
+    machine.feed(now + SECOND / 2, ("request", "q1", request_facts(attempt="t1")))
     assert fired == ["request"]
 
 
--- a/tests/routing/test_callers.py
+++ b/tests/routing/test_callers.py
@@ -191,11 +191,9 @@
     b = bench(options=CLOSED)
     attempted(b.request(key=ANN)[1])
     b.feed("fresh", None)
-    usual = dict(host="h", path="/r/x", method="POST", attempt="t", deadline_ms=4000, prefix=(), tokens=None, model="", last_event=None)
-    facts = dict(usual, size=0, key=ANN)
-    assert refused(b.feed("request", "waited", facts)) == (503, 813, True)
+    assert refused(b.request_unproved(key=ANN)) == (503, 813, True)
     b.feed("fresh", b.now)
-    attempted(b.feed("request", "later", facts))
+    attempted(b.request_unproved(key=ANN))
 
 
 def test_the_age_of_the_proof_is_checked_when_a_request_is_handled():
@@ -203,8 +201,7 @@
     b = bench(options=CLOSED)
     attempted(b.request(key=ANN)[1])
     b.advance(4.6)
-    usual = dict(host="h", path="/r/x", method="POST", attempt="t", deadline_ms=4000, prefix=(), tokens=None, model="", last_event=None)
-    assert refused(b.feed("request", "waited", dict(usual, size=0, key=ANN))) == (503, 813, True)
+    assert refused(b.request_unproved(key=ANN)) == (503, 813, True)
 
 
 GUARDS = [
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -11,7 +11,7 @@
 from silverglade.routing.route_table import build_route_table, choose_service, find_route
 from silverglade.runtime.settings import tuning
 
-from ..support.router_bench import ZONES, RouterBench, endpoint, member, new_router, only_effect, parsed_configuration, route
+from ..support.router_bench import ZONES, RouterBench, endpoint, new_router, only_effect, parsed_configuration, route
 
 OPT = tuning()
 SEC = timedelta(seconds=1)
@@ -351,22 +351,14 @@
 
 # Guards against: a daemon that starts with a configuration without services is never ready, and answers 503 in place of 404.
 def test_a_daemon_that_starts_with_an_empty_configuration_is_ready_and_knows_no_route():
-    bench = RouterBench.__new__(RouterBench)
-    bench.component, bench.now, bench.requests_made = new_router(), 100 * SEC, 0
-    bench.feed("book", {"config": ((1, 2), configuration_of({}))}, (1, 2))
-    bench.feed("roll", (member("d1"),))
-    bench.feed("listed", (), True)
+    bench = RouterBench.started(configuration_of({}))
     assert ("reply", "c", 100, {"ready": True}) in bench.all_effects("call", "c", "serving", ())
     assert only_effect(bench.request()[1], "answer")[2] == 404
 
 
 # Guards against: a daemon that forwards nothing, since its configurations never had services, says that it serves routes.
 def test_a_configuration_that_never_had_services_concerns_no_routes():
-    bench = RouterBench.__new__(RouterBench)
-    bench.component, bench.now, bench.requests_made = new_router(), 100 * SEC, 0
-    bench.feed("book", {"config": ((1, 2), configuration_of(None))}, (1, 2))
-    bench.feed("roll", (member("d1"),))
-    bench.feed("listed", (), True)
+    bench = RouterBench.started(configuration_of(None))
     assert ("reply", "c", 100, {"ready": False}) in bench.all_effects("call", "c", "serving", ())
     assert only_effect(bench.request()[1], "answer")[2] == 503
 
--- a/tests/support/router_bench.py
+++ b/tests/support/router_bench.py
@@ -42,6 +42,23 @@
     return MemberRecord(name, "", 1, 1, zone, region, "", "", False, "ready")
 
 
+def request_facts(**facts):
+    """What the HTTP layer says of a request; usual facts where none are given."""
+    usual = dict(
+        host="h",
+        path="/r/x",
+        method="POST",
+        attempt="t",
+        deadline_ms=4000,
+        prefix=(),
+        tokens=None,
+        model="",
+        last_event=None,
+        size=0,
+    )
+    return dict(usual, **facts)
+
+
 def only_effect(effects, kind):
     """The one effect that there is; it is of this kind."""
     assert [effect[0] for effect in effects] == [kind], effects
@@ -57,12 +74,26 @@
     """A router that has settled: it has a configuration, three live daemons and its replicas."""
 
     def __init__(self, *routes, replicas=(endpoint("1"), endpoint("2")), region="a", options=None, **services):
-        self.component, self.now, self.requests_made = new_router(region=region, options=options), timedelta(seconds=100), 0
+        self.start(region=region, options=options)
         self.configure(*routes, **services)
         self.feed("roll", tuple(member(f"d{number}") for number in (1, 2, 3)))
         self.feed("listed", replicas, True)
         self.advance(30)  # past every time of settling
 
+    def start(self, *, region="a", options=None):
+        """Start a router, which knows nothing yet."""
+        self.component, self.now, self.requests_made = new_router(region=region, options=options), timedelta(seconds=100), 0
+
+    @classmethod
+    def started(cls, configuration, replicas=()):
+        """A bench whose router has just started: it has this configuration and these replicas, and no proof."""
+        bench = cls.__new__(cls)
+        bench.start()
+        bench.feed("book", {"config": ((1, 2), configuration)}, (1, 2))
+        bench.feed("roll", (member("d1"),))
+        bench.feed("listed", replicas, True)
+        return bench
+
     def configure(self, *routes, number=1, **services):
         """Put a configuration in force."""
         self.store = {"config": ((1, number), parsed_configuration(*routes, number=number, **services))}
@@ -89,24 +120,16 @@
     def request(self, path="/r/x", host="h", attempt=None, proved=0.0, **facts):
         """A client's request: its id, and the effects.
 
-        :param proved: seconds since the proof that the configuration is the newest; None: there is none.
+        :param proved: seconds since the proof that the configuration is the newest; None: the process was paused, and the proof is dropped.
         """
-        self.requests_made += 1
         self.feed("fresh", None if proved is None else self.now - timedelta(seconds=proved))
-        usual = dict(
-            host=host,
-            path=path,
-            method="POST",
-            attempt=attempt or f"t{self.requests_made}",
-            deadline_ms=4000,
-            prefix=(),
-            tokens=None,
-            model="",
-            last_event=None,
-            size=0,
-        )
-        request_id = f"q{self.requests_made}"
-        return request_id, self.feed("request", request_id, dict(usual, **facts))
+        request_id = f"q{self.requests_made + 1}"
+        return request_id, self.request_unproved(path, host=host, attempt=attempt or f"t{self.requests_made + 1}", **facts)
+
+    def request_unproved(self, path="/r/x", **facts):
+        """The effects of a client's request, without a word on the proof of the configuration."""
+        self.requests_made += 1
+        return self.feed("request", f"q{self.requests_made}", request_facts(path=path, **facts))
 
     def report(self, request_id, attempt, outcome, *details):
         """The effects of what became of an attempt."""
