--- a/tests/routing/test_departure.py
+++ b/tests/routing/test_departure.py
@@ -38,7 +38,7 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_no_request_accepted_during_shutdown_is_lost(seed):
     scene, broken = rolling_stop(seed)
-    assert [b for b in broken if b[1] == "LOST"] == []
+    assert [breach for breach in broken if breach[1] == "LOST"] == []
 
 
 class ShutdownBench(RouterBench):
@@ -49,9 +49,9 @@
             route(due_ms=15000), route("p", prefix="/p/", kind="pure", due_ms=15000, tries=3), replicas=[endpoint(str(i)) for i in range(6)]
         )
         for path, seconds in (("/r/x", 2), ("/p/x", 0.5)):
-            rid, _ = self.request(path)
+            request_id, _ = self.request(path)
             self.advance(seconds)
-            self.report(rid, 1, "done")
+            self.report(request_id, 1, "done")
         self.advance(10)
 
     def shut_down(self):
@@ -66,64 +66,64 @@
 
 
 def test_streams_are_accepted_early_in_a_shutdown_if_expected_to_end_and_refused_later():
-    b = ShutdownBench()
-    b.shut_down()
+    bench = ShutdownBench()
+    bench.shut_down()
     for step in (0, 1, 0.5):
-        b.advance(step)
-        only_effect(b.request(deadline_ms=15000)[1], "try")
-    b.advance(1.5)  # 3 s after the signal: there may be time, but no new stream is accepted
-    assert answered(b.request(deadline_ms=15000)[1]) == (503, 811)
-    only_effect(b.request(deadline_ms=3000)[1], "try")  # its own deadline is early enough
-    only_effect(b.request("/p/x", deadline_ms=15000)[1], "try")  # not a stream: answered completely or not at all
-    b.advance(3)
-    assert answered(b.request("/p/x", deadline_ms=15000)[1]) == (503, 811)
+        bench.advance(step)
+        only_effect(bench.request(deadline_ms=15000)[1], "try")
+    bench.advance(1.5)  # 3 s after the signal: there may be time, but no new stream is accepted
+    assert answered(bench.request(deadline_ms=15000)[1]) == (503, 811)
+    only_effect(bench.request(deadline_ms=3000)[1], "try")  # its own deadline is early enough
+    only_effect(bench.request("/p/x", deadline_ms=15000)[1], "try")  # not a stream: answered completely or not at all
+    bench.advance(3)
+    assert answered(bench.request("/p/x", deadline_ms=15000)[1]) == (503, 811)
 
 
 @pytest.mark.parametrize("after_s", [3.98, 5.613])
 @pytest.mark.parametrize("facts", [{}, {"last_event": "12"}, {"deadline_ms": None}, {"deadline_ms": 60000}])
 def test_no_path_takes_the_streams_of_the_users_record(after_s, facts):
     """Guards against incident stream-cut-at-the-end-of-grace: streams sent 4.0 and 5.6 s after SIGTERM and cut at 7 s."""
-    b = ShutdownBench()
-    b.shut_down()
-    b.advance(after_s)
-    assert answered(b.request(**{"deadline_ms": 15190, **facts})[1]) == (503, 811)
+    bench = ShutdownBench()
+    bench.shut_down()
+    bench.advance(after_s)
+    assert answered(bench.request(**{"deadline_ms": 15190, **facts})[1]) == (503, 811)
 
 
 def test_a_stream_that_no_replica_took_in_time_gets_no_late_attempt():
     """Guards against a retry that begins a stream late: the request arrived in time, but its first attempt was unsent."""
-    b = ShutdownBench()
-    b.shut_down()
-    b.advance(2)
-    rid, effects = b.request(deadline_ms=15000)
+    bench = ShutdownBench()
+    bench.shut_down()
+    bench.advance(2)
+    request_id, effects = bench.request(deadline_ms=15000)
     only_effect(effects, "try")
-    b.advance(1.5)
-    assert answered(b.report(rid, 1, "unsent", "refused")) == (503, 811)
+    bench.advance(1.5)
+    assert answered(bench.report(request_id, 1, "unsent", "refused")) == (503, 811)
 
 
 def test_a_route_without_recent_responses_is_refused_during_shutdown():
-    b = RouterBench(route(due_ms=15000))
-    ShutdownBench.shut_down(b)
-    assert answered(b.request(deadline_ms=15000)[1]) == (503, 811)
-    only_effect(b.request(deadline_ms=4000)[1], "try")
+    bench = RouterBench(route(due_ms=15000))
+    ShutdownBench.shut_down(bench)
+    assert answered(bench.request(deadline_ms=15000)[1]) == (503, 811)
+    only_effect(bench.request(deadline_ms=4000)[1], "try")
 
 
 def test_open_requests_count_in_the_expected_response_time():
-    b = ShutdownBench()
-    b.request(deadline_ms=15000)
-    b.advance(7)  # longer than any complete response, and than the time left
-    b.shut_down()
-    assert answered(b.request(deadline_ms=15000)[1]) == (503, 811)
+    bench = ShutdownBench()
+    bench.request(deadline_ms=15000)
+    bench.advance(7)  # longer than any complete response, and than the time left
+    bench.shut_down()
+    assert answered(bench.request(deadline_ms=15000)[1]) == (503, 811)
 
 
 def test_deadlines_of_attempts_are_limited_to_the_daemons_end():
-    b = ShutdownBench()
-    before, _ = b.request("/p/x", deadline_ms=15000)
-    b.shut_down()
-    assert only_effect(b.request(deadline_ms=15000)[1], "try")[3]["deadline_ms"] <= 7000
-    b.advance(4)
-    assert only_effect(b.report(before, 1, "lost", "ReadError"), "try")[3]["deadline_ms"] <= 2500
-    b.advance(2)
-    assert answered(b.report(before, 2, "lost", "ReadError")) == (502, 808)  # no time for another attempt, and it may have run
+    bench = ShutdownBench()
+    before, _ = bench.request("/p/x", deadline_ms=15000)
+    bench.shut_down()
+    assert only_effect(bench.request(deadline_ms=15000)[1], "try")[3]["deadline_ms"] <= 7000
+    bench.advance(4)
+    assert only_effect(bench.report(before, 1, "lost", "ReadError"), "try")[3]["deadline_ms"] <= 2500
+    bench.advance(2)
+    assert answered(bench.report(before, 2, "lost", "ReadError")) == (502, 808)  # no time for another attempt, and it may have run
 
 
 def test_the_slowest_responses_of_a_route_are_kept_for_one_to_two_windows():
@@ -149,7 +149,7 @@
 
 def test_without_the_guard_late_streams_are_lost(monkeypatch):
     monkeypatch.setattr(GracefulShutdown, "may_start", lambda self, now, **_: True)
-    assert any(b[1] == "LOST" for seed in range(6) for b in rolling_stop(seed)[1])
+    assert any(bench[1] == "LOST" for seed in range(6) for bench in rolling_stop(seed)[1])
 
 
 def test_a_stopping_daemon_refuses_few_requests_and_breaks_no_rule():
@@ -162,12 +162,12 @@
 
 def test_a_change_that_drops_a_route_or_shortens_its_time_cuts_nothing_that_runs():
     """Guards against streams that are cut when a change drops their route or shortens its deadline (rule LOST, planned work)."""
-    b = RouterBench(route(due_ms=15000))
-    rid, effects = b.request(deadline_ms=15000)
+    bench = RouterBench(route(due_ms=15000))
+    request_id, effects = bench.request(deadline_ms=15000)
     only_effect(effects, "try")
-    b.report(rid, 1, "began", 200)
-    b.configure(route("other", prefix="/o/"), number=2)
-    b.configure(route(due_ms=500), number=3)
-    b.feed("listed", (endpoint("2", leaving=True),), True)
-    assert b.advance(10) == [] and b.component.machine.context.requests[rid].open_attempts
-    assert b.report(rid, 1, "done") == [] and rid not in b.component.machine.context.requests
+    bench.report(request_id, 1, "began", 200)
+    bench.configure(route("other", prefix="/o/"), number=2)
+    bench.configure(route(due_ms=500), number=3)
+    bench.feed("listed", (endpoint("2", leaving=True),), True)
+    assert bench.advance(10) == [] and bench.component.machine.context.requests[request_id].open_attempts
+    assert bench.report(request_id, 1, "done") == [] and request_id not in bench.component.machine.context.requests
