Log why a client's connection is closed without an answer, and which copies an acknowledged change has

The scripted logger of the tests keeps informational lines apart from warnings and errors; the two tests that looked for silence now also say which lines there must be.

--- a/silverglade/control/core.py
+++ b/silverglade/control/core.py
@@ -70,6 +70,7 @@
     decode,
 )
 from .placement import Place, Tolerance
+from .replicated_state import newest_version
 from .state import CoreSettings, CoreState, initial_state, may_form_first_view
 from .state_copy import copy_random, copy_state, fingerprint
 
@@ -146,6 +147,14 @@
         state.next_heartbeat = state.awake_since = state.listening_since = now
         if settings.may_form and state.view is None and not settings.formed_before:
             self.write(meta_puts(first=True), None, now)
+        self.log(
+            "store-loaded",
+            disk=settings.disk,
+            epoch=self.epoch,
+            sealed=state.sealed,
+            store=newest_version(state.store),
+            committed=state.committed_version,
+        )
         self.publish_view()
 
     def on_timer(self, now: timedelta) -> None:
--- a/silverglade/control/replication.py
+++ b/silverglade/control/replication.py
@@ -20,6 +20,8 @@
 
 NONCE_BITS = 48
 
+MAX_LOGGED_KEYS_LENGTH = 120
+
 
 def answer(core: CoreContext, client: Client | None, result: Result) -> None:
     """Send an operation's result to its client, if there is one."""
@@ -262,6 +264,7 @@
     state = core.state
     state.pending = None
     if pending.items:
+        log_commit(core, view, pending)
         committed_items.commit(core, pending.items, pending.version, now)
         for name in core.others():
             items = () if name in view.backups else pending.items  # backups hold the items already
@@ -269,3 +272,10 @@
     for pending_answer in pending.answers:
         answer(core, pending_answer.client, pending_answer.result)
     committed_items.answer_held_requests(core, now)
+
+
+def log_commit(core: CoreContext, view: View, pending: PendingChange) -> None:
+    """Log a change that is about to be acknowledged: its version, its keys, and the members that have synced it."""
+    epoch, number = pending.version
+    keys = ",".join(key for key, _, _ in pending.items)[:MAX_LOGGED_KEYS_LENGTH]
+    core.log("change-committed", version=f"{epoch}.{number}", keys=keys, members=",".join((view.primary, *view.backups)))
--- a/silverglade/control/view_change.py
+++ b/silverglade/control/view_change.py
@@ -23,7 +23,8 @@
     if view is None or view.epoch <= core.epoch:
         return
     state.register, state.view = register.with_base(state.register, view), view
-    core.log("view", epoch=view.epoch, primary=view.primary, backups=",".join(view.backups))
+    witnesses = ",".join(f"{name}/{disk}" for name, disk in view.witnesses)
+    core.log("view", epoch=view.epoch, primary=view.primary, backups=",".join(view.backups), witnesses=witnesses)
     core.publish_view()
     core.write(meta_puts(reg=state.register.stored()), None, now)
     state.view_proposer, state.opening_snapshot, state.open_epoch, state.better = None, None, 0, None
--- a/silverglade/http/forwarding_protocol.py
+++ b/silverglade/http/forwarding_protocol.py
@@ -219,6 +219,7 @@
 
     :ivar request: the forwarded request in progress, or None.
     :ivar head_timer: closes the connection unless a complete head arrives in time.
+    :ivar request_count: number of forwarded requests read on this connection so far.
     """
 
     def __init__(self, *args: Any, forwarder: RequestForwarder, port: int | None = None, **kwargs: Any) -> None:
@@ -227,6 +228,7 @@
         self.port = port
         self.request: ClientRequest | None = None
         self.head_timer: asyncio.TimerHandle | None = None
+        self.request_count = 0
         self._is_forwarding = False
 
     # called by the event loop
@@ -312,6 +314,7 @@
             self._check_head(scope, fields)
             body = await self._read_body(receive, fields, reservation)
             self.flow.resume_reading()
+            self.request_count += 1
             self.request = request = self._new_request(scope, fields, body, send)
             if self.cycle.disconnected:
                 return
--- a/silverglade/http/metrics.py
+++ b/silverglade/http/metrics.py
@@ -38,7 +38,10 @@
     faults = CounterMetricFamily("silverglade_request_faults", "Faults of the program that ended one request or call", labels=["what"])
     for what, count in sorted(daemon.faults.counts.items()):
         faults.add_metric([what], count)
-    metrics = [events, results, faults, _retries(status), _state(daemon, status, fleet), _replica_slots(replicas)]
+    cuts = CounterMetricFamily("silverglade_responses_cut", "Client connections closed without a complete response", labels=["why"])
+    for reason, count in sorted(daemon.forwarder.cut_responses.counts.items()):
+        cuts.add_metric([reason], count)
+    metrics = [events, results, faults, cuts, _retries(status), _state(daemon, status, fleet), _replica_slots(replicas)]
     registry = CollectorRegistry()
     registry.register(CollectedMetrics(metrics))
     return generate_latest(registry)
--- a/silverglade/routing/attempts.py
+++ b/silverglade/routing/attempts.py
@@ -263,6 +263,7 @@
         for attempt in list(request.open_attempts):  # of a silent replica, which may have run the request
             context.close_attempt(request, attempt)
             request.last_failure = AttemptOutcome.LOST
+            request.left_when_silent += 1
         request.attempt_number += 1
         request.counted_attempts += 1
         request.arrivals += 1
@@ -287,6 +288,21 @@
         )
         context.effects.append(StartAttempt(request.id, request.attempt_number, target))
 
+    def abort(self, request: Request, refusal: Refusal) -> None:
+        """Break off a response that has begun, and log what had happened to the request."""
+        context = self.context
+        context.log(
+            "response-aborted",
+            rid=request.id,
+            route=request.route["name"],
+            code=refusal.code,
+            last=request.last_failure or "",
+            tries=request.arrivals,
+            left=request.left_when_silent,
+        )
+        context.finish(request)
+        context.effects.append(AbortResponse(request.id))
+
     def give_up(self, request: Request, refusal: Refusal) -> None:
         """Answer the client without a further attempt.
 
@@ -294,8 +310,7 @@
         """
         context = self.context
         if request.response_begun:
-            context.finish(request)
-            context.effects.append(AbortResponse(request.id))
+            self.abort(request, refusal)
             return
         promises_not_run = refusal.status == HTTPStatus.SERVICE_UNAVAILABLE
         if request.may_have_run and (promises_not_run or not request.is_repeatable):
--- a/silverglade/routing/request.py
+++ b/silverglade/routing/request.py
@@ -72,6 +72,7 @@
     :ivar last_event_id: id of the last forwarded event.
     :ivar open_attempts: number of an open attempt to its replica's id.
     :ivar last_failure: outcome of the latest failed attempt, or None.
+    :ivar left_when_silent: attempts that were given up for another one because their replica was silent.
     :ivar work: its work in tokens (`work_of`).
     :ivar prompt: its prompt if that is long, else None.
     :ivar backlog_query: the query for the prefill backlogs of its replicas; None before it is made.
@@ -100,6 +101,7 @@
         "last_event_id",
         "open_attempts",
         "last_failure",
+        "left_when_silent",
         "work",
         "prompt",
         "backlog_query",
@@ -129,6 +131,7 @@
         self.last_event_id = facts["last_event"]
         self.open_attempts: dict[int, str] = {}
         self.last_failure: AttemptOutcome | None = None
+        self.left_when_silent = 0
         self.work = 0.0
         self.prompt: Prompt | None = None
         self.backlog_query: BacklogQuery | None = None
--- a/silverglade/server/client_request.py
+++ b/silverglade/server/client_request.py
@@ -86,7 +86,12 @@
 
 
 class ClientConnection(Protocol):
-    """The part of a client's connection that a request uses (implemented in http/forwarding_protocol.py)."""
+    """The part of a client's connection that a request uses (implemented in http/forwarding_protocol.py).
+
+    :ivar request_count: number of forwarded requests read on it so far.
+    """
+
+    request_count: int
 
     def cut(self, cycle: Any) -> None:
         """Close the connection in such a way that the response of this cycle is seen to be incomplete."""
--- a/silverglade/server/request_forwarding.py
+++ b/silverglade/server/request_forwarding.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any, ClassVar, Protocol
@@ -32,6 +33,7 @@
 from .attempt import AttemptTarget, Outcome
 from .attempt_runner import AttemptRunner
 from .client_request import ClientLimits, ClientRequest, RequestEnd
+from .cut_responses import CutReason, CutResponses
 from .fault_containment import FaultLog
 from .priority_queues import Queue
 
@@ -58,6 +60,7 @@
     """The part of the daemon that the forwarder uses."""
 
     faults: FaultLog
+    logger: logging.Logger
     draining: bool
     buffered_body_bytes: int
 
@@ -76,6 +79,7 @@
     :param reuse: whether connections to replicas are kept for further requests (docs/measures.md).
     :ivar limits: limits for clients.
     :ivar requests: requests in progress, by id.
+    :ivar cut_responses: responses to clients that were broken off, by reason.
     """
 
     REQUEST_EFFECTS: ClassVar[Mapping[str, Callable[..., Any]]] = {
@@ -101,6 +105,7 @@
         self.dialect = dialect
         self.pool = pool or ConnectionPool(local=local)
         self.limits = ClientLimits()
+        self.cut_responses = CutResponses(daemon.logger)
         self.requests: dict[str, ClientRequest] = {}
         self.attempts = AttemptRunner(pool=self.pool, dialect=dialect, reuse=reuse, report=self.report, report_silence=self._report_silence)
         self._request_count = 0
@@ -166,7 +171,7 @@
             router_informed = await self._follow_instructions(request)
         except Exception as error:  # noqa: BLE001  a program error ends only this request
             self.daemon.faults.record("forwarded-request", error)
-            request.cut()
+            self._cut(request, CutReason.FAULT)
         finally:
             if request.deadline_timer:
                 request.deadline_timer.cancel()
@@ -195,12 +200,12 @@
                     return True
                 case AnswerClient(status=status, retry_after=retry_after, code=code):
                     if request.is_response_started:
-                        request.cut()
+                        self._cut(request, CutReason.RESPONSE_STARTED)
                     else:
                         await request.respond_with_code(status, code, retry_after=retry_after)
                     return True
                 case AbortResponse():
-                    request.cut()
+                    self._cut(request, CutReason.ABORTED)
                     return True
                 case RequestEnd.CLIENT_DISCONNECTED:
                     return False
@@ -212,7 +217,7 @@
         """Run an attempt; return whether the router knows that the request has ended, or None if it has not ended."""
         request.attempt_number, request.held_response = number, None
         if not self.may_attempt(request, target):
-            request.cut()
+            self._cut(request, CutReason.NOT_RESUMED)
             return False
         self.set_deadline_timer(request, timedelta(milliseconds=target.deadline_ms))
         with anyio.CancelScope() as scope:
@@ -224,6 +229,9 @@
         await self.report(request, number, result.outcome, *result.details)
         return True if result.outcome is Outcome.DONE else None
 
+    def _cut(self, request: ClientRequest, reason: CutReason) -> None:
+        self.cut_responses.cut(request, reason)
+
     def may_attempt(self, request: ClientRequest, target: AttemptTarget) -> bool:
         """Return whether an attempt may run: once a part of a response was sent, only a stream can be resumed."""
         return target.resume or not request.is_response_started
@@ -231,7 +239,7 @@
     async def _pass_held_response(self, request: ClientRequest, number: int) -> None:
         """Send the client the held response of the latest attempt; 502 if there is none or the attempt is another one."""
         if request.is_response_started:
-            request.cut()
+            self._cut(request, CutReason.RESPONSE_STARTED)
         elif request.held_response and number == request.attempt_number:
             await request.respond(*request.held_response)
         else:
@@ -240,7 +248,7 @@
     async def _end(self, request: ClientRequest, why: RequestEnd) -> None:
         """End a request without the router; it is answered as not run only if no byte of it was sent to a replica."""
         if request.is_response_started:
-            request.cut()
+            self._cut(request, CutReason.SHUTDOWN if why is RequestEnd.SHUTDOWN else CutReason.DEADLINE_EXPIRED)
         elif request.was_sent:
             await request.respond_with_code(502, result_codes.REPLICA_SILENT)
         elif why is RequestEnd.SHUTDOWN:
--- a/silverglade/server/shutdown.py
+++ b/silverglade/server/shutdown.py
@@ -97,15 +97,23 @@
     await daemon.queues.send(DaemonStateChanged("left"))
     await anyio.sleep(LEAVE_PROPAGATION_S)
     daemon.closing.set()  # accepts no new connections; closes idle ones now, others after their responses
+    open_requests, open_connections = len(daemon.forwarder.requests), len(daemon.open_connections)
+    log_phase(daemon, "listeners-closing", signalled_at, requests=open_requests, connections=open_connections)
     while clock() < times.answer_at and (daemon.tenant_requests.result_streams or daemon.forwarder.requests or daemon.open_connections):
         await anyio.sleep(LAST_CHECK_INTERVAL_S)
     answer_pending_requests(daemon)
     while clock() < times.end_at and (daemon.forwarder.requests or daemon.open_connections):
         await anyio.sleep(LAST_CHECK_INTERVAL_S)
+    log_phase(daemon, "drained", signalled_at, connections=len(daemon.open_connections))
     log_interrupted_requests(daemon, signalled_at)
     daemon.stopping.set()
 
 
+def log_phase(daemon: Daemon, event: str, signalled_at: timedelta, **counts: int) -> None:
+    """Log that a phase of the shutdown has been reached, and how long after the signal."""
+    daemon.logger.info(format_line(event, [("after_ms", to_milliseconds(clock() - signalled_at)), *counts.items()]))
+
+
 def log_interrupted_requests(daemon: Daemon, signalled_at: timedelta) -> None:
     """Log how many requests are broken off by the end of the process, and how long after the signal the last of them was read."""
     requests = daemon.forwarder.requests.values()
--- a/silverglade/testbed/experiments/loopback_cpu.py
+++ b/silverglade/testbed/experiments/loopback_cpu.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import multiprocessing
 import os
 import resource
@@ -18,6 +19,7 @@
 
 from ...http.dialect import DEFAULT_DIALECT
 from ...http.forwarding_protocol import ForwardingProtocol
+from ...runtime.structured_logging import LOGGER_NAME
 from ...server.priority_queues import PriorityQueues
 from ...server.request_forwarding import RequestForwarder
 
@@ -39,6 +41,7 @@
 
     def __init__(self, addr):
         self.addr, self.buffered_body_bytes, self.draining, self.faults = addr, 0, False, None
+        self.logger = logging.getLogger(LOGGER_NAME)
         self.queues, self.forwarder = PriorityQueues(), RequestForwarder(daemon=self, dialect=DEFAULT_DIALECT)
 
     async def think(self):
--- a/tests/http/test_forwarding.py
+++ b/tests/http/test_forwarding.py
@@ -167,6 +167,8 @@
         assert (got[0], got[2])[: len(want)] == want and got[3]
     assert len(rep.raw) == 1 and rep.rest == b""  # never sent twice
     assert d.logger.said == []
+    is_cut = got is None or not got[3]
+    assert ["event=response-cut" in line for line in d.logger.informed] == [True] * is_cut
 
 
 def test_a_reset_after_the_request_was_read_is_lost_and_a_closed_port_is_unsent():
--- a/tests/http/test_forwarding_protocol.py
+++ b/tests/http/test_forwarding_protocol.py
@@ -224,7 +224,7 @@
             await asyncio.sleep(0)
 
     _, d, rep = scene(script, talk)
-    assert d.told == [] and rep.conns == [] and d.logger.said == []
+    assert d.told == [] and rep.conns == [] and d.logger.said == [] and d.logger.informed == []
 
 
 def test_an_exception_ends_only_its_own_request():
@@ -239,6 +239,7 @@
 
     (got, status), d, _ = scene(script, talk)
     assert got is None and status == 200 and (1, "gone") in d.words() and len(d.logger.said) == 1
+    assert [" why=fault begun=False " in line for line in d.logger.informed] == [True]
 
 
 def test_parsing_of_header_values():
--- a/tests/routing/test_doubtful_replicas.py
+++ b/tests/routing/test_doubtful_replicas.py
@@ -1,5 +1,7 @@
 """Suspected replicas (design 15.3, 15.4): their idle connections, and the answers to requests that were sent to one."""
 
+from silverglade.runtime import result_codes
+
 from ..support.router_bench import RouterBench, endpoint, only_effect, route
 
 
@@ -31,6 +33,16 @@
     assert [dict(e[2])["replica"] for e in logs if e[1] == "request-lost"] == [r], logs
 
 
+def test_an_aborted_stream_is_logged_with_the_attempts_that_were_left_for_silence():
+    b = RouterBench(route(kind="streaming", resumable=True, tries=2), replicas=(endpoint("1"), endpoint("2")))
+    rid, _ = b.request()
+    b.report(rid, 1, "began", 200)
+    b.report(rid, 1, "silent", None)
+    logs = [e for e in b.all_effects("tried", rid, 2, "lost", "ReadError") if e[0] == "log"]
+    fields = dict(next(e for e in logs if e[1] == "response-aborted")[2])
+    assert fields == {"rid": rid, "route": "r", "code": result_codes.TRIES_USED, "last": "lost", "tries": 2, "left": 1}
+
+
 def test_a_request_retried_after_silence_is_never_reported_as_not_run():
     b = RouterBench(route(kind="pure", tries=3), replicas=(endpoint("1"), endpoint("2")))
     rid, es = b.request()
--- a/tests/server/test_graceful_shutdown.py
+++ b/tests/server/test_graceful_shutdown.py
@@ -160,6 +160,10 @@
 
     run_shutdown(monkeypatch, step, signalled_at=timedelta(seconds=18.5), before=before)
     assert lines[0].endswith(" event=drain noticed_ms=1500 requests=2")
+    assert [line.split(" event=")[1] for line in (lines[1], lines[-2])] == [
+        "listeners-closing after_ms=3800 requests=2 connections=1",
+        "drained after_ms=7000 connections=1",
+    ]
     assert lines[-1].endswith(" event=cut-at-shutdown requests=2 begun=1 last_after_ms=4000")
 
 
--- a/tests/support/scripted_replicas.py
+++ b/tests/support/scripted_replicas.py
@@ -23,13 +23,18 @@
 
 
 class Quiet:
+    """A logger that keeps its lines: `said` are warnings and errors, `informed` all others."""
+
     def __init__(self):
-        self.said = []
+        self.said, self.informed = [], []
+
+    def info(self, line):
+        self.informed.append(line)
 
-    def info(self, *a):
+    def warning(self, *a):
         self.said.append(a)
 
-    warning = error = info
+    error = warning
 
 
 class Replica:
