A stream of which the client was sent nothing is answered 502, not closed without an answer

Callers saw their connection closed without any answer when a replica's stream broke off before its first whole event. Cause: the router takes a stream for begun when the replica's head arrives; the client is sent the head only with the first event. Giving up a stream that had begun meant closing the connection, whatever the client had been sent. Now the forwarder, which knows what was sent, answers 502 in that case. A 502 promises nothing, like the close.

Test: test_a_stream_of_which_nothing_was_sent_ends_with_an_answer failed before (no answer came). Two tests had the close as what they expected; they now ask for the 502, whole, and for an answer each time.

--- a/silverglade/server/request_forwarding.py
+++ b/silverglade/server/request_forwarding.py
@@ -205,7 +205,7 @@
                         await request.respond_with_code(status, code, retry_after=retry_after)
                     return True
                 case AbortResponse():
-                    self._cut(request, CutReason.ABORTED)
+                    await self._abort(request)
                     return True
                 case RequestEnd.CLIENT_DISCONNECTED:
                     return False
@@ -245,6 +245,13 @@
         else:
             await request.respond_with_code(502, result_codes.LOST_ANSWER)
 
+    async def _abort(self, request: ClientRequest) -> None:
+        """Break off a response; if the client was sent nothing of it, answer 502 in its place."""
+        if request.is_response_started:
+            self._cut(request, CutReason.ABORTED)
+        else:
+            await request.respond_with_code(502, result_codes.LOST_ANSWER)
+
     async def _end(self, request: ClientRequest, why: RequestEnd) -> None:
         """End a request without the router; it is answered as not run only if no byte of it was sent to a replica."""
         if request.is_response_started:
--- a/silverglade/testbed/simulator/forwarding_io.py
+++ b/silverglade/testbed/simulator/forwarding_io.py
@@ -216,7 +216,10 @@
             case ("break", rid):
                 del self.ways[rid]
                 self.hang(way)
-                way.end(False)
+                if way.started:
+                    return way.end(False)
+                way.start(502, None)
+                way.end(True, own=True)
         return
 
     def reach(self, rid, addr, wait):
