A stream that left a silent replica goes on there if no other replica takes it

Callers saw a stream cut in the middle although its replica was only slow. Cause: a replica that says nothing for 0.6 of the longest pause is left for another one; when that one was full, refused the connection or broke off, no attempt was left (max_tries 2) and the stream was broken off. The silence of a replica is no reason to end an answer sooner (LOST). Class of fault: something is given up before what is to replace it is certain.

Now the stream resumes once more at the replica that it left: after its last event, within the retry budget, unless that replica is leaving, gone or in a drained zone. A stream that has begun leaves a silent replica only if the budget allows the way back too.

test_a_stream_that_left_a_silent_replica_and_was_refused_elsewhere_goes_on_there (real sockets) failed before: the stream was cut after two of four events.

--- a/silverglade/routing/attempt_progress.py
+++ b/silverglade/routing/attempt_progress.py
@@ -119,7 +119,7 @@
         if not request.may_have_run:
             request.last_failure = AttemptOutcome.NOT_RUN
         if request.counted_attempts >= request.route["tries"]:
-            self.attempts.give_up(request, attempts_exhausted(retry_after))
+            self.attempts.give_up(request, attempts_exhausted(retry_after), now)
             return
         self.attempts.send_next(request, now)
 
@@ -149,7 +149,7 @@
             self.attempts.send_next(request, now)
             return
         if request.response_begun:  # the continuation of a stream was refused: the stream is broken off
-            self.attempts.give_up(request, RESPONSE_LOST)
+            self.attempts.give_up(request, RESPONSE_LOST, now)
             return
         self.context.effects.append(ForwardResponse(request.id, progress.attempt))
         self.context.finish(request)
@@ -182,14 +182,14 @@
             tries=request.arrivals,
             why=progress.details[0] if progress.details else "",
         )
-        self.attempts.give_up(request, RESPONSE_LOST)
+        self.attempts.give_up(request, RESPONSE_LOST, now)
 
     def on_silent(self, request: Request, replica: ReplicaState | None, progress: AttemptProgressed, now: timedelta) -> None:
         """Handle a silent replica: retry a repeatable request elsewhere if possible; otherwise keep waiting."""
         self.record_last_event(request, progress.details)
         if replica:
             self.feedback.on_suspected(replica, now, may_be_down=True)
-        if request.is_repeatable:
+        if request.is_repeatable and self.attempts.may_leave_silent_replica(request, now):
             self.attempts.try_next(request, now)
 
     def on_client_gone(self, request: Request, replica: ReplicaState | None, progress: AttemptProgressed, now: timedelta) -> None:
--- a/silverglade/routing/attempts.py
+++ b/silverglade/routing/attempts.py
@@ -144,7 +144,7 @@
         """Send a request to the next replica, or give it up immediately."""
         refusal = self.try_next(request, now)
         if refusal is not None:
-            self.give_up(request, refusal)
+            self.give_up(request, refusal, now)
 
     def try_next(self, request: Request, now: timedelta) -> Refusal | None:
         """Send a request to the next replica if there is one and deadline, limits and retry budget permit.
@@ -260,10 +260,10 @@
     def start(self, request: Request, replica: ReplicaState, service: ServiceConfiguration, now: timedelta) -> None:
         """Start an attempt of the request at the replica."""
         context = self.context
-        for attempt in list(request.open_attempts):  # of a silent replica, which may have run the request
+        for attempt, silent_replica in list(request.open_attempts.items()):
             context.close_attempt(request, attempt)
-            request.last_failure = AttemptOutcome.LOST
-            request.left_when_silent += 1
+            request.last_failure = AttemptOutcome.LOST  # the silent replica may have run the request
+            request.silent_replica = silent_replica
         request.attempt_number += 1
         request.counted_attempts += 1
         request.arrivals += 1
@@ -298,19 +298,48 @@
             code=refusal.code,
             last=request.last_failure or "",
             tries=request.arrivals,
-            left=request.left_when_silent,
+            silent=request.silent_replica or "",
         )
         context.finish(request)
         context.effects.append(AbortResponse(request.id))
 
-    def give_up(self, request: Request, refusal: Refusal) -> None:
-        """Answer the client without a further attempt.
+    def may_leave_silent_replica(self, request: Request, now: timedelta) -> bool:
+        """Return whether a request may be sent to another replica while its replica is silent.
+
+        A stream that has begun may have to return to the silent replica, so the retry budget must allow two more arrivals.
+        """
+        context = self.context
+        arrivals = 2 if request.response_begun else 1
+        return context.retry_budget.allows(now, request.service, daemons=context.daemons, arrivals=arrivals)
+
+    def return_to_silent_replica(self, request: Request, now: timedelta) -> bool:
+        """Resume a stream at the replica that was left when it was silent, as no other one takes it; return whether it was sent.
+
+        The replica may only have been slow, and the silence of a replica is no reason to break off its response. This is done once.
+        """
+        context = self.context
+        silent, request.silent_replica = context.replicas.get(request.silent_replica or ""), None
+        service = context.services.get(request.service)
+        if silent is None or service is None or request.deadline - now - RESPONSE_MARGIN <= ZERO:
+            return False
+        if not eligible_replicas([silent], service=request.service, homes=request.homes, drained_zones=context.drained_zones):
+            return False
+        if not self.take_slow_start_quota(silent, service["cold_per_s"], now):
+            return False
+        if not context.retry_budget.spend(now, request.service, daemons=context.daemons):
+            return False
+        self.start(request, silent, service, now)
+        return True
+
+    def give_up(self, request: Request, refusal: Refusal, now: timedelta) -> None:
+        """Answer the client without a further attempt; a stream that has begun may resume at a replica that was left when silent.
 
         A request that may have run is never answered with a status that says that it did not.
         """
         context = self.context
         if request.response_begun:
-            self.abort(request, refusal)
+            if not self.return_to_silent_replica(request, now):
+                self.abort(request, refusal)
             return
         promises_not_run = refusal.status == HTTPStatus.SERVICE_UNAVAILABLE
         if request.may_have_run and (promises_not_run or not request.is_repeatable):
--- a/silverglade/routing/request.py
+++ b/silverglade/routing/request.py
@@ -72,7 +72,7 @@
     :ivar last_event_id: id of the last forwarded event.
     :ivar open_attempts: number of an open attempt to its replica's id.
     :ivar last_failure: outcome of the latest failed attempt, or None.
-    :ivar left_when_silent: attempts that were given up for another one because their replica was silent.
+    :ivar silent_replica: id of the replica that was left for another one because it was silent, or None.
     :ivar work: its work in tokens (`work_of`).
     :ivar prompt: its prompt if that is long, else None.
     :ivar backlog_query: the query for the prefill backlogs of its replicas; None before it is made.
@@ -101,7 +101,7 @@
         "last_event_id",
         "open_attempts",
         "last_failure",
-        "left_when_silent",
+        "silent_replica",
         "work",
         "prompt",
         "backlog_query",
@@ -131,7 +131,7 @@
         self.last_event_id = facts["last_event"]
         self.open_attempts: dict[int, str] = {}
         self.last_failure: AttemptOutcome | None = None
-        self.left_when_silent = 0
+        self.silent_replica: str | None = None
         self.work = 0.0
         self.prompt: Prompt | None = None
         self.backlog_query: BacklogQuery | None = None
--- a/silverglade/routing/retry_budget.py
+++ b/silverglade/routing/retry_budget.py
@@ -139,6 +139,16 @@
     def spend(self, now: timedelta, service: str, *, daemons: int) -> bool:
         """Return whether one arrival beyond the first may be sent now; if so, count it.
 
+        :param daemons: number of edge daemons known now.
+        """
+        if not self.allows(now, service, daemons=daemons):
+            return False
+        increment_count(self.retries, service, self.slot(now))
+        return True
+
+    def allows(self, now: timedelta, service: str, *, daemons: int, arrivals: int = 1) -> bool:
+        """Return whether this many arrivals beyond the first may be sent now.
+
         :param daemons: number of edge daemons known now.
         """
         slot = self.slot(now)
@@ -146,13 +156,12 @@
         share = self.share(now, daemons)
         requests = CumulativeCounts(self.requests.get(service, ()))
         earlier = list(self.retries.get(service, ()))
-        retries = 1
+        retries = arrivals
         for window_start in range(slot + 1, slot - SLOTS_PER_WINDOW - 1, -1):  # windows that begin within this slot
             while earlier and earlier[-1].slot >= window_start - 1:
                 retries += earlier.pop().count
             if retries > ratio * requests.weighted_mean(window_start) + share:
                 return False
-        increment_count(self.retries, service, slot)
         return True
 
 
--- a/silverglade/routing/router.py
+++ b/silverglade/routing/router.py
@@ -283,4 +283,4 @@
         """
         overdue = [request for request in self.context.requests.values() if now >= request.deadline and not request.open_attempts]
         for request in overdue:
-            self.attempts.give_up(request, DEADLINE_PASSED)
+            self.attempts.give_up(request, DEADLINE_PASSED, now)
--- a/tests/http/test_forwarding_ends.py
+++ b/tests/http/test_forwarding_ends.py
@@ -6,14 +6,22 @@
 from types import SimpleNamespace
 
 from silverglade.http import connection_pool
+from silverglade.http.dialect import DEFAULT_DIALECT
 from silverglade.server import attempt_runner, request_forwarding
 from silverglade.server import response_timeouts as silence
 
-from ..support.scripted_replicas import ID, SEAL, Daemon, answer, chunk, event, one, scene, stream
+from ..support.router_bench import RouterBench, endpoint, route
+from ..support.scripted_replicas import ID, NOT, SEAL, Daemon, answer, chunk, event, front, one, play, replica, scene, stream
 from .test_event_stream import complete_events, random_pieces, random_stream
 from .test_forwarding import ask, replica_asked, says
 
 
+def resumed_after(request):
+    """The id of the event after which a replica was asked to resume, or None."""
+    _, fields, _, _ = request
+    return fields.get(DEFAULT_DIALECT.last_event.decode())
+
+
 def retrying_router(addr):
     """A router that starts a second attempt no matter what has been forwarded to the client."""
 
@@ -305,3 +313,35 @@
         assert d.words() == [(1, "began", 200), (1, "cut", None)]
         assert got is not None and got[0] == 502 and got[3], got
         assert d.logger.informed == []
+
+
+def test_a_stream_that_left_a_silent_replica_and_was_refused_elsewhere_goes_on_there():
+    """Guards against a stream that is cut although its replica was only slow: it was left, and no other replica took the stream."""
+
+    async def slow(c):
+        request = await c.request()
+        if resumed_after(request) is None:
+            await c.say(stream("a1", event(1), event(2), last=False))
+            await c.closed()
+        elif resumed_after(request) == "2":
+            await c.say(stream("a1", event(3), event(4)))
+
+    async def full(c):
+        await c.request()
+        await c.say(answer("a1", "full", status="503 Full", more=(f"{NOT}: 1",)))
+
+    async def go():
+        async with replica(slow) as first, replica(full) as second:
+            bench = RouterBench(
+                route(host="h.example", kind="streaming", resumable=True, tries=2, gap_ms=600, aim_ms=300),
+                replicas=(endpoint("1", address=first.addr), endpoint("2", address=second.addr)),
+            )
+            bench.feed("loads", {"2": (3, 0, 8)})  # so that the first one is chosen
+            async with front(bench.part()) as (d, client):
+                c = await client()
+                await c.ask(path="/r/x", more=(f"{DEFAULT_DIALECT.deadline.decode()}: 5000",))
+                return await c.answer(), d.words()
+
+    got, words = play(go)
+    assert [what[:2] for what in words][:4] == [(1, "began"), (1, "first"), (1, "silent"), (2, "not-run")]
+    assert got[0] == 200 and got[3] and got[2].decode() == "".join(event(n) for n in (1, 2, 3, 4))
--- a/tests/support/router_bench.py
+++ b/tests/support/router_bench.py
@@ -1,5 +1,6 @@
 """A router on a bench: its events are made up, its effects are looked at, and nothing is sent."""
 
+import time
 from datetime import timedelta
 
 from silverglade.configuration import schema
@@ -32,9 +33,9 @@
     return configuration
 
 
-def endpoint(name, zone="a1", service="s", leaving=False, slow_start_ms=0):
+def endpoint(name, zone="a1", service="s", leaving=False, slow_start_ms=0, address=None):
     """A replica as the endpoint list has it."""
-    return EndpointRecord(name, f"10.0.0.{name}:80", zone, ZONES[zone]["region"], service, 8, leaving, slow_start_ms, -1)
+    return EndpointRecord(name, address or f"10.0.0.{name}:80", zone, ZONES[zone]["region"], service, 8, leaving, slow_start_ms, -1)
 
 
 def member(name, zone="a1", region="a"):
@@ -134,3 +135,15 @@
     def report(self, request_id, attempt, outcome, *details):
         """The effects of what became of an attempt."""
         return self.feed("tried", request_id, attempt, outcome, *details)
+
+    def part(self):
+        """A function from an event to the router's effects, in real time and with a proved configuration."""
+        origin = self.now - timedelta(seconds=time.monotonic())
+
+        def effects(event):
+            self.now = origin + timedelta(seconds=time.monotonic())
+            if event[0] == "request":
+                self.feed("fresh", self.now)
+            return self.all_effects(*event)
+
+        return effects
