--- a/silverglade/routing/request.py
+++ b/silverglade/routing/request.py
@@ -28,7 +28,7 @@
 
 
 class RequestFacts(TypedDict):
-    """The fields that the HTTP layer parsed from a request's head (http/forwarding_protocol.py).
+    """The fields that the HTTP layer parsed from a request's head (http/request_facts.py).
 
     `attempt` is the client's id for its own attempt; `prefix` holds the prompt's parts, (id, tokens) each, the last one the
     request's own; `tokens` holds the tokens of the prompt and the maximum of the response; `key` is the digest of the client's key.
--- a/silverglade/server/request_forwarding.py
+++ b/silverglade/server/request_forwarding.py
@@ -155,7 +155,7 @@
     async def run(self, request: ClientRequest, facts: Mapping[str, Any]) -> None:
         """Run one request from arrival to end.
 
-        :param facts: properties of the request that are given to the router (http/forwarding_protocol.py).
+        :param facts: properties of the request that are given to the router (http/request_facts.py).
         """
         self.requests[request.request_id] = request
         deadline_ms = facts["deadline_ms"]
--- a/tests/http/test_caller_keys.py
+++ b/tests/http/test_caller_keys.py
@@ -6,7 +6,7 @@
 
 from silverglade.configuration.schema import key_digest
 from silverglade.http.dialect import DEFAULT_DIALECT
-from silverglade.http.forwarding_protocol import parse_key_digest
+from silverglade.http.request_facts import parse_key_digest
 from silverglade.server import attempt_runner
 
 from ..support.scripted_replicas import SEAL, answer, chunk, event, one, scene, stream
--- a/tests/http/test_forwarding_protocol.py
+++ b/tests/http/test_forwarding_protocol.py
@@ -8,8 +8,8 @@
 import pytest
 
 from silverglade.http import forwarding_protocol
-from silverglade.http.forwarding_protocol import host_name, parse_integer, parse_prompt_parts, parse_token_counts
 from silverglade.http.listener import bound_socket, serve
+from silverglade.http.request_facts import host_name, parse_integer, parse_prompt_parts, parse_token_counts
 from silverglade.runtime import errors
 from silverglade.server.client_request import ClientLimits, send_result_code
 
--- a/tests/http/test_hostile_requests.py
+++ b/tests/http/test_hostile_requests.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from silverglade.configuration.schema import parse_configuration
-from silverglade.http import event_stream, forwarding_protocol
+from silverglade.http import event_stream, request_facts
 from silverglade.runtime.errors import InvalidInputError, SilvergladeError
 from silverglade.runtime.outside_input import (
     MAX_DEPTH,
@@ -71,10 +71,10 @@
     assert not is_address(text) or text.rpartition(":")[2].isascii()
     assert not is_header_value(text, max_length=200) or text.encode("ascii").strip() == text.encode()
     data = text.encode("utf-8", "replace")
-    forwarding_protocol.parse_integer(data)
-    forwarding_protocol.parse_prompt_parts(data)
-    forwarding_protocol.parse_token_counts(data)
-    forwarding_protocol.host_name(data)
+    request_facts.parse_integer(data)
+    request_facts.parse_prompt_parts(data)
+    request_facts.parse_token_counts(data)
+    request_facts.host_name(data)
     client_request.parse_seconds(data)
     event_stream.events_after(b"id: " + data + b"\n\nid: 7\n\n", text)
     EventParser().feed(b"id: " + data + b"\ndata: x\n\n")
--- a/tests/system/test_extreme_numbers.py
+++ b/tests/system/test_extreme_numbers.py
@@ -16,7 +16,7 @@
 from silverglade.duties.usage_reporter import UsageReporter
 from silverglade.duties.wall_clock import WindowClock
 from silverglade.http.dialect import DEFAULT_DIALECT
-from silverglade.http.forwarding_protocol import MAX_INTEGER, request_facts
+from silverglade.http.request_facts import MAX_INTEGER, request_facts
 from silverglade.membership.attribute_checks import is_valid_attribute
 from silverglade.membership.records import MemberRecord
 from silverglade.replicas.records import ReplicaEntry, ReplicaRecord, ReplicaStatus
