Cut responses, metrics and the log of a commit call what stands already

- Counters of faults and of cut responses were built by the same loop twice; both go through one function.
- The log of a commit wrote version_text and members anew.
- RequestForwarder._cut only handed on.
Log lines and metrics are as they were.

--- a/silverglade/control/replication.py
+++ b/silverglade/control/replication.py
@@ -13,7 +13,7 @@
 from .operations import AssignRole, Evacuate, ReopenShard, decode_operation
 from .replicated_state import CONFIGURATION_KEY, Item, Items, Version, newest_version
 from .state import Answer, Client, PendingChange, QueuedOperation, StoreOnDisk
-from .view import View
+from .view import View, members
 
 MAX_QUEUED = 256
 """Maximum number of operations queued at the primary; further ones are dropped, and their clients retry."""
@@ -276,6 +276,5 @@
 
 def log_commit(core: CoreContext, view: View, pending: PendingChange) -> None:
     """Log a change that is about to be acknowledged: its version, its keys, and the members that have synced it."""
-    epoch, number = pending.version
     keys = ",".join(key for key, _, _ in pending.items)[:MAX_LOGGED_KEYS_LENGTH]
-    core.log("change-committed", version=f"{epoch}.{number}", keys=keys, members=",".join((view.primary, *view.backups)))
+    core.log("change-committed", version=decisions.version_text(pending.version), keys=keys, members=",".join(members(view)))
--- a/silverglade/http/metrics.py
+++ b/silverglade/http/metrics.py
@@ -35,18 +35,22 @@
     _, fleet = await daemon.call("fleet", ())
     _, replicas = await daemon.call("replicas", ())
     events, results = _counts(daemon.event_counts)
-    faults = CounterMetricFamily("silverglade_request_faults", "Faults of the program that ended one request or call", labels=["what"])
-    for what, count in sorted(daemon.faults.counts.items()):
-        faults.add_metric([what], count)
-    cuts = CounterMetricFamily("silverglade_responses_cut", "Client connections closed without a complete response", labels=["why"])
-    for reason, count in sorted(daemon.forwarder.cut_responses.counts.items()):
-        cuts.add_metric([reason], count)
+    cut_counts = daemon.forwarder.cut_responses.counts
+    faults = _counter("silverglade_request_faults", "Faults of the program that ended one request or call", "what", daemon.faults.counts)
+    cuts = _counter("silverglade_responses_cut", "Client connections closed without a complete response", "why", cut_counts)
     metrics = [events, results, faults, cuts, _retries(status), _state(daemon, status, fleet), _replica_slots(replicas)]
     registry = CollectorRegistry()
     registry.register(CollectedMetrics(metrics))
     return generate_latest(registry)
 
 
+def _counter(name: str, text: str, label: str, counts: Mapping[str, int]) -> Metric:
+    metric = CounterMetricFamily(name, text, labels=[label])
+    for value, count in sorted(counts.items()):
+        metric.add_metric([value], count)
+    return metric
+
+
 def _counts(counts: Mapping[str, int]) -> tuple[Metric, Metric]:
     events = CounterMetricFamily("silverglade_events", "Log events by name", labels=["event"])
     results = CounterMetricFamily("silverglade_results", "Final answers to visitors by code", labels=["code"])
--- a/silverglade/server/cut_responses.py
+++ b/silverglade/server/cut_responses.py
@@ -39,7 +39,7 @@
     """
 
     def __init__(self, logger: logging.Logger) -> None:
-        self.counts: Counter[CutReason] = Counter()
+        self.counts: Counter[str] = Counter()
         self._logger = logger
 
     def cut(self, request: ClientRequest, reason: CutReason) -> None:
--- a/silverglade/server/request_forwarding.py
+++ b/silverglade/server/request_forwarding.py
@@ -171,7 +171,7 @@
             router_informed = await self._follow_instructions(request)
         except Exception as error:  # noqa: BLE001  a program error ends only this request
             self.daemon.faults.record("forwarded-request", error)
-            self._cut(request, CutReason.FAULT)
+            self.cut_responses.cut(request, CutReason.FAULT)
         finally:
             if request.deadline_timer:
                 request.deadline_timer.cancel()
@@ -200,7 +200,7 @@
                     return True
                 case AnswerClient(status=status, retry_after=retry_after, code=code):
                     if request.is_response_started:
-                        self._cut(request, CutReason.RESPONSE_STARTED)
+                        self.cut_responses.cut(request, CutReason.RESPONSE_STARTED)
                     else:
                         await request.respond_with_code(status, code, retry_after=retry_after)
                     return True
@@ -217,7 +217,7 @@
         """Run an attempt; return whether the router knows that the request has ended, or None if it has not ended."""
         request.attempt_number, request.held_response = number, None
         if not self.may_attempt(request, target):
-            self._cut(request, CutReason.NOT_RESUMED)
+            self.cut_responses.cut(request, CutReason.NOT_RESUMED)
             return False
         self.set_deadline_timer(request, timedelta(milliseconds=target.deadline_ms))
         with anyio.CancelScope() as scope:
@@ -229,9 +229,6 @@
         await self.report(request, number, result.outcome, *result.details)
         return True if result.outcome is Outcome.DONE else None
 
-    def _cut(self, request: ClientRequest, reason: CutReason) -> None:
-        self.cut_responses.cut(request, reason)
-
     def may_attempt(self, request: ClientRequest, target: AttemptTarget) -> bool:
         """Return whether an attempt may run: once a part of a response was sent, only a stream can be resumed."""
         return target.resume or not request.is_response_started
@@ -239,7 +236,7 @@
     async def _pass_held_response(self, request: ClientRequest, number: int) -> None:
         """Send the client the held response of the latest attempt; 502 if there is none or the attempt is another one."""
         if request.is_response_started:
-            self._cut(request, CutReason.RESPONSE_STARTED)
+            self.cut_responses.cut(request, CutReason.RESPONSE_STARTED)
         elif request.held_response and number == request.attempt_number:
             await request.respond(*request.held_response)
         else:
@@ -248,14 +245,14 @@
     async def _abort(self, request: ClientRequest) -> None:
         """Break off a response; if the client was sent nothing of it, answer 502 in its place."""
         if request.is_response_started:
-            self._cut(request, CutReason.ABORTED)
+            self.cut_responses.cut(request, CutReason.ABORTED)
         else:
             await request.respond_with_code(502, result_codes.LOST_ANSWER)
 
     async def _end(self, request: ClientRequest, why: RequestEnd) -> None:
         """End a request without the router; it is answered as not run only if no byte of it was sent to a replica."""
         if request.is_response_started:
-            self._cut(request, CutReason.SHUTDOWN if why is RequestEnd.SHUTDOWN else CutReason.DEADLINE_EXPIRED)
+            self.cut_responses.cut(request, CutReason.SHUTDOWN if why is RequestEnd.SHUTDOWN else CutReason.DEADLINE_EXPIRED)
         elif request.was_sent:
             await request.respond_with_code(502, result_codes.REPLICA_SILENT)
         elif why is RequestEnd.SHUTDOWN:
